--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test proofs measure benchmark capacity report format
+
+$(READY): requirements.txt requirements-workspace.txt $(wildcard libs/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q --no-build-isolation --no-deps -r requirements-workspace.txt
+	touch $@
+
+test: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy libs/*/src
+	$(BIN)/python -m pytest
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/__init__.py
@@ -0,0 +1,5 @@
+"""Queues, reports, grants and the dispatcher role."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -0,0 +1,5 @@
+"""HTTP on both sides of a router."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/settings/src/teaseldyke/settings/__init__.py
@@ -0,0 +1,5 @@
+"""Settings of a process, read from YAML and checked."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/telemetry/src/teaseldyke/telemetry/__init__.py
@@ -0,0 +1,5 @@
+"""Logs, counters, histograms and traces."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
