--- a/libs/platform/src/teaseldyke/platform/__init__.py
+++ b/libs/platform/src/teaseldyke/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .faults import CallCounts, Faults
 from .interfaces import (
     ABSENT,
     ANY_VERSION,
@@ -14,14 +15,20 @@
     TableService,
     Write,
 )
+from .memory import MemoryInstanceList, MemoryObjectStore, MemoryTableService
 
 __all__ = [
     "ABSENT",
     "ANY_VERSION",
+    "CallCounts",
+    "Faults",
     "Instance",
     "InstanceList",
     "InstanceRole",
     "InstanceState",
+    "MemoryInstanceList",
+    "MemoryObjectStore",
+    "MemoryTableService",
     "ObjectStore",
     "Row",
     "TableService",
