Serve and call HTTP over h11 and trio

The small client, the caller-facing server and the exchanges with backend servers share one h11 connection for each TCP connection.

--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -2,4 +2,50 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .backend import BackendPool
+from .client import HttpClient, Response
+from .errors import (
+    AnswerBroken,
+    AnswerTimedOut,
+    AnswerTooLarge,
+    BodyTooLarge,
+    CallerGone,
+    ConnectFailed,
+    CrossedAnswer,
+    ExchangeBroken,
+    HeaderTooLarge,
+    MalformedRequest,
+    RequestTimedOut,
+    TooManyConnections,
+)
+from .exchange import Exchange
+from .headers import end_to_end_headers, first_header
+from .limits import ServerLimits
+from .problem import problem_response
+from .request import Request
+from .server import serve
+
+__all__ = [
+    "AnswerBroken",
+    "AnswerTimedOut",
+    "AnswerTooLarge",
+    "BackendPool",
+    "BodyTooLarge",
+    "CallerGone",
+    "ConnectFailed",
+    "CrossedAnswer",
+    "Exchange",
+    "ExchangeBroken",
+    "HeaderTooLarge",
+    "HttpClient",
+    "MalformedRequest",
+    "Request",
+    "RequestTimedOut",
+    "Response",
+    "ServerLimits",
+    "TooManyConnections",
+    "end_to_end_headers",
+    "first_header",
+    "problem_response",
+    "serve",
+]
--- /dev/null
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -0,0 +1,305 @@
+"""One request of a caller and the answer to it."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import AsyncIterator
+from typing import Any
+
+import h11
+import trio
+
+from .errors import BodyTooLarge, CallerGone, MalformedRequest, RequestTimedOut
+from .headers import Headers, MixedHeaders, encode_headers, first_header
+from .limits import ServerLimits
+from .stream import LISTEN_BYTES, close_with_reset
+from .target import parse_query, split_target
+
+REQUEST_ID_BYTES = 8
+
+
+class Request:
+    """A caller's request; its methods also send the answer.
+
+    Parameters
+    ----------
+    connection : h11.Connection
+        Has just given the event ``head``.
+    stream : trio.SocketStream
+        The caller's connection.
+    head : h11.Request
+        Request line and header.
+    limits : ServerLimits
+        Bounds of body and times.
+    stopping : trio.Event
+        Once set, answers ask the caller to close the connection.
+
+    Attributes
+    ----------
+    id : str
+        Identifier for answers, traces and the backend server; may be replaced.
+    method : str
+        In capitals, as sent.
+    target : str
+        Raw request target.
+    path : str
+        Path with unreserved escapes decoded.
+    response_started : bool
+        Whether an answer has been started.
+
+    Raises
+    ------
+    MalformedRequest
+        If the request target isn't a path.
+    """
+
+    def __init__(
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        head: h11.Request,
+        limits: ServerLimits,
+        stopping: trio.Event,
+    ) -> None:
+        self.id = secrets.token_hex(REQUEST_ID_BYTES)
+        self.method = head.method.decode("ascii")
+        self.target = head.target.decode("latin-1")
+        self.headers: Headers = list(head.headers)
+        self.response_started = False
+        self.path, self._query = split_target(head.target)
+        self._connection = connection
+        self._stream = stream
+        self._limits = limits
+        self._stopping = stopping
+        self._pending: list[bytes] = []
+        self._received_bytes = 0
+        self._body_read = trio.Event()
+        self._body_deadline_s = trio.current_time() + limits.body_timeout_s
+        self._unsent_head = b""
+        self._finished = False
+        self._take_buffered_body()
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Fields of the query."""
+        return parse_query(self._query)
+
+    @property
+    def finished(self) -> bool:
+        """Whether the whole answer has been sent."""
+        return self._finished
+
+    @property
+    def body_complete(self) -> bool:
+        """Whether the whole request body has arrived."""
+        return self._body_read.is_set()
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, by its name in any case."""
+        value = first_header(self.headers, name.lower().encode("ascii"))
+        return None if value is None else value.decode("latin-1")
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        BodyTooLarge
+            If it exceeds ``limit_bytes`` or the server's limit.
+        RequestTimedOut
+            If the caller pauses or takes too long.
+        CallerGone
+            If the caller closes its connection before the end.
+        """
+        limit_bytes = min(limit_bytes, self._limits.body_bytes)
+        self._check_length(limit_bytes)
+        parts = []
+        size_bytes = 0
+        async for chunk in self.body_chunks():
+            size_bytes += len(chunk)
+            if size_bytes > limit_bytes:
+                raise BodyTooLarge(f"request body exceeds {limit_bytes} bytes")
+            parts.append(chunk)
+        return b"".join(parts)
+
+    async def body_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; raises as `read_body` does."""
+        self._check_length(self._limits.body_bytes)
+        while True:
+            while self._pending:
+                yield self._pending.pop(0)
+            if self._body_read.is_set():
+                return
+            await self._receive_body()
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: MixedHeaders = (),
+    ) -> None:
+        """Send a whole answer in one write."""
+        fields = [*headers, (b"content-length", str(len(body)).encode())]
+        if status in (204, 304):
+            fields.pop()
+        await self.start_response(status, fields, flush=False)
+        data = self._unsent_head
+        self._unsent_head = b""
+        if body and self.method != "HEAD" and status not in (204, 304):
+            data += self._connection.send(h11.Data(data=body)) or b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        await self._write(data)
+        self._finished = True
+
+    async def respond_json(
+        self,
+        status: int,
+        value: Any,
+        headers: MixedHeaders = (),
+    ) -> None:
+        """Send a value as JSON."""
+        fields = [*headers, (b"content-type", b"application/json")]
+        await self.respond(status, json.dumps(value).encode(), fields)
+
+    async def start_response(
+        self,
+        status: int,
+        headers: MixedHeaders,
+        *,
+        flush: bool = True,
+    ) -> None:
+        """Start a streamed answer.
+
+        Without ``Content-Length`` among the headers it goes out in chunks. With
+        ``flush=False`` the header leaves together with the first data.
+        """
+        fields = encode_headers(headers)
+        if self._stopping.is_set() or not self._body_read.is_set():
+            fields.append((b"connection", b"close"))
+        head = h11.Response(status_code=status, headers=fields)
+        self._unsent_head = self._connection.send(head) or b""
+        self.response_started = True
+        if flush:
+            await self._flush_head()
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of a streamed answer at once.
+
+        Raises
+        ------
+        CallerGone
+            If the caller closed its connection or takes nothing.
+        """
+        if not data:
+            return
+        if self.method == "HEAD":
+            return
+        parts = self._connection.send_with_data_passthrough(h11.Data(data=data)) or []
+        if self._unsent_head:
+            parts.insert(0, self._unsent_head)
+            self._unsent_head = b""
+        await self._write(b"".join(parts))
+
+    async def finish(self) -> None:
+        """End a streamed answer.
+
+        Raises
+        ------
+        CallerGone
+            If the caller closed its connection or takes nothing.
+        """
+        data = self._unsent_head
+        self._unsent_head = b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        if data:
+            await self._write(data)
+        self._finished = True
+
+    async def abort(self) -> None:
+        """Reset the connection, so that the caller sees a broken answer."""
+        self.response_started = True
+        self._connection.send_failed()
+        close_with_reset(self._stream)
+
+    async def wait_disconnect(self) -> None:
+        """Return when the caller closes its connection.
+
+        Watches only once the body has been read; bytes of a following request are
+        kept, and end the watch when they exceed the header's limit.
+        """
+        await self._body_read.wait()
+        kept_bytes = 0
+        while kept_bytes <= self._limits.header_bytes:
+            try:
+                data = await self._stream.receive_some(LISTEN_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            kept_bytes += len(data)
+            self._connection.receive_data(data)
+        await trio.sleep_forever()
+
+    def _take_buffered_body(self) -> None:
+        """Move what has arrived of the body from the parser into ``_pending``."""
+        while not self._body_read.is_set():
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise _body_error(exc) from exc
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Data):
+                self._received_bytes += len(event.data)
+                self._pending.append(bytes(event.data))
+                continue
+            self._body_read.set()
+
+    async def _receive_body(self) -> None:
+        if self._connection.they_are_waiting_for_100_continue:
+            head = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self._connection.send(head) or b"")
+        deadline_s = trio.current_time() + self._limits.body_idle_timeout_s
+        with trio.CancelScope(deadline=min(deadline_s, self._body_deadline_s)) as scope:
+            try:
+                data = await self._stream.receive_some()
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                raise CallerGone("caller closed its connection in the body") from exc
+        if scope.cancelled_caught:
+            raise RequestTimedOut(
+                f"request body stopped after {self._received_bytes} bytes"
+            )
+        if not data:
+            raise CallerGone("caller closed its connection in the body")
+        self._connection.receive_data(data)
+        self._take_buffered_body()
+        if self._received_bytes > self._limits.body_bytes:
+            raise BodyTooLarge(f"request body exceeds {self._limits.body_bytes} bytes")
+
+    def _check_length(self, limit_bytes: int) -> None:
+        length = first_header(self.headers, b"content-length")
+        if length is None:
+            return
+        if int(length) > limit_bytes:
+            raise BodyTooLarge(
+                f"request body of {int(length)} bytes exceeds {limit_bytes} bytes"
+            )
+
+    async def _flush_head(self) -> None:
+        data = self._unsent_head
+        self._unsent_head = b""
+        await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        with trio.move_on_after(self._limits.send_timeout_s) as scope:
+            try:
+                await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                raise CallerGone("caller closed its connection") from exc
+        if scope.cancelled_caught:
+            raise CallerGone(f"caller took nothing for {self._limits.send_timeout_s} s")
+
+
+def _body_error(exc: h11.RemoteProtocolError) -> MalformedRequest:
+    return MalformedRequest(f"request body is malformed: {exc}")
