Title a problem by its code

The standard library's http can't be imported by a module that pytest's importlib mode loads under that same name. Ruled out as a whole cure: libs/types and libs/platform collide likewise when collected together (module 'types' has no attribute 'UnionType'); they pass with consider_namespace_packages = true.

--- a/libs/http/src/teaseldyke/http/problem.py
+++ b/libs/http/src/teaseldyke/http/problem.py
@@ -4,7 +4,6 @@
 
 import json
 import math
-from http import HTTPStatus
 
 from teaseldyke.types import TeaseldykeError
 
@@ -34,7 +33,7 @@
     """
     value = {
         "type": PROBLEM_TYPE_PREFIX + error.code,
-        "title": _title(error.status),
+        "title": error.code.replace("_", " ").capitalize(),
         "status": error.status,
         "code": error.code,
         "detail": error.detail,
@@ -48,10 +47,3 @@
     if request_id:
         headers.append((REQUEST_ID_HEADER, request_id.encode()))
     return error.status, headers, body
-
-
-def _title(status: int) -> str:
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return "Client Closed Request" if status == 499 else "Unknown"
