--- /dev/null
+++ b/libs/peers/src/teaseldyke/peers/membership.py
@@ -0,0 +1,111 @@
+"""Which routers belong to the fleet, and how large this router's part is."""
+
+from __future__ import annotations
+
+import math
+import secrets
+from collections.abc import Callable, Iterable
+
+import attrs
+import trio
+
+from teaseldyke.platform import Instance
+
+from .interfaces import PeerAddress
+
+DROP_DELAY_S = 10.0  # a router missing from the list this long leaves the fleet
+INCARNATION_BITS = 31
+
+
+def _incarnation() -> int:
+    return secrets.randbits(INCARNATION_BITS) | 1
+
+
+@attrs.define(eq=False)
+class Membership:
+    """Merges the platform's instance list, static peers and this router itself.
+
+    Static peers count until the list has been read once; after that the list
+    decides, and a router that it no longer names stays for ``drop_delay_s``. While
+    the list cannot be read the last one stands.
+
+    Parameters
+    ----------
+    name : str
+        Name of this router.
+    static_peers : dict of str to PeerAddress
+        Routers known from the settings.
+    drop_delay_s : float
+        Seconds that a router stays after the list has dropped it.
+    clock : callable
+        Returns the time in seconds.
+    """
+
+    name: str
+    static_peers: dict[str, PeerAddress] = attrs.field(factory=dict)
+    drop_delay_s: float = DROP_DELAY_S
+    clock: Callable[[], float] = trio.current_time
+    incarnation: int = attrs.field(factory=_incarnation)
+    leaving_routers: frozenset[str] = attrs.field(factory=frozenset, init=False)
+    leaving_servers: frozenset[str] = attrs.field(factory=frozenset, init=False)
+    _listed: dict[str, PeerAddress] = attrs.field(factory=dict, init=False)
+    _listed_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _list_read: bool = attrs.field(default=False, init=False)
+    _self_listed_at_s: float = attrs.field(default=-math.inf, init=False)
+
+    @property
+    def addresses(self) -> dict[str, PeerAddress]:
+        """Return the control address of every other member."""
+        known = dict(self._listed) if self._list_read else dict(self.static_peers)
+        known.pop(self.name, None)
+        return known
+
+    @property
+    def members(self) -> frozenset[str]:
+        """Return the names of all members, this router included."""
+        known = self._listed if self._list_read else self.static_peers
+        return frozenset(known) | {self.name}
+
+    def update(self, instances: Iterable[Instance]) -> None:
+        """Take in a list that the platform has answered."""
+        now_s = self.clock()
+        leaving_routers = set()
+        leaving_servers = set()
+        for instance in instances:
+            leaving = instance.state == "leaving"
+            if instance.role != "router":
+                if leaving:
+                    leaving_servers.add(instance.name)
+                continue
+            if leaving:
+                leaving_routers.add(instance.name)
+            if instance.name == self.name:
+                self._self_listed_at_s = now_s
+            address = PeerAddress(instance.host, instance.port)
+            self._listed[instance.name] = address
+            self._listed_at_s[instance.name] = now_s
+        self._list_read = True
+        self.leaving_routers = frozenset(leaving_routers)
+        self.leaving_servers = frozenset(leaving_servers)
+        self._drop_missing(now_s)
+
+    def is_confirmed(self, heard: int) -> bool:
+        """Return whether others still count this router as a member.
+
+        Parameters
+        ----------
+        heard : int
+            Other members that were heard within the drop delay.
+        """
+        if not self._list_read:
+            return True
+        if self.clock() - self._self_listed_at_s < self.drop_delay_s / 2:
+            return True
+        return 2 * (heard + 1) > len(self.members)
+
+    def _drop_missing(self, now_s: float) -> None:
+        for name, listed_at_s in list(self._listed_at_s.items()):
+            if now_s - listed_at_s < self.drop_delay_s:
+                continue
+            del self._listed_at_s[name]
+            del self._listed[name]
