Add the platform's HTTP drivers and the stand-in processes

Engine, plain service, platform and relay are one program.

Extra bytes after an answer can't be sent through h11, so the stand-in wraps its listener; inheriting from trio's socket classes was ruled out (they are final).

--- a/libs/platform/src/teaseldyke/platform/__init__.py
+++ b/libs/platform/src/teaseldyke/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .drivers import HttpInstanceList, HttpObjectStore, HttpTableService
 from .faults import CallCounts, Faults
 from .interfaces import (
     ABSENT,
@@ -22,6 +23,9 @@
     "ANY_VERSION",
     "CallCounts",
     "Faults",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpTableService",
     "Instance",
     "InstanceList",
     "InstanceRole",
--- /dev/null
+++ b/libs/platform/src/teaseldyke/platform/drivers.py
@@ -0,0 +1,195 @@
+"""HTTP drivers of the three platform interfaces.
+
+The table service is met as ``GET /tables/<table>/rows[/<key>]`` and
+``POST /transactions``, the object store as ``/objects[/<name>]`` and the instance
+list as ``/instances[/<name>]``. Values of rows travel in base64.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+import attrs
+import msgspec
+
+from teaseldyke.http import (
+    AnswerTooLarge,
+    ConnectFailed,
+    ExchangeBroken,
+    HttpClient,
+    Response,
+)
+from teaseldyke.types import AnswerLost, PlatformUnavailable, WriteConflict
+
+from .interfaces import Instance, Row, Write
+
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+RETRY_AFTER_S = 1.0
+
+T = TypeVar("T")
+
+
+@attrs.define
+class _Endpoint:
+    """Address of one platform service and the meaning of its failures."""
+
+    client: HttpClient
+    host: str
+    port: int
+
+    async def read(self, target: str) -> Response | None:
+        """Return the answer to a read, or ``None`` if there is no such thing."""
+        try:
+            response = await self._request("GET", target, b"")
+        except (ExchangeBroken, AnswerTooLarge) as exc:
+            raise _unavailable(exc.detail) from exc
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            raise _unavailable(f"GET {target} was answered with {response.status}")
+        return response
+
+    async def write(self, method: str, target: str, body: bytes) -> Response:
+        """Return the answer to a write that took effect."""
+        try:
+            response = await self._request(method, target, body)
+        except (ExchangeBroken, AnswerTooLarge) as exc:
+            raise AnswerLost(f"{method} {target}: {exc.detail}") from exc
+        if response.status == 200:
+            return response
+        if response.status == 409:
+            raise WriteConflict(_detail_of(response))
+        if response.status in (400, 413, 429, 503):
+            raise _unavailable(f"{method} {target} was refused: {response.status}")
+        raise AnswerLost(f"{method} {target} was answered with {response.status}")
+
+    async def _request(self, method: str, target: str, body: bytes) -> Response:
+        try:
+            return await self.client.request(
+                method,
+                self.host,
+                self.port,
+                target,
+                body=body,
+                limit_bytes=ANSWER_LIMIT_BYTES,
+            )
+        except ConnectFailed as exc:
+            raise _unavailable(exc.detail) from exc
+
+
+@attrs.define
+class _Versions:
+    versions: list[int]
+
+
+class HttpTableService:
+    """Table service over HTTP.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connections to the platform, with the time limit of each call.
+    host : str
+        IP number of the platform.
+    port : int
+        TCP port of the platform.
+    """
+
+    def __init__(self, client: HttpClient, host: str, port: int) -> None:
+        self._endpoint = _Endpoint(client, host, port)
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Return a row, or ``None``."""
+        response = await self._endpoint.read(f"{_rows(table)}/{quote(key, safe='')}")
+        if response is None:
+            return None
+        return _decode(response, Row)
+
+    async def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> list[Row]:
+        """Return rows in key order whose key has the prefix and follows ``after``."""
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        response = await self._endpoint.read(f"{_rows(table)}?{query}")
+        if response is None:
+            return []
+        return _decode(response, list[Row])
+
+    async def transact(self, writes: Sequence[Write]) -> list[int]:
+        """Apply all writes or none; return the new version of each row."""
+        body = msgspec.json.encode(list(writes))
+        response = await self._endpoint.write("POST", "/transactions", body)
+        try:
+            return msgspec.json.decode(response.body, type=_Versions).versions
+        except msgspec.DecodeError as exc:
+            raise AnswerLost(f"answer to a transaction is unreadable: {exc}") from exc
+
+
+class HttpObjectStore:
+    """Object store over HTTP; parameters as for `HttpTableService`."""
+
+    def __init__(self, client: HttpClient, host: str, port: int) -> None:
+        self._endpoint = _Endpoint(client, host, port)
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Store an object, replacing one of the same name."""
+        await self._endpoint.write("PUT", f"/objects/{quote(name, safe='')}", data)
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or ``None``."""
+        response = await self._endpoint.read(f"/objects/{quote(name, safe='')}")
+        return None if response is None else response.body
+
+    async def names(self, prefix: str = "") -> list[str]:
+        """Return the sorted names with the prefix."""
+        query = urlencode({"prefix": prefix})
+        response = await self._endpoint.read(f"/objects?{query}")
+        if response is None:
+            return []
+        return _decode(response, list[str])
+
+
+class HttpInstanceList:
+    """Instance list over HTTP; parameters as for `HttpTableService`."""
+
+    def __init__(self, client: HttpClient, host: str, port: int) -> None:
+        self._endpoint = _Endpoint(client, host, port)
+
+    async def instances(self) -> list[Instance]:
+        """Return the live and leaving instances as the platform sees them."""
+        response = await self._endpoint.read("/instances")
+        if response is None:
+            return []
+        return _decode(response, list[Instance])
+
+    async def announce(self, instance: Instance, ttl_s: float) -> None:
+        """Enter or renew this process's own entry for ``ttl_s`` seconds."""
+        name = quote(instance.name, safe="")
+        query = urlencode({"ttl_s": ttl_s})
+        body = msgspec.json.encode(instance)
+        await self._endpoint.write("PUT", f"/instances/{name}?{query}", body)
+
+
+def _rows(table: str) -> str:
+    return f"/tables/{quote(table, safe='')}/rows"
+
+
+def _decode(response: Response, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise _unavailable(f"answer of the platform is unreadable: {exc}") from exc
+
+
+def _detail_of(response: Response) -> str:
+    try:
+        answer = msgspec.json.decode(response.body)
+    except msgspec.DecodeError:
+        return "a row had another version than expected"
+    return str(answer.get("detail", answer))
+
+
+def _unavailable(detail: str) -> PlatformUnavailable:
+    return PlatformUnavailable(detail, retry_after_s=RETRY_AFTER_S)
--- a/libs/standins/src/teaseldyke/standins/__init__.py
+++ b/libs/standins/src/teaseldyke/standins/__init__.py
@@ -2,4 +2,29 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .backend import EXIT_COLD_OVERRUN, BackendState
+from .engine import Engine
+from .platform import Platform
+from .relay import Relay
+from .service import PlainService
+from .settings import (
+    EngineSettings,
+    PlatformSettings,
+    RelaySettings,
+    RouteSettings,
+    ServiceSettings,
+)
+
+__all__ = [
+    "BackendState",
+    "EXIT_COLD_OVERRUN",
+    "Engine",
+    "EngineSettings",
+    "PlainService",
+    "Platform",
+    "PlatformSettings",
+    "Relay",
+    "RelaySettings",
+    "RouteSettings",
+    "ServiceSettings",
+]
--- /dev/null
+++ b/libs/standins/src/teaseldyke/standins/engine.py
@@ -0,0 +1,193 @@
+"""Stand-in for a model engine with continuous batching."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from teaseldyke.http import Request
+
+from .backend import BackendState
+from .batch import Batch, PrefixCache
+from .executions import Execution
+from .faults import AnswerFaults
+from .generation import Generation
+from .orders import BadOrder, UnknownPath, split_path, unknown_path
+from .settings import EngineSettings
+
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+PREFILL_TOKENS = 1000  # prompt tokens that take ``prefill_s``
+
+
+@attrs.frozen
+class _Job:
+    """One request that runs in the engine."""
+
+    request: Request
+    request_id: str
+    execution: Execution
+    faults: AnswerFaults
+    generation: Generation
+    first: int
+    cached_tokens: int
+
+
+@attrs.define
+class Engine:
+    """Answers chat completions at a stated token rate.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Speeds and limits.
+    """
+
+    settings: EngineSettings
+    state: BackendState = attrs.field(init=False)
+    batch: Batch = attrs.field(init=False)
+    cache: PrefixCache = attrs.field(init=False)
+    _scopes: dict[str, trio.CancelScope] = attrs.field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.state = BackendState(settings)
+        self.batch = Batch(settings.tokens_per_s, settings.limit)
+        self.cache = PrefixCache(settings.prefix_entries)
+
+    async def handle(self, request: Request) -> None:
+        """Answer one request."""
+        if await self.state.handle(request):
+            return
+        match request.method, split_path(request):
+            case "POST", ["v1", "chat", "completions"]:
+                await self._complete_chat(request)
+            case "DELETE", ["v1", "requests", request_id]:
+                await self._cancel(request, request_id)
+            case _:
+                raise unknown_path(request)
+
+    async def _cancel(self, request: Request, request_id: str) -> None:
+        scope = self._scopes.get(request_id)
+        if scope is None:
+            raise UnknownPath(f"request {request_id!r} does not run here")
+        scope.cancel()
+        await request.respond(204)
+
+    async def _complete_chat(self, request: Request) -> None:
+        generation = Generation.parse(await request.read_body(BODY_LIMIT_BYTES))
+        first = _resume_offset(request, generation)
+        faults = self.state.take_faults()
+        self.state.load.start()
+        job = self._enter(request, generation, first, faults)
+        self.batch.running += 1
+        completed = False
+        try:
+            completed = await self._run_until_gone(job)
+        finally:
+            self.batch.running -= 1
+            self.state.load.finish(completed=completed)
+            job.execution.cancelled |= not completed
+
+    def _enter(
+        self,
+        request: Request,
+        generation: Generation,
+        first: int | None,
+        faults: AnswerFaults,
+    ) -> _Job:
+        """Count the request and use the prefix cache."""
+        execution = self.state.executions.of(request)
+        if first is None:
+            execution.count += 1
+        else:
+            execution.resumed += 1
+        hit = self.cache.use(generation.prefix)
+        cached_tokens = generation.prefix_tokens if hit else 0
+        request_id = request.header("X-Request-Id") or request.id
+        return _Job(
+            request,
+            request_id,
+            execution,
+            faults,
+            generation,
+            first or 0,
+            cached_tokens,
+        )
+
+    async def _run_until_gone(self, job: _Job) -> bool:
+        """Run a job until it ends, its caller goes or it is cancelled."""
+        before = self._scopes.get(job.request_id)
+        if before is not None:
+            before.cancel()  # a stream that is resumed runs no longer elsewhere
+        completed = False
+        async with trio.open_nursery() as nursery:
+            scope = nursery.cancel_scope
+            self._scopes[job.request_id] = scope
+            nursery.start_soon(_cancel_when_gone, job.request, scope)
+            try:
+                await self._run(job)
+                completed = True
+            finally:
+                if self._scopes.get(job.request_id) is scope:
+                    del self._scopes[job.request_id]
+            scope.cancel()
+        if not completed:
+            await job.request.abort()
+        return completed
+
+    async def _run(self, job: _Job) -> None:
+        await self._prefill(job)
+        if job.generation.stream:
+            await self._stream(job)
+            return
+        async for _ in self.batch.tokens(job.first, job.generation.output_tokens):
+            continue
+        body = job.generation.whole_answer(job.request_id, job.cached_tokens)
+        await self.state.respond(job.request, job.execution, job.faults, body)
+
+    async def _prefill(self, job: _Job) -> None:
+        tokens = job.generation.prompt_tokens - job.cached_tokens
+        await trio.sleep(tokens / PREFILL_TOKENS * self.settings.prefill_s)
+
+    async def _stream(self, job: _Job) -> None:
+        request, generation, faults = job.request, job.generation, job.faults
+        await trio.sleep(faults.late_s)
+        if faults.lose:
+            await request.abort()
+            return
+        headers = [
+            *self.state.echo(request, faults),
+            (b"content-type", b"text/event-stream"),
+        ]
+        await request.start_response(200, headers)
+        truncated_at = generation.output_tokens // 2
+        async for indices in self.batch.tokens(job.first, generation.output_tokens):
+            await request.send(generation.events(indices, job.request_id))
+            if faults.truncate and indices.stop >= truncated_at:
+                await request.abort()
+                return
+        await request.send(b" " * faults.oversize_bytes)
+        await request.send(generation.last_events(job.request_id, job.cached_tokens))
+        self.state.extra.pending = b"x" * faults.extra_bytes
+        await request.finish()
+        job.execution.answered += 1
+
+
+async def _cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
+    await request.wait_disconnect()
+    scope.cancel()
+
+
+def _resume_offset(request: Request, generation: Generation) -> int | None:
+    """Return the event at which a stream goes on, or ``None`` for a new one."""
+    text = request.header("Resume-Offset")
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise BadOrder(f"Resume-Offset is {text!r}, expected a number of events")
+    offset = int(text)
+    if offset > generation.output_tokens:
+        raise BadOrder(
+            f"Resume-Offset is {offset}, the stream has {generation.output_tokens}"
+        )
+    return offset
--- /dev/null
+++ b/libs/standins/src/teaseldyke/standins/platform.py
@@ -0,0 +1,181 @@
+"""Stand-in for the platform: tables, objects and instance list over HTTP."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import attrs
+import msgspec
+
+from teaseldyke.http import Request
+from teaseldyke.platform import (
+    CallCounts,
+    Faults,
+    Instance,
+    MemoryInstanceList,
+    MemoryObjectStore,
+    MemoryTableService,
+    Write,
+)
+from teaseldyke.types import AnswerLost
+
+from .orders import BadOrder, read_order, split_path, unknown_path
+
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+SCAN_LIMIT_MAX = 10_000  # rows in one answer
+
+T = TypeVar("T")
+
+
+@attrs.define
+class FaultOrder:
+    """Body of ``PUT /faults``; what is not named is healed."""
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_answers: float = 0.0
+    list_lag_s: float = 0.0
+    seed: int = 0
+
+    def to_faults(self) -> Faults:
+        """Return the faults for the three services."""
+        return Faults(
+            down=self.down,
+            slow_s=self.slow_s,
+            lose_answers=self.lose_answers,
+            lag_s=self.list_lag_s,
+            seed=self.seed,
+        )
+
+
+class Platform:
+    """Serves the three interfaces of the platform from memory.
+
+    Parameters
+    ----------
+    faults : Faults
+        What is wrong at the start.
+
+    See Also
+    --------
+    teaseldyke.platform.HttpTableService : The other side of this protocol.
+    """
+
+    def __init__(self, faults: Faults) -> None:
+        self.tables = MemoryTableService()
+        self.objects = MemoryObjectStore()
+        self.instances = MemoryInstanceList()
+        self._set_faults(faults)
+
+    async def handle(self, request: Request) -> None:
+        """Answer one request; a lost answer resets the connection."""
+        try:
+            await self._route(request)
+        except AnswerLost:
+            await request.abort()
+
+    async def _route(self, request: Request) -> None:
+        segments = split_path(request)
+        match segments[0]:
+            case "tables" | "transactions":
+                await self._handle_tables(request, segments)
+            case "objects":
+                await self._handle_objects(request, segments)
+            case "instances":
+                await self._handle_instances(request, segments)
+            case "faults" | "counts":
+                await self._handle_orders(request, segments)
+            case _:
+                raise unknown_path(request)
+
+    async def _handle_tables(self, request: Request, segments: list[str]) -> None:
+        match request.method, segments:
+            case "GET", ["tables", table, "rows", key]:
+                row = await self.tables.get(table, key)
+                if row is None:
+                    await request.respond(404)
+                    return
+                await _respond(request, row)
+            case "GET", ["tables", table, "rows"]:
+                query = request.query
+                prefix, after = query.get("prefix", ""), query.get("after", "")
+                limit = min(_number(query.get("limit", "1000")), SCAN_LIMIT_MAX)
+                rows = await self.tables.scan(table, prefix, after, int(limit))
+                await _respond(request, rows)
+            case "POST", ["transactions"]:
+                body = await request.read_body(BODY_LIMIT_BYTES)
+                versions = await self.tables.transact(_decode(body, list[Write]))
+                await _respond(request, {"versions": versions})
+            case _:
+                raise unknown_path(request)
+
+    async def _handle_objects(self, request: Request, segments: list[str]) -> None:
+        match request.method, segments:
+            case "GET", ["objects"]:
+                names = await self.objects.names(request.query.get("prefix", ""))
+                await _respond(request, names)
+            case "GET", ["objects", name]:
+                data = await self.objects.get(name)
+                await request.respond(404 if data is None else 200, data or b"")
+            case "PUT", ["objects", name]:
+                await self.objects.put(name, await request.read_body(BODY_LIMIT_BYTES))
+                await request.respond(200)
+            case _:
+                raise unknown_path(request)
+
+    async def _handle_instances(self, request: Request, segments: list[str]) -> None:
+        match request.method, segments:
+            case "GET", ["instances"]:
+                await _respond(request, await self.instances.instances())
+            case "PUT", ["instances", name]:
+                body = await request.read_body(BODY_LIMIT_BYTES)
+                instance = _decode(body, Instance)
+                if instance.name != name:
+                    raise BadOrder(f"body names {instance.name!r}, path {name!r}")
+                ttl_s = _number(request.query.get("ttl_s", "10"))
+                await self.instances.announce(instance, ttl_s)
+                await request.respond(200)
+            case _:
+                raise unknown_path(request)
+
+    async def _handle_orders(self, request: Request, segments: list[str]) -> None:
+        match request.method, segments:
+            case "PUT", ["faults"]:
+                order = await read_order(request, FaultOrder)
+                self._set_faults(order.to_faults())
+                await request.respond(204)
+            case "GET", ["counts"]:
+                await _respond(request, self._counts())
+            case _:
+                raise unknown_path(request)
+
+    def _set_faults(self, faults: Faults) -> None:
+        self.tables.faults = faults
+        self.objects.faults = faults
+        self.instances.faults = faults
+
+    def _counts(self) -> dict[str, CallCounts]:
+        return {
+            "tables": self.tables.counts,
+            "objects": self.objects.counts,
+            "instances": self.instances.counts,
+        }
+
+
+async def _respond(request: Request, value: object) -> None:
+    headers = [(b"content-type", b"application/json")]
+    await request.respond(200, msgspec.json.encode(value), headers)
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise BadOrder(f"body: {exc}") from exc
+
+
+def _number(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError as exc:
+        raise BadOrder(f"{text!r} is not a number") from exc
--- /dev/null
+++ b/libs/standins/src/teaseldyke/standins/relay.py
@@ -0,0 +1,170 @@
+"""TCP relay that cuts, delays, holds and halves connections on orders."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import attrs
+import trio
+
+from teaseldyke.http import Request
+
+from .orders import UnknownPath, read_order, split_path, unknown_path
+from .settings import RelaySettings, RouteSettings
+
+RECEIVE_BYTES = 65536
+
+Mode = Literal["pass", "cut", "hold", "half-to-target", "half-to-caller"]
+
+
+@attrs.define
+class RouteOrder:
+    """Body of ``PUT /routes/<name>``.
+
+    Parameters
+    ----------
+    mode : str
+        ``pass`` relays; ``cut`` closes present and new connections; ``hold`` keeps
+        them open and holds all bytes back, as a network partition does;
+        ``half-to-target`` and ``half-to-caller`` end that direction and relay the
+        other.
+    delay_s : float
+        Time by which bytes are held up in each direction.
+    inject : str
+        Text sent once to the caller of every present connection.
+    """
+
+    mode: Mode = "pass"
+    delay_s: float = 0.0
+    inject: str = ""
+
+
+@attrs.define(eq=False)
+class _Link:
+    """One relayed connection."""
+
+    caller: trio.SocketStream
+    target: trio.SocketStream
+
+
+@attrs.define(eq=False)
+class Route:
+    """One listening address and the connections that arrive there.
+
+    Parameters
+    ----------
+    settings : RouteSettings
+        Where it listens and leads.
+    """
+
+    settings: RouteSettings
+    order: RouteOrder = attrs.field(factory=RouteOrder, init=False)
+    relayed_bytes: int = attrs.field(default=0, init=False)
+    _links: set[_Link] = attrs.field(factory=set, init=False)
+    _changed: trio.Event = attrs.field(factory=trio.Event, init=False)
+
+    async def apply(self, order: RouteOrder) -> None:
+        """Carry an order out on present and new connections."""
+        self.order = order
+        self._changed.set()
+        self._changed = trio.Event()
+        for link in list(self._links):
+            if order.mode == "cut":
+                link.caller.socket.close()
+                link.target.socket.close()
+                continue
+            if order.inject:
+                await link.caller.send_all(order.inject.encode())
+            if order.mode == "half-to-target":
+                await link.target.send_eof()
+            if order.mode == "half-to-caller":
+                await link.caller.send_eof()
+
+    async def relay(self, caller: trio.SocketStream) -> None:
+        """Relay one connection until one side closes it."""
+        if self.order.mode == "cut":
+            caller.socket.close()
+            return
+        target_address = self.settings.target
+        try:
+            target = await trio.open_tcp_stream(
+                target_address.host, target_address.port
+            )
+        except OSError:
+            caller.socket.close()
+            return
+        link = _Link(caller, target)
+        self._links.add(link)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._copy, caller, target, "half-to-target")
+                nursery.start_soon(self._copy, target, caller, "half-to-caller")
+        finally:
+            self._links.discard(link)
+            caller.socket.close()
+            target.socket.close()
+
+    def describe(self) -> dict[str, object]:
+        """Return the order in force and the counts."""
+        return {
+            "order": attrs.asdict(self.order),
+            "connections": len(self._links),
+            "relayed_bytes": self.relayed_bytes,
+        }
+
+    async def _copy(
+        self, source: trio.SocketStream, sink: trio.SocketStream, half: Mode
+    ) -> None:
+        """Copy one direction; an error or reset of a side ends both."""
+        try:
+            async for data in source:
+                await self._wait_passing()
+                if self.order.mode == half:
+                    continue
+                self.relayed_bytes += len(data)
+                await sink.send_all(data)
+            await self._wait_passing()
+            await sink.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            source.socket.close()
+            sink.socket.close()
+
+    async def _wait_passing(self) -> None:
+        await trio.sleep(self.order.delay_s)
+        while self.order.mode == "hold":
+            await self._changed.wait()
+
+
+class Relay:
+    """All routes of one relay process and the orders to them.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Administration address and routes.
+    """
+
+    def __init__(self, settings: RelaySettings) -> None:
+        self.routes = {route.name: Route(route) for route in settings.routes}
+
+    async def handle(self, request: Request) -> None:
+        """Answer one order."""
+        match request.method, split_path(request):
+            case "GET", ["routes"]:
+                value = {name: r.describe() for name, r in self.routes.items()}
+                await request.respond_json(200, value)
+            case "PUT", ["routes", name]:
+                route = self.routes.get(name)
+                if route is None:
+                    raise UnknownPath(f"no route {name!r}; known: {list(self.routes)}")
+                await route.apply(await read_order(request, RouteOrder))
+                await request.respond(204)
+            case _:
+                raise unknown_path(request)
+
+    async def relay_all(self, listeners: dict[str, trio.SocketListener]) -> None:
+        """Relay the connections of each route's listener until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for name, listener in listeners.items():
+                route = self.routes[name]
+                nursery.start_soon(trio.serve_listeners, route.relay, [listener])
