--- a/libs/telemetry/src/teaseldyke/telemetry/__init__.py
+++ b/libs/telemetry/src/teaseldyke/telemetry/__init__.py
@@ -2,4 +2,39 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .logs import configure_logging, log_change, log_fault
+from .metrics import (
+    DURATION_BUCKETS_S,
+    BoundCounter,
+    BoundGauge,
+    BoundHistogram,
+    Counter,
+    Gauge,
+    Histogram,
+    MetricConflict,
+    counter,
+    gauge,
+    histogram,
+    render_metrics,
+)
+from .tracing import Span, Tracing
+
+__all__ = [
+    "BoundCounter",
+    "BoundGauge",
+    "BoundHistogram",
+    "Counter",
+    "DURATION_BUCKETS_S",
+    "Gauge",
+    "Histogram",
+    "MetricConflict",
+    "Span",
+    "Tracing",
+    "configure_logging",
+    "counter",
+    "gauge",
+    "histogram",
+    "log_change",
+    "log_fault",
+    "render_metrics",
+]
