--- a/libs/outcomes/src/teaseldyke/outcomes/__init__.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/__init__.py
@@ -2,4 +2,40 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .attempt import Attempt, BeginResult, Finished, Started
+from .circuit import Circuit, CircuitState
+from .decision import AttemptState, Decision, retry_decision
+from .errors import (
+    AttemptLapsed,
+    AttemptRunning,
+    KeyReused,
+    OutcomeUnknown,
+    RecordUnavailable,
+)
+from .fingerprint import fingerprint_of
+from .limits import RecordLimits
+from .record import StoredOutcome
+from .records import OutcomeRecords
+from .retry_budget import RetryBudget
+
+__all__ = [
+    "Attempt",
+    "AttemptLapsed",
+    "AttemptRunning",
+    "AttemptState",
+    "BeginResult",
+    "Circuit",
+    "CircuitState",
+    "Decision",
+    "Finished",
+    "KeyReused",
+    "OutcomeRecords",
+    "OutcomeUnknown",
+    "RecordLimits",
+    "RecordUnavailable",
+    "RetryBudget",
+    "Started",
+    "StoredOutcome",
+    "fingerprint_of",
+    "retry_decision",
+]
--- /dev/null
+++ b/libs/outcomes/src/teaseldyke/outcomes/decision.py
@@ -0,0 +1,113 @@
+"""What follows a failed attempt to execute a request."""
+
+from __future__ import annotations
+
+import enum
+from functools import singledispatch
+
+import attrs
+
+from teaseldyke.http import AnswerTooLarge, ConnectFailed, ExchangeBroken
+from teaseldyke.types import TeaseldykeError
+
+
+class Decision(enum.Enum):
+    """Next step after a failed attempt.
+
+    ``ELSEWHERE`` sends the request again, ``RESUME`` asks for the rest of a stream
+    from its offset, ``ANSWER_NO`` and ``ANSWER_UNKNOWN`` end it with an error whose
+    ``executed`` is "no" or "unknown".
+    """
+
+    ELSEWHERE = "elsewhere"
+    RESUME = "resume"
+    ANSWER_NO = "answer-no"
+    ANSWER_UNKNOWN = "answer-unknown"
+
+
+@attrs.frozen
+class AttemptState:
+    """What matters for the decision beside the failure itself.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Whether the request may run more than once.
+    sent_before : bool
+        Whether an earlier attempt of the same request may have left bytes.
+    answer_started : bool
+        Whether the caller already has a part of the answer.
+    resumable : bool
+        Whether the answer is a stream that resumes at an offset.
+    may_retry : bool
+        Whether the retry budget, the deadline and the circuits leave another try.
+    """
+
+    idempotent: bool
+    sent_before: bool = False
+    answer_started: bool = False
+    resumable: bool = False
+    may_retry: bool = True
+
+
+@singledispatch
+def retry_decision(failure: object, state: AttemptState) -> Decision:
+    """Return what follows a failed attempt.
+
+    Parameters
+    ----------
+    failure : Exception
+        What the attempt raised.
+    state : AttemptState
+        The request and what of it has happened so far.
+
+    Examples
+    --------
+    >>> grant = AttemptState(idempotent=False)
+    >>> retry_decision(ExchangeBroken("the connection was reset"), grant)
+    <Decision.ANSWER_UNKNOWN: 'answer-unknown'>
+    >>> retry_decision(ConnectFailed("connection refused"), grant)
+    <Decision.ELSEWHERE: 'elsewhere'>
+    """
+    return Decision.ANSWER_UNKNOWN
+
+
+@retry_decision.register
+def _(failure: TeaseldykeError, state: AttemptState) -> Decision:
+    if failure.executed == "no":
+        return _end(state)
+    return Decision.ANSWER_UNKNOWN
+
+
+@retry_decision.register
+def _(failure: ConnectFailed, state: AttemptState) -> Decision:
+    if state.answer_started:
+        return _continue_stream(state)
+    if state.may_retry and (state.idempotent or not state.sent_before):
+        return Decision.ELSEWHERE
+    return _end(state)
+
+
+@retry_decision.register
+def _(failure: ExchangeBroken, state: AttemptState) -> Decision:
+    if not state.idempotent:
+        return Decision.ANSWER_UNKNOWN
+    if state.answer_started:
+        return _continue_stream(state)
+    return Decision.ELSEWHERE if state.may_retry else Decision.ANSWER_UNKNOWN
+
+
+@retry_decision.register
+def _(failure: AnswerTooLarge, state: AttemptState) -> Decision:
+    # Another backend server would answer with as much.
+    return Decision.ANSWER_UNKNOWN
+
+
+def _continue_stream(state: AttemptState) -> Decision:
+    if state.idempotent and state.resumable and state.may_retry:
+        return Decision.RESUME
+    return Decision.ANSWER_UNKNOWN
+
+
+def _end(state: AttemptState) -> Decision:
+    return Decision.ANSWER_UNKNOWN if state.sent_before else Decision.ANSWER_NO
