--- a/libs/capacity/src/teaseldyke/capacity/__init__.py
+++ b/libs/capacity/src/teaseldyke/capacity/__init__.py
@@ -1,5 +1,35 @@
-"""Concurrency limits of backend servers and their delegation."""
+"""Limits of backend servers and the authority to use them."""
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .allowance import allowance, total_part
+from .delegations import (
+    Delegation,
+    Delegations,
+    Level,
+    covered_until_s,
+    granted_limit,
+)
+from .ejection import Ejection
+from .foreign import ForeignWork
+from .load import LoadReport, LoadSource
+from .promise import Promise
+from .ramp import Ramp
+from .rendezvous import rank
+
+__all__ = [
+    "Delegation",
+    "Delegations",
+    "Ejection",
+    "ForeignWork",
+    "Level",
+    "LoadReport",
+    "LoadSource",
+    "Promise",
+    "Ramp",
+    "allowance",
+    "covered_until_s",
+    "granted_limit",
+    "rank",
+    "total_part",
+]
--- /dev/null
+++ b/libs/capacity/src/teaseldyke/capacity/allowance.py
@@ -0,0 +1,52 @@
+"""How much of a backend server's limit a dispatcher may grant."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from fractions import Fraction
+from math import floor
+
+HALF = Fraction(1, 2)
+
+
+def allowance(limit: int, fraction: Fraction) -> int:
+    """Return the concurrent requests that a delegated fraction allows.
+
+    A strict majority may use all that the rest could not use by rounding down, so
+    that any two dispatchers together stay within the limit.
+
+    Parameters
+    ----------
+    limit : int
+        Limit in force of the backend server.
+    fraction : Fraction
+        Sum of the parts that routers delegate to the dispatcher, from 0 to 1.
+
+    Examples
+    --------
+    >>> allowance(1, Fraction(2, 3)), allowance(1, Fraction(1, 3))
+    (1, 0)
+    >>> allowance(8, Fraction(6, 7)), allowance(8, Fraction(1, 7))
+    (7, 1)
+    """
+    fraction = min(fraction, Fraction(1))
+    if fraction > HALF:
+        return limit - floor(limit * (1 - fraction))
+    return floor(limit * fraction)
+
+
+def total_part(member_counts: Iterable[int]) -> Fraction:
+    """Return the sum of the parts of routers that each see so many members.
+
+    Examples
+    --------
+    >>> total_part([3, 3, 4])
+    Fraction(11, 12)
+    """
+    routers: dict[int, int] = {}
+    for members in member_counts:
+        routers[members] = routers.get(members, 0) + 1
+    total = Fraction(0)
+    for members, count in routers.items():
+        total += Fraction(count, members)
+    return total
--- /dev/null
+++ b/libs/capacity/src/teaseldyke/capacity/delegations.py
@@ -0,0 +1,140 @@
+"""A dispatcher's book of the parts that routers delegate to it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from fractions import Fraction
+
+import attrs
+
+from .allowance import allowance, total_part
+
+
+@attrs.frozen
+class Delegation:
+    """One router's part, in times of the dispatcher's own clock.
+
+    Parameters
+    ----------
+    members : int
+        Members that the router sees; its part is one of so many.
+    expires_at_s : float
+        The part counts until then.
+    usable_at_s : float
+        Older promises of the router bind the part until then.
+    predecessors_gone : bool
+        Whether every dispatcher with an older promise is proven gone.
+    """
+
+    members: int
+    expires_at_s: float
+    usable_at_s: float
+    predecessors_gone: bool
+
+
+@attrs.frozen
+class Level:
+    """A fraction of every limit that is delegated until a time."""
+
+    expires_at_s: float
+    fraction: Fraction
+
+
+@attrs.define(eq=False)
+class Delegations:
+    """Sums the parts that count now.
+
+    Parameters
+    ----------
+    members : callable
+        Returns the names of all members.
+    is_gone : callable
+        Returns whether a member's process is proven gone.
+
+    Examples
+    --------
+    >>> book = Delegations(lambda: frozenset("abc"), lambda name: False)
+    >>> for name in "ab":
+    ...     book.record(name, Delegation(3, 10.0, 0.0, False))
+    >>> levels = book.levels(now_s=1.0)
+    >>> covered_until_s(levels, limit=1, count=1), covered_until_s(levels, 1, 2)
+    (10.0, -inf)
+    """
+
+    members: Callable[[], frozenset[str]]
+    is_gone: Callable[[str], bool]
+    by_router: dict[str, Delegation] = attrs.field(factory=dict)
+
+    def record(self, router: str, delegation: Delegation) -> None:
+        """Replace a router's part."""
+        self.by_router[router] = delegation
+
+    def remove(self, router: str) -> None:
+        """Forget a router's part."""
+        self.by_router.pop(router, None)
+
+    def is_complete(self, now_s: float) -> bool:
+        """Return whether every member that is not proven gone delegates its part."""
+        for name in self.members():
+            delegation = self.by_router.get(name)
+            if delegation is None:
+                if not self.is_gone(name):
+                    return False
+                continue
+            if delegation.expires_at_s <= now_s:
+                if not self.is_gone(name):
+                    return False
+                continue
+            if delegation.usable_at_s > now_s and not delegation.predecessors_gone:
+                return False
+        return True
+
+    def missing(self, until_s: float) -> list[str]:
+        """Return the members whose part does not count until a time."""
+        found = []
+        for name in self.members():
+            delegation = self.by_router.get(name)
+            if delegation is not None and delegation.expires_at_s > until_s:
+                continue
+            if self.is_gone(name):
+                continue
+            found.append(name)
+        return sorted(found)
+
+    def levels(self, now_s: float) -> list[Level]:
+        """Return the delegated fractions, the one that lasts longest first."""
+        complete = self.is_complete(now_s)
+        members = self.members()
+        counted = []
+        for name, delegation in self.by_router.items():
+            if name not in members or delegation.expires_at_s <= now_s:
+                continue
+            if delegation.usable_at_s > now_s and not complete:
+                continue
+            counted.append(delegation)
+        counted.sort(key=lambda delegation: -delegation.expires_at_s)
+        levels = []
+        counts: list[int] = []
+        for delegation in counted:
+            counts.append(delegation.members)
+            levels.append(Level(delegation.expires_at_s, total_part(counts)))
+        if complete and levels:
+            # Nobody else can use the parts of members whose process is gone.
+            levels[-1] = Level(levels[-1].expires_at_s, Fraction(1))
+        return levels
+
+
+def covered_until_s(levels: list[Level], limit: int, count: int) -> float:
+    """Return until when the delegated parts allow ``count`` requests at once."""
+    for level in levels:
+        if allowance(limit, level.fraction) >= count:
+            return level.expires_at_s
+    return -math.inf
+
+
+def granted_limit(levels: list[Level], limit: int) -> int:
+    """Return the concurrent requests that the delegated parts allow now."""
+    if not levels:
+        return 0
+    return allowance(limit, levels[-1].fraction)
--- /dev/null
+++ b/libs/capacity/src/teaseldyke/capacity/load.py
@@ -0,0 +1,40 @@
+"""Load reports of backend servers."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import attrs
+
+from teaseldyke.types import BackendServer
+
+
+@attrs.frozen
+class LoadReport:
+    """What a backend server says of itself, with a lag.
+
+    Parameters
+    ----------
+    started_at_s : float
+        When the server started, on its own clock; changes with each start.
+    running, waiting : int
+        Requests in the server.
+    completed : int
+        Requests completed since the start.
+    """
+
+    started_at_s: float
+    running: int
+    waiting: int
+    completed: int
+
+
+class LoadSource(Protocol):
+    """Asks a backend server for its load."""
+
+    async def load(self, server: BackendServer) -> LoadReport | None:
+        """Return the report, or ``None`` if the server reports no load.
+
+        Raises `TeaseldykeError` when the server cannot be reached.
+        """
+        ...
--- /dev/null
+++ b/libs/capacity/src/teaseldyke/capacity/ramp.py
@@ -0,0 +1,72 @@
+"""Slow start of a backend server."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(eq=False)
+class Ramp:
+    """Limit in force of one backend server since its last start.
+
+    Parameters
+    ----------
+    limit_max : int
+        Concurrent requests when warm.
+    cold_limit : int
+        Concurrent requests right after a start.
+    warm_after_requests : int
+        Completed requests after which the server is warm.
+
+    Examples
+    --------
+    >>> ramp = Ramp(limit_max=8, cold_limit=1, warm_after_requests=4)
+    >>> ramp.limit
+    1
+    >>> ramp.complete(2)
+    >>> ramp.limit
+    4
+    >>> ramp.fall()
+    >>> ramp.limit, ramp.epoch
+    (1, 1)
+    """
+
+    limit_max: int
+    cold_limit: int
+    warm_after_requests: int
+    epoch: int = 0
+    completed: int = 0
+    started_at_s: float | None = None
+
+    @property
+    def limit(self) -> int:
+        """Return the concurrent requests that the server bears now."""
+        if self.completed >= self.warm_after_requests:
+            return self.limit_max
+        cold = min(self.cold_limit, self.limit_max)
+        grown = (self.limit_max - cold) * self.completed // self.warm_after_requests
+        return cold + grown
+
+    def complete(self, count: int) -> None:
+        """Count completed requests."""
+        self.completed = min(self.completed + count, self.warm_after_requests)
+
+    def fall(self) -> None:
+        """Return to the start, because the server shows a sign of being cold."""
+        self.epoch += 1
+        self.completed = 0
+
+    def note_start(self, started_at_s: float) -> bool:
+        """Take in the start time that the server reports; return whether it fell."""
+        known_s = self.started_at_s
+        self.started_at_s = started_at_s
+        if known_s is None or known_s == started_at_s:
+            return False
+        self.fall()
+        return True
+
+    def adopt(self, epoch: int, completed: int) -> None:
+        """Take over what another dispatcher knew, if it is newer."""
+        if (epoch, completed) > (self.epoch, self.completed):
+            self.epoch = epoch
+            self.completed = completed
--- a/libs/fairness/src/teaseldyke/fairness/__init__.py
+++ b/libs/fairness/src/teaseldyke/fairness/__init__.py
@@ -1,5 +1,10 @@
-"""Weighted virtual-time order and service accounting."""
+"""Fair order of organisations by real cost and share."""
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .accounts import Account, Accounts
+from .drain_rate import DrainRate
+from .estimates import Estimates
+from .served import ServedCosts
+
+__all__ = ["Account", "Accounts", "DrainRate", "Estimates", "ServedCosts"]
