Test the platform's drivers, the stand-ins and the relay

The tests met two wrong expectations of their own (order of JSON keys, a reset seen as a broken exchange rather than a truncated answer); no fault was found in the code.

--- /dev/null
+++ b/libs/standins/tests/test_platform.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from teaseldyke.platform import (
+    ABSENT,
+    Faults,
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTableService,
+    Instance,
+    Write,
+)
+from teaseldyke.standins import Platform
+from teaseldyke.types import AnswerLost, PlatformUnavailable, WriteConflict
+
+Start = Callable[..., Awaitable[Any]]
+
+
+async def test_drivers_meet_the_platform(start: Start) -> None:
+    served = await start(Platform(Faults()).handle)
+    place = (served.client, "127.0.0.1", served.port)
+    tables, objects = HttpTableService(*place), HttpObjectStore(*place)
+    assert await tables.transact([Write("t", "a/1", b"\xff", ABSENT)]) == [1]
+    assert await tables.transact([Write("t", "b", b"")]) == [1]
+    with pytest.raises(WriteConflict, match="has version 1, expected 0"):
+        await tables.transact([Write("t", "a/1", b"", ABSENT)])
+    row = await tables.get("t", "a/1")
+    assert row is not None
+    assert row.value == b"\xff"
+    assert [r.key for r in await tables.scan("t", after="a/1")] == ["b"]
+    assert await tables.get("t", "none") is None
+    await objects.put("x/y", b"data")
+    assert await objects.get("x/y") == b"data"
+    assert await objects.get("x") is None
+    assert await objects.names("x") == ["x/y"]
+    instances = HttpInstanceList(*place)
+    instance = Instance("r1", "router", "live", "north", "127.0.0.1", 1, 2)
+    await instances.announce(instance, 10.0)
+    assert await instances.instances() == [instance]
+    counts = (await served.call("GET", "/counts")).json()
+    assert counts["tables"] == {"reads": 3, "writes": 3}
+
+
+async def test_faults_are_set_and_healed(start: Start) -> None:
+    served = await start(Platform(Faults()).handle)
+    tables = HttpTableService(served.client, "127.0.0.1", served.port)
+    await served.call("PUT", "/faults", b'{"lose_answers": 1.0}')
+    with pytest.raises(AnswerLost):
+        await tables.transact([Write("t", "k", b"v", ABSENT)])
+    await served.call("PUT", "/faults", b'{"down": true}')
+    with pytest.raises(PlatformUnavailable):
+        await tables.get("t", "k")
+    await served.call("PUT", "/faults", b"{}")
+    assert await tables.get("t", "k") is not None
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "body", "status"),
+    [
+        ("PUT", "/faults", b'{"dwon": true}', 400),
+        ("PUT", "/faults", b'{"down": 3}', 400),
+        ("PUT", "/faults", b"[]", 400),
+        ("POST", "/transactions", b"{", 400),
+        ("GET", "/tables/t/rows?limit=x", b"", 400),
+        ("PUT", "/instances/r1", b"{}", 400),
+        ("GET", "/nothing", b"", 404),
+        ("DELETE", "/objects/x", b"", 404),
+    ],
+)
+async def test_bad_orders(
+    start: Start, method: str, target: str, body: bytes, status: int
+) -> None:
+    served = await start(Platform(Faults()).handle)
+    assert (await served.call(method, target, body)).status == status
--- /dev/null
+++ b/libs/standins/tests/test_relay.py
@@ -0,0 +1,99 @@
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import attrs
+import pytest
+import trio
+
+from teaseldyke.settings import Address
+from teaseldyke.standins import Relay, RelaySettings, RouteSettings
+
+Start = Callable[..., Awaitable[Any]]
+
+
+@attrs.define
+class _Relayed:
+    orders: Any
+    port: int
+    received: bytearray = attrs.field(factory=bytearray)
+    ended: trio.Event = attrs.field(factory=trio.Event)
+
+    async def echo(self, stream: trio.SocketStream) -> None:
+        async for data in stream:
+            self.received += data
+            await stream.send_all(data)
+        self.ended.set()
+        await stream.send_all(b"after the end")
+
+    async def order(self, text: str) -> None:
+        response = await self.orders.call("PUT", "/routes/r", text.encode())
+        assert response.status == 204
+
+
+@pytest.fixture
+async def relayed(start: Start, nursery: trio.Nursery) -> AsyncIterator[_Relayed]:
+    target = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    address = Address("127.0.0.1", target.socket.getsockname()[1])
+    route = RouteSettings("r", Address("127.0.0.1", 0), address)
+    relay = Relay(RelaySettings(Address("127.0.0.1", 0), [route]))
+    orders = await start(relay.handle)
+    relayed = _Relayed(orders, listener.socket.getsockname()[1])
+    nursery.start_soon(trio.serve_listeners, relayed.echo, [target])
+    nursery.start_soon(relay.relay_all, {"r": listener})
+    yield relayed
+    nursery.cancel_scope.cancel()
+
+
+async def _connect(relayed: _Relayed) -> trio.SocketStream:
+    stream = await trio.open_tcp_stream("127.0.0.1", relayed.port)
+    await stream.send_all(b"hello")
+    assert await stream.receive_some() == b"hello"
+    return stream
+
+
+async def test_cut_ends_present_and_new_connections(relayed: _Relayed) -> None:
+    stream = await _connect(relayed)
+    await relayed.order('{"mode": "cut"}')
+    for cut in (stream, await trio.open_tcp_stream("127.0.0.1", relayed.port)):
+        try:
+            assert await cut.receive_some() == b""
+        except trio.BrokenResourceError:
+            continue
+    await relayed.order("{}")
+    await _connect(relayed)
+
+
+async def test_hold_keeps_bytes_until_passing(relayed: _Relayed) -> None:
+    stream = await _connect(relayed)
+    await relayed.order('{"mode": "hold"}')
+    await stream.send_all(b"held")
+    with trio.move_on_after(0.1):
+        await stream.receive_some()
+        pytest.fail("bytes passed")
+    assert relayed.received == b"hello"
+    await relayed.order("{}")
+    assert await stream.receive_some() == b"held"
+
+
+async def test_half_ends_one_direction(relayed: _Relayed) -> None:
+    stream = await _connect(relayed)
+    await relayed.order('{"mode": "half-to-target"}')
+    await relayed.ended.wait()
+    assert await stream.receive_some() == b"after the end"
+
+
+async def test_delay_and_injection(relayed: _Relayed) -> None:
+    stream = await _connect(relayed)
+    await relayed.order('{"delay_s": 0.1, "inject": "rubbish"}')
+    assert await stream.receive_some() == b"rubbish"
+    started_at_s = trio.current_time()
+    await stream.send_all(b"late")
+    assert await stream.receive_some() == b"late"
+    assert trio.current_time() - started_at_s >= 0.2
+
+
+async def test_unknown_route(relayed: _Relayed) -> None:
+    assert (await relayed.orders.call("PUT", "/routes/x", b"{}")).status == 404
