Read and check sheets and accept changes with conditional writes

A change writes the head row on condition that it did not move, together with what it changes, its history and its id, so nothing is half applied and a lost answer is settled by reading the id. Base versions are compared with the part that a change touches, so a sheet exported before a drain cannot undo it and does not conflict with it. Ruled out: all switches in the head row (racing switches of different kinds would need a merge); unconditional switch rows without the head (versions would not grow by one).

--- a/libs/configuration/src/teaseldyke/configuration/__init__.py
+++ b/libs/configuration/src/teaseldyke/configuration/__init__.py
@@ -2,4 +2,71 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .assembly import check
+from .cells import describe_column
+from .changes import (
+    ApplySheet,
+    Change,
+    CreateOrganisation,
+    NameTaken,
+    NameUnknown,
+    ReplaceKey,
+    SetSwitch,
+)
+from .columns import PAGES, Column, Page
+from .difference import DifferenceLine, SheetDifference, diff
+from .errors import (
+    BaseUnknown,
+    ChangeConflict,
+    ChangeIdReused,
+    ChangeUnsettled,
+    ConfigurationNotReady,
+    DocumentBroken,
+    SheetFault,
+    SheetInvalid,
+)
+from .files import SheetFile, read_sheet, read_sheet_file, write_sheet
+from .records import SWITCH_KINDS, ChangeRecord, Head, SwitchKind
+from .sheet import Sheet, combine, sheet_of
+from .snapshot import Snapshot
+from .store import Accepted, ConfigurationStore
+
+__all__ = [
+    "Accepted",
+    "ApplySheet",
+    "BaseUnknown",
+    "Change",
+    "ChangeConflict",
+    "ChangeIdReused",
+    "ChangeRecord",
+    "ChangeUnsettled",
+    "Column",
+    "ConfigurationNotReady",
+    "ConfigurationStore",
+    "CreateOrganisation",
+    "DifferenceLine",
+    "DocumentBroken",
+    "Head",
+    "NameTaken",
+    "NameUnknown",
+    "PAGES",
+    "Page",
+    "ReplaceKey",
+    "SWITCH_KINDS",
+    "SetSwitch",
+    "Sheet",
+    "SheetDifference",
+    "SheetFault",
+    "SheetFile",
+    "SheetInvalid",
+    "Snapshot",
+    "SwitchKind",
+    "check",
+    "combine",
+    "describe_column",
+    "diff",
+    "read_sheet",
+    "read_sheet_file",
+    "sheet_of",
+    "write_sheet",
+]
--- /dev/null
+++ b/libs/configuration/src/teaseldyke/configuration/encoding.py
@@ -0,0 +1,90 @@
+"""Stored form of a sheet: compressed lines of JSON, with a SHA-256.
+
+The first line holds all but the organisations; each further line holds up to
+`ORGANISATIONS_PER_LINE` of them. A decoder that works line by line in a worker
+thread gives up the interpreter between lines, so that the event loop goes on.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+
+import attrs
+import msgspec
+
+from teaseldyke.types import Organisation
+
+from .errors import DocumentBroken
+from .sheet import Sheet
+
+ORGANISATIONS_PER_LINE = 250
+DECODED_LIMIT_BYTES = 256 * 1024 * 1024
+_COMPRESSION_LEVEL = 1  # key hashes hardly compress; level 6 takes longer for 2 %
+
+_sheet_decoder = msgspec.json.Decoder(Sheet)
+_organisations_decoder = msgspec.json.Decoder(list[Organisation])
+
+
+@attrs.frozen
+class EncodedSheet:
+    """A sheet in its stored form.
+
+    Parameters
+    ----------
+    sha256 : str
+        Of the text before compression, in hexadecimal.
+    data : bytes
+        Compressed text.
+    """
+
+    sha256: str
+    data: bytes
+
+
+def encode_sheet(sheet: Sheet) -> EncodedSheet:
+    """Return the stored form of a sheet; equal sheets have equal hashes.
+
+    Examples
+    --------
+    >>> encoded = encode_sheet(Sheet(failure_domains=("zone-a",)))
+    >>> decode_sheet(encoded.data, encoded.sha256).failure_domains
+    ('zone-a',)
+    """
+    rest = Sheet(
+        services=dict(sorted(sheet.services.items())),
+        backend_servers=dict(sorted(sheet.backend_servers.items())),
+        failure_domains=sheet.failure_domains,
+    )
+    lines = [msgspec.json.encode(rest)]
+    organisations = [sheet.organisations[name] for name in sorted(sheet.organisations)]
+    for start in range(0, len(organisations), ORGANISATIONS_PER_LINE):
+        part = organisations[start : start + ORGANISATIONS_PER_LINE]
+        lines.append(msgspec.json.encode(part))
+    text = b"\n".join(lines)
+    digest = hashlib.sha256(text).hexdigest()
+    return EncodedSheet(digest, zlib.compress(text, _COMPRESSION_LEVEL))
+
+
+def decode_sheet(data: bytes, sha256: str) -> Sheet:
+    """Return the sheet of a stored form.
+
+    Raises
+    ------
+    DocumentBroken
+        If the data do not match the hash or the form.
+    """
+    try:
+        decompressor = zlib.decompressobj()
+        text = decompressor.decompress(data, DECODED_LIMIT_BYTES)
+        if hashlib.sha256(text).hexdigest() != sha256:
+            raise DocumentBroken(f"sheet does not match its SHA-256 {sha256}")
+        lines = text.split(b"\n")
+        rest = _sheet_decoder.decode(lines[0])
+        organisations: dict[str, Organisation] = {}
+        for line in lines[1:]:
+            for organisation in _organisations_decoder.decode(line):
+                organisations[organisation.name] = organisation
+    except (zlib.error, msgspec.MsgspecError) as exc:
+        raise DocumentBroken(f"sheet with SHA-256 {sha256}: {exc}") from exc
+    return attrs.evolve(rest, organisations=organisations)
--- /dev/null
+++ b/libs/configuration/src/teaseldyke/configuration/loading.py
@@ -0,0 +1,130 @@
+"""Consistent reads of the configuration in the platform."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import attrs
+import trio
+
+from teaseldyke.platform import ABSENT, ObjectStore, Row, TableService
+from teaseldyke.types import PlatformUnavailable, Switches
+
+from .difference import apply_difference
+from .encoding import decode_sheet
+from .errors import DocumentBroken
+from .records import (
+    HEAD_KEY,
+    SHEET_KEY,
+    SWITCH_PREFIX,
+    TABLE,
+    Head,
+    SheetRow,
+    SwitchRow,
+    decode_row,
+    sheet_object_name,
+    switches_of,
+)
+from .sheet import Sheet
+from .snapshot import Snapshot
+
+LOAD_ATTEMPTS = 16  # reads that a change may disturb
+SCAN_LIMIT = 1000  # rows of one read
+
+
+@attrs.frozen
+class Loaded:
+    """A snapshot and the version of the head's row, to write on condition of it."""
+
+    snapshot: Snapshot
+    head_row_version: int
+
+
+@attrs.frozen
+class ConfigurationLoader:
+    """Reads head, sheet and switches so that they belong together.
+
+    Parameters
+    ----------
+    table : TableService
+        Holds head, sheet and switches.
+    objects : ObjectStore
+        Holds large sheets under their hash.
+    """
+
+    table: TableService
+    objects: ObjectStore
+
+    async def head(self) -> Head:
+        """Read the head row; one small read."""
+        return _head_of(await self.table.get(TABLE, HEAD_KEY))
+
+    async def load(self, known: Snapshot) -> Loaded:
+        """Read the newest state; parts that ``known`` holds are not read again.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store cannot be read.
+        DocumentBroken
+            If a row or object does not match its hash or form.
+        """
+        for _ in range(LOAD_ATTEMPTS):
+            row = await self.table.get(TABLE, HEAD_KEY)
+            head = _head_of(row)
+            row_version = ABSENT if row is None else row.version
+            if known.head == head:
+                return Loaded(known, row_version)
+            sheet = await self._load_sheet(head, known)
+            switches = await self._load_switches(head, known)
+            if sheet is None or switches is None:
+                continue  # a change came between the reads
+            return Loaded(Snapshot(head, sheet, switches), row_version)
+        raise PlatformUnavailable(f"the configuration changed in {LOAD_ATTEMPTS} reads")
+
+    async def sheet_by_hash(self, sha256: str) -> Sheet:
+        """Read a sheet from the object store.
+
+        Raises
+        ------
+        DocumentBroken
+            If there is no such object or it does not match the hash.
+        """
+        data = await self.objects.get(sheet_object_name(sha256))
+        if data is None:
+            raise DocumentBroken(f"object {sheet_object_name(sha256)!r} is missing")
+        return await trio.to_thread.run_sync(partial(decode_sheet, data, sha256))
+
+    async def _load_sheet(self, head: Head, known: Snapshot) -> Sheet | None:
+        if head.sheet_sha256 == known.head.sheet_sha256:
+            return known.sheet
+        row = await self.table.get(TABLE, SHEET_KEY)
+        if row is None:
+            raise DocumentBroken(f"version {head.version} has no sheet row")
+        sheet_row = decode_row(row.value, SheetRow)
+        if sheet_row.version != head.sheet_version:
+            return None
+        difference = sheet_row.difference
+        if difference and sheet_row.base_sha256 == known.head.sheet_sha256:
+            return apply_difference(known.sheet, difference)
+        if sheet_row.data is not None:
+            return decode_sheet(sheet_row.data, sheet_row.sha256)
+        return await self.sheet_by_hash(sheet_row.sha256)
+
+    async def _load_switches(self, head: Head, known: Snapshot) -> Switches | None:
+        if head.switches_version == known.head.switches_version:
+            return known.switches
+        rows: list[SwitchRow] = []
+        after = ""
+        while True:
+            part = await self.table.scan(TABLE, SWITCH_PREFIX, after, SCAN_LIMIT)
+            rows.extend(decode_row(row.value, SwitchRow) for row in part)
+            if len(part) < SCAN_LIMIT:
+                break
+            after = part[-1].key
+        newest = max((row.version for row in rows), default=0)
+        return switches_of(rows) if newest == head.switches_version else None
+
+
+def _head_of(row: Row | None) -> Head:
+    return Head() if row is None else decode_row(row.value, Head)
--- /dev/null
+++ b/libs/configuration/src/teaseldyke/configuration/rows.py
@@ -0,0 +1,137 @@
+"""Rows of a sheet's pages, checked cell by cell."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from .cells import cell_text, describe_column, parse_cell
+from .columns import Page
+from .errors import SheetFault
+
+
+@attrs.frozen
+class RawPage:
+    """A page as a file holds it.
+
+    Parameters
+    ----------
+    page : Page
+        Which page.
+    file : str
+        How faults name it.
+    rows : sequence of sequence of object
+        Cells, the header first.
+    """
+
+    page: Page
+    file: str
+    rows: Sequence[Sequence[object]]
+
+
+@attrs.frozen
+class ParsedRow:
+    """A row whose cells are allowed each on its own.
+
+    Parameters
+    ----------
+    number : int
+        Row as a spreadsheet counts it.
+    values : dict
+        By column.
+    """
+
+    number: int
+    values: dict[str, Any]
+
+
+@attrs.frozen
+class ParsedPage:
+    """Rows of a page that are allowed each on its own."""
+
+    page: Page
+    file: str
+    rows: tuple[ParsedRow, ...] = ()
+
+    def fault(self, row: ParsedRow, column: str, allowed: str) -> SheetFault:
+        """Return a fault of one cell of this page."""
+        value = cell_text(row.values.get(column))
+        return SheetFault(self.file, row.number, column, value, allowed)
+
+
+def parse_page(raw: RawPage, faults: list[SheetFault]) -> ParsedPage:
+    """Check the header and every cell of a page, appending to ``faults``."""
+    headers = [cell_text(cell) for cell in raw.rows[0]] if raw.rows else []
+    if not _check_headers(raw, headers, faults):
+        return ParsedPage(raw.page, raw.file)
+    parsed = []
+    for number, cells in enumerate(raw.rows[1:], start=2):
+        texts = [cell_text(cell) for cell in cells]
+        if not any(texts):
+            continue
+        values = _parse_row(raw, headers, number, texts, faults)
+        if values is not None:
+            parsed.append(ParsedRow(number, values))
+    page = ParsedPage(raw.page, raw.file, tuple(parsed))
+    _check_duplicates(page, faults)
+    return page
+
+
+def _check_headers(raw: RawPage, headers: list[str], faults: list[SheetFault]) -> bool:
+    names = [column.name for column in raw.page.columns]
+    allowed = "the headers " + ", ".join(names)
+    found_before = len(faults)
+    for i, header in enumerate(headers):
+        if header in names and header not in headers[:i]:
+            continue
+        if not header:
+            continue
+        faults.append(SheetFault(raw.file, 1, header, header, allowed))
+    for column in raw.page.columns:
+        if column.default is not None or column.name in headers:
+            continue
+        faults.append(SheetFault(raw.file, 1, column.name, "", allowed))
+    return len(faults) == found_before
+
+
+def _parse_row(
+    raw: RawPage,
+    headers: list[str],
+    number: int,
+    texts: list[str],
+    faults: list[SheetFault],
+) -> dict[str, Any] | None:
+    found_before = len(faults)
+    for header, text in zip(headers + [""] * len(texts), texts, strict=False):
+        if header or not text:
+            continue
+        faults.append(
+            SheetFault(raw.file, number, "", text, "no cell without a header")
+        )
+    cells = dict(zip(headers, texts, strict=False))
+    values = {}
+    for column in raw.page.columns:
+        text = cells.get(column.name, "")
+        if text.startswith("="):
+            allowed = "a value, not a formula"
+            faults.append(SheetFault(raw.file, number, column.name, text, allowed))
+            continue
+        try:
+            values[column.name] = parse_cell(column, text)
+        except ValueError:
+            allowed = describe_column(column)
+            faults.append(SheetFault(raw.file, number, column.name, text, allowed))
+    return values if len(faults) == found_before else None
+
+
+def _check_duplicates(page: ParsedPage, faults: list[SheetFault]) -> None:
+    first_rows: dict[tuple[Any, ...], int] = {}
+    for row in page.rows:
+        key = tuple(row.values[name] for name in page.page.key)
+        first = first_rows.setdefault(key, row.number)
+        if first == row.number:
+            continue
+        allowed = f"only once; it stands in row {first} too"
+        faults.append(page.fault(row, page.page.key[-1], allowed))
