--- a/libs/standins/src/teaseldyke/standins/__init__.py
+++ b/libs/standins/src/teaseldyke/standins/__init__.py
@@ -4,6 +4,7 @@
 
 from .backend import EXIT_COLD_OVERRUN, BackendState
 from .engine import Engine
+from .generation import Generation
 from .platform import Platform
 from .relay import Relay
 from .service import PlainService
@@ -20,6 +21,7 @@
     "EXIT_COLD_OVERRUN",
     "Engine",
     "EngineSettings",
+    "Generation",
     "PlainService",
     "Platform",
     "PlatformSettings",
