--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -17,8 +17,9 @@
     MalformedRequest,
     RequestTimedOut,
     TooManyConnections,
+    TransferCodingUnsupported,
 )
-from .exchange import Exchange
+from .exchange import Exchange, OutgoingRequest
 from .headers import end_to_end_headers, first_header
 from .limits import ServerLimits
 from .problem import problem_response
@@ -39,11 +40,13 @@
     "HeaderTooLarge",
     "HttpClient",
     "MalformedRequest",
+    "OutgoingRequest",
     "Request",
     "RequestTimedOut",
     "Response",
     "ServerLimits",
     "TooManyConnections",
+    "TransferCodingUnsupported",
     "end_to_end_headers",
     "first_header",
     "problem_response",
--- a/libs/http/src/teaseldyke/http/errors.py
+++ b/libs/http/src/teaseldyke/http/errors.py
@@ -13,6 +13,14 @@
     executed = "no"
 
 
+class TransferCodingUnsupported(TeaseldykeError):
+    """The request body comes in a transfer coding other than ``chunked``."""
+
+    code = "transfer_coding_unsupported"
+    status = 501
+    executed = "no"
+
+
 class HeaderTooLarge(TeaseldykeError):
     """The request line and header exceed the limit."""
 
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -17,6 +17,7 @@
     MalformedRequest,
     RequestTimedOut,
     TooManyConnections,
+    TransferCodingUnsupported,
 )
 from .headers import Headers
 from .limits import ServerLimits
@@ -26,6 +27,7 @@
 
 Handler = Callable[[Request], Awaitable[None]]
 
+SERVED_VERSIONS = (b"1.0", b"1.1")
 CLOSE_TIMEOUT_S = 1.0
 CLOSE_DISCARD_BYTES = 1024 * 1024
 REFUSED_AT_ONCE = 64  # connections above the limit that are answered side by side
@@ -219,13 +221,12 @@
         try:
             event = self._parser.next_event()
         except h11.RemoteProtocolError as exc:
-            if exc.error_status_hint == 431:
-                raise HeaderTooLarge(
-                    f"header exceeds {self._limits.header_bytes} bytes"
-                ) from exc
-            raise MalformedRequest(f"malformed request: {exc}") from exc
+            raise self._head_error(exc) from exc
         if not isinstance(event, h11.Request):
             return None
+        if event.http_version not in SERVED_VERSIONS:
+            version = event.http_version.decode("ascii")
+            raise MalformedRequest(f"HTTP/{version} is not served, use HTTP/1.1")
         size_bytes = len(event.target)
         for key, value in event.headers:
             size_bytes += len(key) + len(value) + 4  # colon, space, line end
@@ -233,6 +234,13 @@
             raise HeaderTooLarge(f"header exceeds {self._limits.header_bytes} bytes")
         return event
 
+    def _head_error(self, exc: h11.RemoteProtocolError) -> TeaseldykeError:
+        if exc.error_status_hint == HeaderTooLarge.status:
+            return HeaderTooLarge(f"header exceeds {self._limits.header_bytes} bytes")
+        if exc.error_status_hint == TransferCodingUnsupported.status:
+            return TransferCodingUnsupported(f"{exc}")
+        return MalformedRequest(f"malformed request: {exc}")
+
     async def _handle(self, request: Request) -> bool:
         """Run the handler; return whether the connection can go on."""
         try:
--- /dev/null
+++ b/libs/http/tests/test_backend.py
@@ -0,0 +1,248 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from teaseldyke.http import (
+    AnswerBroken,
+    AnswerTimedOut,
+    AnswerTooLarge,
+    BackendPool,
+    ConnectFailed,
+    CrossedAnswer,
+    ExchangeBroken,
+    HttpClient,
+    Request,
+)
+from teaseldyke.types import TeaseldykeError
+
+HOST = "127.0.0.1"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+StartScripted = Callable[..., Awaitable[Any]]
+StartServer = Callable[..., Awaitable[int]]
+
+
+async def _read(pool: BackendPool, port: int, **options: Any) -> bytes:
+    async with pool.exchange(
+        HOST, port, "POST", "/", [], b"x", request_id="r1", **options
+    ) as exchange:
+        return await exchange.read()
+
+
+class TestBadAnswers:
+    @pytest.mark.promise("whole-answer")
+    @pytest.mark.parametrize(
+        ("answer", "close", "error"),
+        [
+            (b"", True, AnswerBroken),
+            (b"rubbish\r\n\r\n", False, AnswerBroken),
+            (b"\x00" * 200_000, False, AnswerBroken),
+            (b"HTTP/1.1 200 OK\r\nA: " + b"a" * 200_000, False, AnswerBroken),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" * 100, False, AnswerBroken),
+            (b"HTTP/1.1 101 Other\r\nUpgrade: a\r\n\r\n", False, AnswerBroken),
+            (b"HTTP/1.1 200 OK\r\n\r\nuntil the end", True, AnswerBroken),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", True, AnswerBroken),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", True, AnswerBroken),
+            (CHUNKED + b"3\r\nabc\r\n", True, AnswerBroken),
+            (CHUNKED + b"3\r\nabcd\r\n0\r\n\r\n", False, AnswerBroken),
+            (CHUNKED + b"zz\r\n", False, AnswerBroken),
+            (OK + b"more", False, AnswerBroken),
+            (OK + OK, False, AnswerBroken),
+            (CHUNKED + b"0\r\n\r\nmore", False, AnswerBroken),
+            (OK.replace(b": 2", b": 99999"), False, AnswerTooLarge),
+            (CHUNKED + b"64\r\n" + b"a" * 100, False, AnswerTooLarge),
+            (OK[:-4] + b"X-Request-Id: r0\r\n\r\nok", False, CrossedAnswer),
+        ],
+    )
+    async def test_is_told_and_its_connection_not_reused(
+        self,
+        start_scripted: StartScripted,
+        answer: bytes,
+        close: bool,
+        error: type[TeaseldykeError],
+    ) -> None:
+        server = await start_scripted(answer, OK, close=close)
+        pool = BackendPool()
+        with trio.fail_after(5):
+            with pytest.raises(error) as caught:
+                await _read(pool, server.port, answer_limit_bytes=50)
+            assert caught.value.executed == "unknown"
+            assert await _read(pool, server.port) == b"ok"
+        assert server.connections == 2
+
+    @pytest.mark.parametrize("start", [b"", CHUNKED, CHUNKED + b"1\r\na\r\n"])
+    async def test_silence_ends_in_time(
+        self, start_scripted: StartScripted, clock: object, start: bytes
+    ) -> None:
+        server = await start_scripted(start, OK, close=False)
+        pool = BackendPool()
+        started_s = trio.current_time()
+        with pytest.raises(AnswerTimedOut, match="within 7" if not start else "paused"):
+            await _read(pool, server.port, first_byte_timeout_s=7.0, idle_timeout_s=3.0)
+        expected_s = 3.0 if start else 7.0
+        assert expected_s <= trio.current_time() - started_s < expected_s + 0.5
+        assert await _read(pool, server.port) == b"ok"
+
+    @pytest.mark.promise("whole-answer")
+    async def test_an_answer_after_we_gave_up_reaches_nobody(
+        self, start_server: StartServer
+    ) -> None:
+        late = trio.Event()
+
+        async def answer(request: Request) -> None:
+            body = await request.read_body(10)
+            if body == b"1":
+                await late.wait()
+            await request.respond(200, b"answer to " + body)
+
+        port = await start_server(answer)
+        pool = BackendPool()
+        with trio.move_on_after(0.05):
+            async with pool.exchange(HOST, port, "POST", "/", body=b"1"):
+                pass
+        late.set()
+        async with pool.exchange(HOST, port, "POST", "/", body=b"2") as exchange:
+            assert await exchange.read() == b"answer to 2"
+
+    async def test_bytes_on_an_idle_connection_end_it(
+        self, start_scripted: StartScripted
+    ) -> None:
+        server = await start_scripted(OK, OK, OK, close=False)
+        pool = BackendPool()
+        await _read(pool, server.port)
+        await _read(pool, server.port)
+        assert server.connections == 1
+        await trio.testing.wait_all_tasks_blocked()
+        await server.streams[0].send_all(b"HTTP/1.1 408 Late\r\n\r\n")
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        assert await _read(pool, server.port) == b"ok"
+        assert server.connections == 2
+
+
+class TestExecuted:
+    @pytest.mark.promise("true-refusal")
+    async def test_a_refused_connection_says_not_run(self) -> None:
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        await listeners[0].aclose()
+        with pytest.raises(ConnectFailed) as caught:
+            await _read(BackendPool(), port)
+        assert caught.value.executed == "no"
+
+    async def test_a_request_that_cannot_be_written_says_not_run(
+        self, start_scripted: StartScripted
+    ) -> None:
+        server = await start_scripted(OK)
+        with pytest.raises(ConnectFailed, match="cannot be sent"):
+            async with BackendPool().exchange(HOST, server.port, "GET", "/a b"):
+                pass
+        assert server.requests == []
+
+    async def test_a_client_gets_a_get_through_a_connection_just_closed(
+        self, start_scripted: StartScripted
+    ) -> None:
+        server = await start_scripted(OK, b"", OK, close=False, close_on_empty=True)
+        client = HttpClient()
+        for _ in range(2):
+            response = await client.request("GET", HOST, server.port, "/")
+            assert response.body == b"ok"
+        assert server.connections == 2
+
+    @pytest.mark.promise("at-most-once")
+    async def test_a_client_never_repeats_a_post(
+        self, start_scripted: StartScripted
+    ) -> None:
+        server = await start_scripted(OK, b"", OK, close=False, close_on_empty=True)
+        client = HttpClient()
+        await client.request("POST", HOST, server.port, "/")
+        with pytest.raises(ExchangeBroken) as caught:
+            await client.request("POST", HOST, server.port, "/")
+        assert caught.value.executed == "unknown"
+        assert len(server.requests) == 2
+
+    @pytest.mark.parametrize("accepts", [True, False])
+    async def test_a_client_timeout_tells_what_was_sent(
+        self, start_scripted: StartScripted, clock: object, accepts: bool
+    ) -> None:
+        server = await start_scripted(b"", close=False)
+        port = server.port if accepts else await _port_with_full_backlog()
+        with pytest.raises(TeaseldykeError) as caught:
+            await HttpClient(timeout_s=3).request("POST", HOST, port, "/")
+        assert caught.value.executed == ("unknown" if accepts else "no")
+
+
+class TestWholeAnswers:
+    @pytest.mark.parametrize(
+        ("method", "answer", "body"),
+        [
+            ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", b""),
+            ("GET", b"HTTP/1.1 204 No\r\n\r\n", b""),
+            ("GET", b"HTTP/1.1 304 Same\r\n\r\n", b""),
+            ("GET", b"HTTP/1.1 100 Continue\r\n\r\n" + OK, b"ok"),
+            ("GET", CHUNKED + b"1\r\na\r\n2;x=y\r\nbc\r\n0\r\nT: 1\r\n\r\n", b"abc"),
+        ],
+    )
+    async def test_connection_is_reused(
+        self, start_scripted: StartScripted, method: str, answer: bytes, body: bytes
+    ) -> None:
+        server = await start_scripted(answer, answer, close=False)
+        pool = BackendPool()
+        for _ in range(2):
+            async with pool.exchange(HOST, server.port, method, "/") as exchange:
+                assert await exchange.read() == body
+        assert server.connections == 1
+
+    async def test_the_server_sees_our_request_id_only(
+        self, start_scripted: StartScripted
+    ) -> None:
+        server = await start_scripted(OK)
+        headers = [(b"X-Request-Id", b"callers"), (b"accept", b"*/*")]
+        async with BackendPool().exchange(
+            HOST, server.port, "POST", "/a?b", headers, b"hi", request_id="r1"
+        ) as exchange:
+            await exchange.read()
+        head = server.requests[0].partition(b"\r\n\r\n")[0].lower()
+        assert head.splitlines() == [
+            b"post /a?b http/1.1",
+            b"host: 127.0.0.1:%d" % server.port,
+            b"accept: */*",
+            b"x-request-id: r1",
+            b"content-length: 2",
+        ]
+
+    async def test_an_answer_sent_before_the_body_was_taken_is_read(
+        self, start_server: StartServer
+    ) -> None:
+        async def refuse(request: Request) -> None:
+            await request.respond(413, b"no")
+
+        port = await start_server(refuse)
+        body = b"a" * 300_000
+        async with BackendPool().exchange(
+            HOST, port, "POST", "/", body=body
+        ) as exchange:
+            assert exchange.status == 413
+
+
+async def _port_with_full_backlog() -> int:
+    """Return a port whose queue of new connections is full and never emptied."""
+    listener = trio.socket.socket()
+    await listener.bind((HOST, 0))
+    listener.listen(0)
+    port = int(listener.getsockname()[1])
+    for _ in range(4):
+        with trio.move_on_after(0.05):
+            waiting = trio.socket.socket()
+            _KEPT_OPEN.append(waiting)
+            await waiting.connect((HOST, port))
+    _KEPT_OPEN.append(listener)
+    return port
+
+
+_KEPT_OPEN: list[trio.socket.SocketType] = []
