Give a request's path and target one spelling

Rules on path prefixes decide what may run twice; an escape of an unreserved character or an empty segment could pass by one and still reach the same resource. Targets are passed on in that spelling; empty segments are refused.

--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -44,6 +44,7 @@
     "Request",
     "RequestTimedOut",
     "Response",
+    "ServerConnection",
     "ServerLimits",
     "TooManyConnections",
     "TransferCodingUnsupported",
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -41,10 +41,10 @@
         Identifier for answers, traces and the backend server; may be replaced.
     method : str
         In capitals, as sent.
-    target : str
-        Raw request target.
     path : str
-        Path with unreserved escapes decoded.
+        In the one spelling that `split_target` gives.
+    target : str
+        Path and raw query, as they are passed on.
     response_started : bool
         Whether an answer has been started.
 
@@ -64,10 +64,10 @@
     ) -> None:
         self.id = secrets.token_hex(REQUEST_ID_BYTES)
         self.method = head.method.decode("ascii")
-        self.target = head.target.decode("latin-1")
         self.headers: Headers = list(head.headers)
         self.response_started = False
         self.path, self._query = split_target(head.target)
+        self.target = f"{self.path}?{self._query}" if self._query else self.path
         self._connection = connection
         self._stream = stream
         self._limits = limits
--- a/libs/http/src/teaseldyke/http/target.py
+++ b/libs/http/src/teaseldyke/http/target.py
@@ -27,7 +27,8 @@
     Raises
     ------
     MalformedRequest
-        On a target that isn't a path, a bad escape, or a ``.`` or ``..`` segment.
+        On a target that isn't a path, on a bad escape, and on an empty, ``.`` or
+        ``..`` segment, which servers read in different ways.
 
     Examples
     --------
@@ -45,8 +46,8 @@
     if _BAD_ESCAPE.search(raw_path) or "#" in raw_path or "\\" in raw_path:
         raise MalformedRequest(f"path {raw_path[:80]!r} has a forbidden character")
     path = _ESCAPE.sub(_normalise_escape, raw_path) if "%" in raw_path else raw_path
-    if "/." in path:
-        _refuse_dot_segments(path)
+    if "/." in path or "//" in path:
+        _check_segments(path)
     return path, query
 
 
@@ -76,7 +77,10 @@
     return match.group().upper()
 
 
-def _refuse_dot_segments(path: str) -> None:
+def _check_segments(path: str) -> None:
+    inner = path.split("/")[1:-1]
+    if "" in inner:
+        raise MalformedRequest(f"path {path[:80]!r} has an empty segment")
     for segment in path.split("/"):
         if segment in (".", ".."):
             raise MalformedRequest(f"path {path[:80]!r} has a {segment!r} segment")
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -55,6 +55,7 @@
             (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 400, "malformed_request"),
             (b"GET /a/../b HTTP/1.1\r\nHost: a\r\n\r\n", 400, "malformed_request"),
             (b"GET /%2e%2E/b HTTP/1.1\r\nHost: a\r\n\r\n", 400, "malformed_request"),
+            (b"GET /a//b HTTP/1.1\r\nHost: a\r\n\r\n", 400, "malformed_request"),
             (POST + b"Content-Length: x\r\n\r\n", 400, "malformed_request"),
             (
                 POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
--- a/libs/http/tests/test_target.py
+++ b/libs/http/tests/test_target.py
@@ -23,6 +23,7 @@
     except MalformedRequest:
         return
     assert not {".", ".."} & set(path.split("/"))
+    assert "//" not in path
     assert split_target(path.encode()) == (path, "")
     assert "?" not in path
     assert query in target.decode("ascii")
