Replay traces against running routers and hold stated outcomes

Traces of both deployments are drawn from a seed and a sheet; a line that a router recorded is read as well. What callers were told is held against what the stand-ins executed: doubled, lost and falsely refused requests.

--- /dev/null
+++ b/libs/replay/src/teaseldyke/replay/deployments.py
@@ -0,0 +1,88 @@
+"""Writers of the example traces of both deployments."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from teaseldyke.configuration import Sheet
+
+from .trace import Entry, SwitchOrder
+from .workload import Kind, PlainCalls, Workload
+
+PLAIN_CALLS_HZ = 10.0  # of all organisations together
+TOKENS_PER_S = 50.0  # of one running request at the stand-in engines
+
+STORM_KINDS = (
+    Kind(prompt_tokens=400, output_tokens=250, stream=True, weight=1),  # narrative
+    Kind(prompt_tokens=120, output_tokens=60, stream=True, weight=4),  # query
+    Kind(prompt_tokens=60, output_tokens=12, stream=False, weight=3),  # tag job
+)
+CLOSING_KINDS = (
+    Kind(prompt_tokens=600, output_tokens=200, stream=True, weight=1),  # dossier
+    Kind(prompt_tokens=100, output_tokens=50, stream=True, weight=3),  # question
+    Kind(prompt_tokens=60, output_tokens=12, stream=False, weight=3),  # tagging
+)
+
+
+def write_storm_night(
+    sheet: Sheet, *, seed: int, duration_s: float, routers: int
+) -> list[Entry]:
+    """Return Forth Valley's storm night.
+
+    The pool is a little underloaded, then overloaded by a third in the middle of the
+    night; a failure domain is out from four to seven tenths of the time.
+    """
+    workload = Workload(
+        sheet, seed, routers, STORM_KINDS, PlainCalls("/grants", "/stations")
+    )
+    entries: list[Entry] = []
+    for load, from_part, to_part in ((0.6, 0, 0.3), (1.3, 0.3, 0.6), (0.5, 0.6, 1)):
+        rate_hz = workload.engine_rate_hz(load, TOKENS_PER_S)
+        times = workload.times(rate_hz, from_part * duration_s, to_part * duration_s)
+        for at_s in times:
+            organisation = workload.draw_organisation(workload.organisations)
+            entries.append(workload.engine_arrival(at_s, organisation))
+    entries.extend(_plain_calls(workload, duration_s))
+    domain = sheet.failure_domains[0]
+    entries.append(SwitchOrder(0.4 * duration_s, "failure-domain", domain, True))
+    entries.append(SwitchOrder(0.7 * duration_s, "failure-domain", domain, False))
+    return entries
+
+
+def write_book_closing(
+    sheet: Sheet, *, seed: int, duration_s: float, routers: int
+) -> list[Entry]:
+    """Return Khurdan's book-closing evening.
+
+    All organisations load half of the pool; from three to eight tenths of the time
+    the largest one sends twice what the whole pool can do, all to the first router.
+    """
+    workload = Workload(
+        sheet, seed, routers, CLOSING_KINDS, PlainCalls("/payments", "/ledger")
+    )
+    entries: list[Entry] = []
+    flooding, *others = workload.organisations
+    for at_s in workload.times(
+        workload.engine_rate_hz(0.5, TOKENS_PER_S), 0, duration_s
+    ):
+        organisation = workload.draw_organisation(others)
+        entries.append(workload.engine_arrival(at_s, organisation))
+    flood_hz = workload.engine_rate_hz(2.0, TOKENS_PER_S)
+    for at_s in workload.times(flood_hz, 0.3 * duration_s, 0.8 * duration_s):
+        entries.append(workload.engine_arrival(at_s, flooding.name, router=0))
+    entries.extend(_plain_calls(workload, duration_s))
+    return entries
+
+
+def _plain_calls(workload: Workload, duration_s: float) -> list[Entry]:
+    entries: list[Entry] = []
+    for at_s in workload.times(PLAIN_CALLS_HZ, 0, duration_s):
+        organisation = workload.draw_organisation(workload.organisations)
+        entries.append(workload.plain_arrival(at_s, organisation))
+    return entries
+
+
+DEPLOYMENTS: dict[str, Callable[..., list[Entry]]] = {
+    "forth-valley": write_storm_night,
+    "khurdan": write_book_closing,
+}
--- a/libs/replay/src/teaseldyke/replay/main.py
+++ b/libs/replay/src/teaseldyke/replay/main.py
@@ -1,10 +1,179 @@
-"""Entry point of the program."""
+"""Command ``teaseldyke-replay``."""
 
 from __future__ import annotations
 
+import sys
+from pathlib import Path
+
+import attrs
 import fire
+import msgspec
+import trio
+import yaml
+
+from teaseldyke.configuration import read_sheet
+from teaseldyke.settings import Address, load_settings
+from teaseldyke.types import SettingsError, TeaseldykeError
+
+from .bounds import BoundResult, Expectations
+from .deployments import DEPLOYMENTS
+from .executions import count_harms, read_executions
+from .measures import Replayed
+from .replayer import Replayer
+from .switching import Switchboard
+from .trace import Entry, read_trace, write_trace
+
+EXIT_HELD = 0
+EXIT_BROKEN = 1
+EXIT_INPUT = 2
+
+
+class Replay:
+    """Replays recorded traces against running routers.
+
+    Exit codes: 0 when every bound holds, 1 when one does not, 2 when the trace, the
+    outcomes file or an argument is not readable.
+    """
+
+    def run(
+        self,
+        trace: str,
+        *,
+        expect: str,
+        routers: str,
+        keys: str,
+        backend_servers: str = "",
+        administration: str = "",
+        token_file: str = "",
+        speed: float = 1.0,
+        retries: int = 0,
+        report: str = "",
+    ) -> None:
+        """Replay a trace and hold it against stated outcomes.
+
+        Parameters
+        ----------
+        trace : str
+            Trace file, JSON lines.
+        expect : str
+            Outcomes file, YAML with a list ``bounds``.
+        routers : str
+            Callers' addresses of the routers, ``host:port,host:port``.
+        keys : str
+            YAML file with the key of each organisation.
+        backend_servers : str
+            Addresses of stand-ins whose executions are counted.
+        administration : str
+            Administration addresses, needed when the trace switches anything.
+        token_file : str
+            File with an operator's token, likewise.
+        speed : float
+            Seconds of the trace that pass in one second.
+        retries : int
+            Further attempts of a caller without success.
+        report : str
+            File to write the figures to, JSON.
+        """
+        try:
+            entries = read_trace(trace)
+            expectations = load_settings(expect, Expectations)
+            switchboard = _switchboard(administration, token_file)
+            replayer = Replayer(
+                _addresses(routers),
+                _read_keys(keys),
+                switchboard,
+                speed=float(speed),
+                retries=int(retries),
+                progress=True,
+            )
+            servers = _addresses(backend_servers)
+        except (TeaseldykeError, ValueError, OSError) as exc:
+            print(exc, file=sys.stderr)
+            raise SystemExit(EXIT_INPUT) from exc
+        replayed = trio.run(_replay, replayer, entries, servers)
+        results = [bound.check(replayed) for bound in expectations.bounds]
+        for result in results:
+            print(result.describe())
+        if report:
+            _write_report(report, results)
+        held = all(result.holds for result in results)
+        raise SystemExit(EXIT_HELD if held else EXIT_BROKEN)
+
+    def write(
+        self,
+        deployment: str,
+        *,
+        sheet: str,
+        to: str,
+        seed: int = 1,
+        duration_s: float = 60.0,
+        routers: int = 3,
+    ) -> None:
+        """Write the example trace of a deployment.
+
+        Parameters
+        ----------
+        deployment : str
+            ``forth-valley`` or ``khurdan``.
+        sheet : str
+            Sheet whose organisations and services appear in the trace.
+        to : str
+            Trace file to write.
+        seed : int
+            Seed of every draw.
+        duration_s : float
+            Length of the trace.
+        routers : int
+            Routers that the arrivals are spread over.
+        """
+        writer = DEPLOYMENTS.get(deployment)
+        if writer is None:
+            known = ", ".join(sorted(DEPLOYMENTS))
+            print(f"deployment {deployment!r}; known: {known}", file=sys.stderr)
+            raise SystemExit(EXIT_INPUT)
+        try:
+            found = read_sheet(sheet)
+        except TeaseldykeError as exc:
+            print(exc, file=sys.stderr)
+            raise SystemExit(EXIT_INPUT) from exc
+        entries = writer(found, seed=seed, duration_s=duration_s, routers=routers)
+        write_trace(to, entries)
+        print(f"{len(entries)} entries written to {to}")
+
+
+async def _replay(
+    replayer: Replayer, entries: list[Entry], servers: list[Address]
+) -> Replayed:
+    results = await replayer.run(entries)
+    if not servers:
+        return Replayed(results)
+    executions = await read_executions(servers)
+    return Replayed(results, count_harms(results, executions))
+
+
+def _addresses(text: str) -> list[Address]:
+    return [Address.parse(part) for part in str(text).split(",") if part]
+
+
+def _switchboard(administration: str, token_file: str) -> Switchboard | None:
+    if not administration:
+        return None
+    token = Path(token_file).read_text(encoding="utf-8").strip()
+    return Switchboard(_addresses(administration), token)
+
+
+def _read_keys(path: str) -> dict[str, str]:
+    value = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+    if not isinstance(value, dict):
+        raise SettingsError(f"{path}: expected a mapping of organisations to keys")
+    return {str(name): str(key) for name, key in value.items()}
+
+
+def _write_report(path: str, results: list[BoundResult]) -> None:
+    lines = [attrs.asdict(result) for result in results]
+    Path(path).write_bytes(msgspec.json.format(msgspec.json.encode(lines)))
 
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire({})
+    fire.Fire(Replay, name="teaseldyke-replay")
--- /dev/null
+++ b/libs/replay/src/teaseldyke/replay/trace.py
@@ -0,0 +1,194 @@
+"""Trace format: one JSON object a line, in order of time.
+
+A line is an arrival of a request or, with the key ``switch``, an operator's order.
+A line that a router recorded, with the key ``prompt_cost``, is read as an arrival.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Literal
+
+import attrs
+import msgspec
+
+from teaseldyke.types import TeaseldykeError
+
+PROMPT_TOKEN_COST = 0.5  # in output tokens, as the routers charge
+
+SwitchKind = Literal["failure-domain", "instance", "backend-server", "organisation"]
+
+
+class TraceInvalid(TeaseldykeError):
+    """A line of a trace is not readable."""
+
+    code = "trace_invalid"
+    status = 422
+    executed = "no"
+
+
+@attrs.frozen
+class Arrival:
+    """A request that arrives at a router.
+
+    Parameters
+    ----------
+    at_s : float
+        Time since the start of the trace.
+    organisation, service : str
+        Who calls what.
+    method, path : str
+        As the backend server sees them.
+    router : int
+        Index of the router that it arrives at.
+    prompt_tokens, output_tokens : int
+        Size of a request to a model engine; 0 for a plain service.
+    max_tokens : int
+        Rough hint that the caller gives; 0 for the true size.
+    stream : bool
+        Whether the answer is streamed.
+    idempotency_key : str
+        Key of the caller, empty for none.
+    idempotent : bool
+        Whether the request may be executed more than once.
+    """
+
+    at_s: float
+    organisation: str
+    service: str
+    method: str = "POST"
+    path: str = "/v1/chat/completions"
+    router: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    max_tokens: int = 0
+    stream: bool = False
+    idempotency_key: str = ""
+    idempotent: bool = True
+
+
+@attrs.frozen
+class SwitchOrder:
+    """An operator takes something out or back in.
+
+    Parameters
+    ----------
+    at_s : float
+        Time since the start of the trace.
+    switch : str
+        Kind of what is switched.
+    name : str
+        What is switched.
+    out : bool
+        Whether it goes out, else in.
+    """
+
+    at_s: float
+    switch: SwitchKind
+    name: str
+    out: bool
+
+
+Entry = Arrival | SwitchOrder
+
+
+@attrs.frozen
+class RecordedCall:
+    """A line that a router recorded; it knows hints, not true sizes.
+
+    Parameters
+    ----------
+    router : str
+        Name of the router; a number at its end is taken as its index, from 1.
+    prompt_cost, cost : float
+        Hints, in output tokens.
+    """
+
+    at_s: float
+    router: str
+    organisation: str
+    service: str
+    method: str
+    path: str
+    idempotent: bool
+    prompt_cost: float
+    cost: float
+    idempotency_key: str | None = None
+
+    def to_arrival(self) -> Arrival:
+        """Return an arrival whose size is what the hints say."""
+        output_tokens = 0
+        if self.prompt_cost > 0:
+            output_tokens = max(1, int(self.cost - self.prompt_cost))
+        digits = self.router.rpartition("-")[2]
+        return Arrival(
+            at_s=self.at_s,
+            organisation=self.organisation,
+            service=self.service,
+            method=self.method,
+            path=self.path,
+            router=max(0, int(digits) - 1) if digits.isdigit() else 0,
+            prompt_tokens=int(self.prompt_cost / PROMPT_TOKEN_COST),
+            output_tokens=output_tokens,
+            idempotency_key=self.idempotency_key or "",
+            idempotent=self.idempotent,
+        )
+
+
+def read_trace(path: str | os.PathLike[str]) -> list[Entry]:
+    """Return the entries of a trace file in order of time.
+
+    Raises
+    ------
+    TraceInvalid
+        If the file or a line is not readable; the detail names the line.
+    """
+    try:
+        lines = Path(path).read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise TraceInvalid(f"trace {os.fspath(path)}: {exc}") from exc
+    entries: list[Entry] = []
+    for number, line in enumerate(lines, start=1):
+        if not line.strip():
+            continue
+        try:
+            entries.append(parse_entry(line))
+        except msgspec.DecodeError as exc:
+            place = f"{os.fspath(path)}:{number}"
+            raise TraceInvalid(f"trace {place}: {exc}") from exc
+    return sorted(entries, key=lambda entry: entry.at_s)
+
+
+def parse_entry(line: str) -> Entry:
+    """Return the entry on one line; raises `msgspec.DecodeError`.
+
+    Examples
+    --------
+    >>> parse_entry('{"at_s": 1, "switch": "instance", "name": "r1", "out": true}')
+    SwitchOrder(at_s=1.0, switch='instance', name='r1', out=True)
+    """
+    fields = msgspec.json.decode(line, type=dict[str, object])
+    if "prompt_cost" in fields:
+        return msgspec.convert(fields, RecordedCall).to_arrival()
+    if "switch" in fields:
+        return msgspec.convert(fields, SwitchOrder)
+    return msgspec.convert(fields, Arrival)
+
+
+def write_trace(path: str | os.PathLike[str], entries: Iterable[Entry]) -> None:
+    """Write entries in order of time, leaving out what has its default."""
+    ordered = sorted(entries, key=lambda entry: entry.at_s)
+    with Path(path).open("wb") as file:
+        for entry in ordered:
+            file.write(msgspec.json.encode(_without_defaults(entry)) + b"\n")
+
+
+def _without_defaults(entry: Entry) -> dict[str, object]:
+    found = {}
+    for field in attrs.fields(type(entry)):
+        value = getattr(entry, field.name)
+        if value != field.default:
+            found[field.name] = value
+    return found
