--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -13,7 +13,7 @@
 from .errors import ConnectFailed, CrossedAnswer
 from .exchange import Exchange, OutgoingRequest, ServerConnection, with_request_id
 from .headers import first_header
-from .stream import open_stream
+from .stream import TcpStream, open_stream
 
 IDLE_MAX_S = 4.0  # below the usual keep-alive timeout of servers, 5 s
 IDLE_CONNECTIONS_MAX = 64  # for each server
@@ -112,6 +112,7 @@
             await _start(exchange, request, first_byte_timeout_s, request_id)
             yield exchange
         finally:
+            exchange.close_watch()
             self._give_back(connection, exchange)
 
     async def take(
@@ -136,7 +137,7 @@
                 connection.close()
         self._idle.clear()
 
-    async def _open(self, host: str, port: int) -> trio.SocketStream:
+    async def _open(self, host: str, port: int) -> TcpStream:
         with trio.move_on_after(self._connect_timeout_s):
             try:
                 return await open_stream(host, port)
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import AsyncIterator, Iterable
 
 import attrs
@@ -10,7 +11,8 @@
 
 from .errors import AnswerBroken, AnswerTimedOut, AnswerTooLarge, ExchangeBroken
 from .headers import Headers, first_header
-from .stream import close_now
+from .stream import TcpStream, close_now
+from .watchdog import Watch
 
 ANSWER_HEADER_BYTES = 64 * 1024
 INFORMATIONAL_MAX = 16  # 1xx answers skipped before the final one
@@ -41,7 +43,7 @@
 
     Parameters
     ----------
-    stream : trio.SocketStream
+    stream : TcpStream
         Freshly opened.
     host : str
         IP number of the server.
@@ -56,7 +58,7 @@
         When the last exchange ended, on trio's clock.
     """
 
-    def __init__(self, stream: trio.SocketStream, host: str, port: int) -> None:
+    def __init__(self, stream: TcpStream, host: str, port: int) -> None:
         self.stream = stream
         self.host = host
         self.port = port
@@ -76,10 +78,7 @@
 
     def is_quiet(self) -> bool:
         """Whether an idle connection has received neither bytes nor its end."""
-        try:
-            return not self.stream.socket.is_readable()
-        except (OSError, ValueError):  # closed
-            return False
+        return self.stream.is_quiet()
 
     def next_cycle(self) -> None:
         """Make a reusable connection ready for the next exchange."""
@@ -110,7 +109,7 @@
         """
         try:
             await self.stream.send_all(data)
-        except trio.BrokenResourceError:
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
     async def receive_head(self) -> h11.Response:
@@ -191,6 +190,7 @@
         self.sent = False
         self.complete = False
         self._connection = connection
+        self._watch = Watch(connection.stream)
         self._answer_limit_bytes = answer_limit_bytes
         self._idle_timeout_s = idle_timeout_s
         self._body_bytes = 0
@@ -205,12 +205,19 @@
     ) -> None:
         """Send the request and wait for the answer's header."""
         data = self._connection.encode(request)
-        with trio.move_on_after(first_byte_timeout_s) as scope:
-            self.sent = True
+        self._watch.start()
+        self._watch.deadline_s = trio.current_time() + first_byte_timeout_s
+        self.sent = True
+        try:
             await self._connection.send(data)
             response = await self._connection.receive_head()
-        if scope.cancelled_caught:
-            raise AnswerTimedOut(f"no answer within {first_byte_timeout_s} s")
+        except ExchangeBroken as exc:
+            if self._watch.expired:
+                raise AnswerTimedOut(
+                    f"no answer within {first_byte_timeout_s} s"
+                ) from exc
+            raise
+        self._watch.deadline_s = math.inf
         self.status = response.status_code
         self.headers = list(response.headers)
         self._check_framing(request.method)
@@ -248,11 +255,21 @@
             parts.append(chunk)
         return b"".join(parts)
 
+    def close_watch(self) -> None:
+        """End the time limits; the exchange is over."""
+        self._watch.stop()
+
     async def _receive_more(self) -> None:
-        with trio.move_on_after(self._idle_timeout_s) as scope:
+        self._watch.deadline_s = trio.current_time() + self._idle_timeout_s
+        try:
             await self._connection.receive_more()
-        if scope.cancelled_caught:
-            raise AnswerTimedOut(f"answer paused for {self._idle_timeout_s} s")
+        except ExchangeBroken as exc:
+            if self._watch.expired:
+                raise AnswerTimedOut(
+                    f"answer paused for {self._idle_timeout_s} s"
+                ) from exc
+            raise
+        self._watch.deadline_s = math.inf
 
     def _count(self, size_bytes: int) -> None:
         self._body_bytes += size_bytes
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -13,7 +13,7 @@
 from .errors import BodyTooLarge, CallerGone, MalformedRequest, RequestTimedOut
 from .headers import Headers, MixedHeaders, encode_headers, first_header
 from .limits import ServerLimits
-from .stream import LISTEN_BYTES, close_with_reset
+from .stream import LISTEN_BYTES, Stream, TcpStream, close_with_reset
 from .target import parse_query, split_target
 
 REQUEST_ID_BYTES = 8
@@ -26,7 +26,7 @@
     ----------
     connection : h11.Connection
         Has just given the event ``head``.
-    stream : trio.SocketStream
+    stream : Stream
         The caller's connection.
     head : h11.Request
         Request line and header.
@@ -57,7 +57,7 @@
     def __init__(
         self,
         connection: h11.Connection,
-        stream: trio.SocketStream,
+        stream: Stream,
         head: h11.Request,
         limits: ServerLimits,
         stopping: trio.Event,
@@ -292,13 +292,23 @@
         await self._write(data)
 
     async def _write(self, data: bytes) -> None:
+        try:
+            if isinstance(self._stream, TcpStream):
+                data = self._stream.send_now(data)
+                if not data:
+                    await self._stream.pause_between_sends()
+                    return
+            await self._write_slowly(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise CallerGone("caller closed its connection") from exc
+
+    async def _write_slowly(self, data: bytes) -> None:
         with trio.move_on_after(self._limits.send_timeout_s) as scope:
-            try:
-                await self._stream.send_all(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                raise CallerGone("caller closed its connection") from exc
+            await self._stream.send_all(data)
         if scope.cancelled_caught:
-            raise CallerGone(f"caller took nothing for {self._limits.send_timeout_s} s")
+            raise CallerGone(
+                f"caller did not take its answer within {self._limits.send_timeout_s} s"
+            )
 
 
 def _body_error(exc: h11.RemoteProtocolError) -> MalformedRequest:
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -23,7 +23,13 @@
 from .limits import ServerLimits
 from .problem import problem_response
 from .request import Request
-from .stream import close_after_answer, close_now, close_with_reset
+from .stream import (
+    Stream,
+    close_after_answer,
+    close_now,
+    close_with_reset,
+    take_over,
+)
 
 Handler = Callable[[Request], Awaitable[None]]
 
@@ -106,9 +112,9 @@
                 logging.warning("event=accept_failed error=%r", str(exc))
                 await trio.sleep(0.1)
                 continue
-            connections.start_soon(self._run_connection, stream)
+            connections.start_soon(self._run_connection, take_over(stream))
 
-    async def _run_connection(self, stream: trio.SocketStream) -> None:
+    async def _run_connection(self, stream: Stream) -> None:
         self.open_connections += 1
         try:
             if self.open_connections > self.limits.connections:
@@ -121,7 +127,7 @@
             self.open_connections -= 1
             close_now(stream)
 
-    async def _refuse_connection(self, stream: trio.SocketStream) -> None:
+    async def _refuse_connection(self, stream: Stream) -> None:
         if self.open_connections > self.limits.connections + REFUSED_AT_ONCE:
             return
         error = TooManyConnections(
@@ -134,7 +140,7 @@
 class _Connection:
     """The requests of one caller's connection, one after the other."""
 
-    def __init__(self, server: _Server, stream: trio.SocketStream) -> None:
+    def __init__(self, server: _Server, stream: Stream) -> None:
         self._server = server
         self._limits = server.limits
         self._stream = stream
@@ -251,6 +257,10 @@
         except Exception as exc:
             if not await self._report(request, exc):
                 return False
+        except BaseExceptionGroup as group:
+            # Cancelled from outside: an error at the same moment must not get out.
+            _, cancelled = group.split(Exception)
+            raise cancelled or group from None
         if not request.response_started:
             error = TeaseldykeError("the handler gave no answer")
             await self._report(request, error)
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -13,6 +13,7 @@
     HttpClient,
     Request,
     ServerLimits,
+    serve,
 )
 
 HOST = "127.0.0.1"
@@ -335,6 +336,30 @@
 
 
 class TestStop:
+    async def test_an_error_during_cancellation_stays_inside(
+        self,
+    ) -> None:
+        async def fail_when_cancelled(request: Request) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.sleep_forever)
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    raise CallerGone("caller went at the same moment")
+
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as serving:
+                serving.start_soon(
+                    serve, listeners[0], fail_when_cancelled, ServerLimits()
+                )
+                async with await trio.open_tcp_stream(HOST, port) as stream:
+                    await stream.send_all(GET)
+                    await trio.testing.wait_all_tasks_blocked(0.01)
+                    scope.cancel()
+        assert scope.cancelled_caught
+
     @pytest.mark.promise("planned-stop")
     async def test_running_requests_finish(
         self, start_server: StartServer, exchange_bytes: ExchangeBytes
