Add fair dispatch by grants from one dispatcher per shard

Routers queue requests and report demand; the dispatcher that rendezvous hashing picks grants slots under the parts that routers delegate to it.

Reports now have a burst, and the virtual time travels without estimates.

--- a/libs/capacity/src/teaseldyke/capacity/delegations.py
+++ b/libs/capacity/src/teaseldyke/capacity/delegations.py
@@ -76,16 +76,15 @@
 
     def is_complete(self, now_s: float) -> bool:
         """Return whether every member that is not proven gone delegates its part."""
-        for name in self.members():
+        members = self.members()
+        for name in members:
             delegation = self.by_router.get(name)
-            if delegation is None:
-                if not self.is_gone(name):
-                    return False
-                continue
-            if delegation.expires_at_s <= now_s:
+            if delegation is None or delegation.expires_at_s <= now_s:
                 if not self.is_gone(name):
                     return False
                 continue
+            if delegation.members > len(members):
+                return False
             if delegation.usable_at_s > now_s and not delegation.predecessors_gone:
                 return False
         return True
--- a/libs/capacity/src/teaseldyke/capacity/foreign.py
+++ b/libs/capacity/src/teaseldyke/capacity/foreign.py
@@ -25,7 +25,7 @@
     >>> foreign.note_own(0.0, 2)
     >>> foreign.reopen(0.0)
     >>> foreign.note_report(polled_at_s=1.0, now_s=1.0, running=5)
-    >>> foreign.count(1.0)
+    >>> foreign.count
     3
     """
 
@@ -58,7 +58,8 @@
             return
         self._count = min(self._count, max(0, running - max(window)))
 
-    def count(self, now_s: float) -> int:
+    @property
+    def count(self) -> int:
         """Return the foreign requests that must be counted now."""
         return self._count
 
--- a/libs/capacity/src/teaseldyke/capacity/promise.py
+++ b/libs/capacity/src/teaseldyke/capacity/promise.py
@@ -54,10 +54,13 @@
         if incarnation != self.incarnation:
             self._retire()
             self.incarnation = incarnation
+        if self.dispatcher is not None:
+            self.older.pop((self.dispatcher, incarnation), None)
         self.until_s = now_s + self.lease_s
 
     def release(self) -> None:
         """Forget the current promise, which the dispatcher has handed back."""
+        self.incarnation = 0
         self.until_s = -math.inf
 
     def hold_s(self, now_s: float) -> float:
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/candidates.py
@@ -0,0 +1,107 @@
+"""Which router a shard's reports go to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from teaseldyke.capacity import rank
+from teaseldyke.peers import LinkState, Membership, PeerLinks
+
+from .messages import Probe
+
+
+@attrs.define(eq=False)
+class Candidates:
+    """Ranks the members that may be dispatcher, as this router sees them.
+
+    Parameters
+    ----------
+    name : str
+        Name of this router.
+    membership : Membership
+        Who belongs to the fleet.
+    links : PeerLinks
+        State of the other processes.
+    clock : callable
+        Returns the time in seconds.
+    """
+
+    name: str
+    membership: Membership
+    links: PeerLinks
+    clock: Callable[[], float]
+    instances_out: frozenset[str] = frozenset()
+    draining: set[str] = attrs.field(factory=set)
+    suspected_at_s: dict[str, float] = attrs.field(factory=dict)
+    _ranks: dict[str, list[str]] = attrs.field(factory=dict, init=False)
+    _ranked: frozenset[str] = attrs.field(factory=frozenset, init=False)
+
+    def preferred(self, shard: str) -> str:
+        """Return the first usable member of a shard's order, or this router."""
+        members = self.membership.members
+        if members != self._ranked:
+            self._ranked = members
+            self._ranks.clear()
+            self.draining &= members
+        order = self._ranks.get(shard)
+        if order is None:
+            order = rank(shard, members)
+            self._ranks[shard] = order
+        for name in order:
+            if self.is_usable(name):
+                return name
+        return self.name
+
+    def is_usable(self, name: str) -> bool:
+        """Return whether a member may be chosen as dispatcher."""
+        if name in self.draining or name in self.instances_out:
+            return False
+        if name in self.membership.leaving_routers:
+            return False
+        return not self.is_lost(name)
+
+    def is_lost(self, name: str) -> bool:
+        """Return whether a dispatcher cannot be expected to answer."""
+        if name == self.name:
+            return False
+        if name not in self.membership.members:
+            return True
+        if self.links.state(name) is not LinkState.UP:
+            return True
+        return self._is_suspect(name)
+
+    def is_gone(self, name: str) -> bool:
+        """Return whether a member's process is proven gone."""
+        if name == self.name:
+            return False
+        return self.links.state(name) is LinkState.GONE
+
+    def suspect(self, name: str) -> None:
+        """Pass over a silent member until it is heard again."""
+        if name != self.name:
+            self.suspected_at_s.setdefault(name, self.clock())
+
+    def probe_suspects(self) -> None:
+        """Ask every suspect for a sign of life."""
+        for name in list(self.suspected_at_s):
+            if self._is_suspect(name):
+                self.links.send(name, Probe(is_answer=False))
+
+    def heard_count(self, within_s: float) -> int:
+        """Return how many other members were heard lately."""
+        since_s = self.clock() - within_s
+        count = 0
+        for name in self.membership.members:
+            count += self.links.heard_at_s(name) >= since_s
+        return count
+
+    def _is_suspect(self, name: str) -> bool:
+        suspected_at_s = self.suspected_at_s.get(name)
+        if suspected_at_s is None:
+            return False
+        if self.links.heard_at_s(name) <= suspected_at_s:
+            return True
+        del self.suspected_at_s[name]
+        return False
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
@@ -0,0 +1,361 @@
+"""The dispatcher's side of one shard: takes reports and gives out grants."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from itertools import count
+
+import attrs
+
+from teaseldyke.capacity import Delegation, Delegations, LoadReport
+from teaseldyke.fairness import Accounts
+from teaseldyke.types import Configuration
+
+from .candidates import Candidates
+from .grants import GrantBook
+from .messages import GrantBatch, RampState, Report
+from .options import DispatchOptions
+from .order import give_out
+from .records import DemandRecord, RouterRecord
+from .shards import Shard
+from .slots import ServerSlots, new_slots
+
+Send = Callable[[str, object], None]
+RESTART_MEMORY_S = 5.0  # a restarted router's work may still run for so long
+
+
+@attrs.define(eq=False)
+class Dispatcher:
+    """Grants the slots of a shard's backend servers in the fair order.
+
+    Parameters
+    ----------
+    shard : Shard
+        Shard of the configuration in force.
+    name : str
+        Name of this router.
+    incarnation : int
+        Which process of it this is.
+    candidates : Candidates
+        State of the other routers.
+    options : DispatchOptions
+        Times and bounds.
+    clock : callable
+        Returns the time in seconds.
+    send : callable
+        Sends a message to a router.
+    polls_load : bool
+        Whether load reports are asked for.
+    """
+
+    shard: Shard
+    name: str
+    incarnation: int
+    candidates: Candidates
+    options: DispatchOptions
+    clock: Callable[[], float]
+    send: Send
+    polls_load: bool = False
+    accounts: Accounts = attrs.field(factory=Accounts, init=False)
+    slots: dict[str, ServerSlots] = attrs.field(factory=dict, init=False)
+    routers: dict[str, RouterRecord] = attrs.field(factory=dict, init=False)
+    delegations: Delegations = attrs.field(init=False)
+    book: GrantBook = attrs.field(init=False)
+    term: int = attrs.field(default=0, init=False)
+    handover_at_s: float = attrs.field(default=-math.inf, init=False)
+    retiring: bool = attrs.field(default=False, init=False)
+    draining: bool = attrs.field(default=False, init=False)
+    _seqs: count[int] = attrs.field(factory=lambda: count(1), init=False)
+    _lost_at_s: float = attrs.field(default=-math.inf, init=False)
+    _solicited_at_s: float = attrs.field(default=-math.inf, init=False)
+    _acting: bool = attrs.field(default=False, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.delegations = Delegations(
+            lambda: self.candidates.membership.members, self.candidates.is_gone
+        )
+        self.book = GrantBook(self.incarnation, self.accounts, self.slots)
+
+    @property
+    def is_acting(self) -> bool:
+        """Return whether any router delegates to this dispatcher."""
+        return self._acting
+
+    def apply(self, shard: Shard, configuration: Configuration) -> None:
+        """Use a new configuration from now on."""
+        self.shard = shard
+        service = shard.service
+        limits = (service.limit, service.cold_limit, service.warm_after_requests)
+        for name, server in shard.servers.items():
+            slots = self.slots.get(name)
+            if slots is None:
+                lag_s = self.options.load_lag_s
+                slots = new_slots(name, limits, lag_s, self.polls_load)
+                self.slots[name] = slots
+            ramp = slots.ramp
+            ramp.limit_max, ramp.cold_limit, ramp.warm_after_requests = limits
+            slots.is_out = configuration.is_out(server)
+        for name, slots in self.slots.items():
+            if name not in shard.servers:
+                slots.is_out = True
+        for organisation in configuration.organisations.values():
+            self.accounts.set_share(organisation.name, organisation.share)
+
+    def take_report(self, sender: str, report: Report) -> None:
+        """Take in a router's report, give out grants and answer."""
+        now_s = self.clock()
+        router = self.routers.setdefault(sender, RouterRecord(sender))
+        if not router.is_news(report):
+            return
+        is_first = report.incarnation != router.incarnation
+        if is_first and router.incarnation:
+            self._end_router(router, now_s)
+        router.take(report, now_s)
+        self.term = max(self.term, report.term)
+        knew_part = self._take_delegation(sender, report, now_s)
+        self._take_counts(router, report, is_first, now_s)
+        if is_first or not knew_part:
+            self._adopt_ramps(report.ramps)
+        seen_seq = report.seen_seq if self._is_mine(report) else 0
+        self.book.take_holdings(router, report.holdings, seen_seq, now_s)
+        self._take_demand(router, report, seen_seq, now_s)
+        if report.wants_release and not self.retiring:
+            self.retire(draining=False)
+        self.assign()
+        answer_due = now_s - router.batch_at_s >= self.options.lease_s / 10
+        if answer_due or not self._is_mine(report):
+            self._send_batch(router)
+
+    def take_load(self, server: str, report: LoadReport, polled_at_s: float) -> None:
+        """Take in a load report that was asked for at ``polled_at_s``."""
+        slots = self.slots[server]
+        if slots.take_load(report, polled_at_s, self.clock()):
+            self._revoke_unused(server)
+        self.assign()
+
+    def take_no_load(self, server: str, refused: bool) -> None:
+        """Take in that a poll brought no report, or that it was refused."""
+        slots = self.slots[server]
+        if not refused:
+            slots.reports_load = False
+            return
+        if not slots.is_unreachable:
+            slots.is_unreachable = True
+            slots.ramp.fall()
+            self._revoke_unused(server)
+
+    def tick(self) -> None:
+        """Do what the passing of time asks for."""
+        now_s = self.clock()
+        for router in self.routers.values():
+            if router.incarnation and self._is_lost(router, now_s):
+                self._end_router(router, now_s)
+        self.assign()
+        if self.retiring:
+            self._finish_retirement(now_s)
+
+    def retire(self, *, draining: bool) -> None:
+        """Stop granting, take unused grants back, then release every part."""
+        self.retiring = True
+        self.draining = self.draining or draining
+        for server in self.slots:
+            self._revoke_unused(server)
+        for router in self.routers.values():
+            if router.revoked:
+                self._send_batch(router)
+        self._finish_retirement(self.clock())
+
+    def assign(self) -> None:
+        """Give every free slot to the organisation that is next in the order."""
+        now_s = self.clock()
+        levels = self.delegations.levels(now_s)
+        self._note_role(bool(levels), now_s)
+        waits = self._note_backlog(now_s)
+        if self.retiring:
+            return
+        if waits:
+            self._solicit(now_s)
+        if not levels or not waits:
+            return
+        usable = self._usable_slots(now_s)
+        give_out(self, usable, levels, now_s)
+        for router in self.routers.values():
+            if router.pending:
+                self._send_batch(router)
+
+    def has_work(self) -> bool:
+        """Return whether anything waits or is in flight."""
+        if self.book.grants:
+            return True
+        for router in self.routers.values():
+            for record in router.demand.values():
+                if record.entry.waiting:
+                    return True
+        return False
+
+    def _is_mine(self, report: Report) -> bool:
+        return report.echo_incarnation == self.incarnation
+
+    def _take_delegation(self, sender: str, report: Report, now_s: float) -> bool:
+        known = self.delegations.by_router.get(sender)
+        knew_part = known is not None and known.expires_at_s > now_s
+        if not self._is_mine(report) or not report.members:
+            self.delegations.remove(sender)
+            return knew_part
+        if report.echo_sent_at_s <= self.routers[sender].released_at_s:
+            return knew_part
+        delegation = Delegation(
+            members=report.members,
+            expires_at_s=report.echo_sent_at_s + self.options.lease_s,
+            usable_at_s=now_s + report.held_for_s,
+            predecessors_gone=report.predecessors_gone,
+        )
+        self.delegations.record(sender, delegation)
+        return knew_part
+
+    def _take_counts(
+        self, router: RouterRecord, report: Report, is_first: bool, now_s: float
+    ) -> None:
+        for counts in report.counts:
+            slots = self.slots.get(counts.server)
+            if slots is None:
+                continue
+            known = router.counts.get(counts.server)
+            if known is None and not is_first:
+                known = attrs.evolve(counts, completed=0, failed=0, refused=0, cold=0)
+            router.counts[counts.server] = counts
+            if slots.take_counts(known, counts, now_s):
+                self._revoke_unused(counts.server)
+
+    def _adopt_ramps(self, states: tuple[RampState, ...]) -> None:
+        for state in states:
+            slots = self.slots.get(state.server)
+            if slots is not None:
+                slots.ramp.adopt(state.epoch, state.completed)
+
+    def _take_demand(
+        self, router: RouterRecord, report: Report, seen_seq: int, now_s: float
+    ) -> None:
+        unseen: dict[str, int] = {}
+        for grant in router.grants.values():
+            if grant.seq > seen_seq:
+                unseen[grant.organisation] = unseen.get(grant.organisation, 0) + 1
+        router.demand.clear()
+        for entry in report.demand:
+            account = self.accounts[entry.organisation]
+            self.accounts.note_virtual_time(entry.organisation, entry.virtual_time)
+            source = (router.name, router.incarnation)
+            self.accounts.note_served(entry.organisation, source, entry.served_cost)
+            account.elsewhere_cost[router.name] = entry.elsewhere_cost
+            remaining = max(0, entry.waiting - unseen.get(entry.organisation, 0))
+            router.demand[entry.organisation] = DemandRecord(
+                entry, remaining, now_s - entry.oldest_age_s
+            )
+
+    def _note_role(self, acting: bool, now_s: float) -> None:
+        if acting and not self._acting:
+            self.handover_at_s = now_s
+            self.term += 1
+        self._acting = acting
+
+    def _note_backlog(self, now_s: float) -> bool:
+        waiting = set()
+        for router in self.routers.values():
+            if not router.joined:
+                continue
+            for organisation, record in router.demand.items():
+                if record.remaining:
+                    waiting.add(organisation)
+        for organisation, _ in self.accounts.items():
+            self.accounts.note_backlog(organisation, organisation in waiting, now_s)
+        return bool(waiting)
+
+    def _usable_slots(self, now_s: float) -> list[ServerSlots]:
+        complete = self.delegations.is_complete(now_s)
+        members = self.candidates.membership.members
+        unsure = now_s - self._lost_at_s < RESTART_MEMORY_S
+        unsure = unsure or any(self.candidates.is_gone(name) for name in members)
+        wait_s = self.options.takeover_wait_s if unsure else 0.0
+        usable = []
+        for slots in self.slots.values():
+            if not complete or (unsure and now_s - self.handover_at_s <= wait_s):
+                slots.foreign.reopen(now_s)
+            wait_until_s = self.handover_at_s + wait_s
+            if slots.may_grant(self.handover_at_s, complete, wait_until_s, now_s):
+                usable.append(slots)
+        return usable
+
+    def _solicit(self, now_s: float) -> None:
+        if now_s - self._solicited_at_s < self.options.lease_s / 6:
+            return
+        missing = self.delegations.missing(now_s + self.options.lease_s / 2)
+        if not missing:
+            return
+        self._solicited_at_s = now_s
+        for name in missing:
+            router = self.routers.setdefault(name, RouterRecord(name))
+            self._send_batch(router)
+
+    def _send_batch(self, router: RouterRecord, *, released: bool = False) -> None:
+        now_s = self.clock()
+        seq = next(self._seqs)
+        for grant in router.pending:
+            router.grants[grant.grant_id].seq = seq
+        ramps = [slots.state() for slots in self.slots.values() if slots.ramp.completed]
+        batch = GrantBatch(
+            shard=self.shard.name,
+            incarnation=self.incarnation,
+            seq=seq,
+            sent_at_s=now_s,
+            echo_incarnation=router.incarnation,
+            echo_seq=router.seq,
+            echo_sent_at_s=router.sent_at_s,
+            term=self.term,
+            active=self.has_work(),
+            released=released,
+            draining=self.draining,
+            grants=tuple(router.pending),
+            revoked=tuple(router.revoked),
+            ramps=tuple(ramps),
+        )
+        router.pending.clear()
+        router.revoked.clear()
+        router.batch_at_s = now_s
+        self.send(router.name, batch)
+
+    def _revoke_unused(self, server: str) -> None:
+        now_s = self.clock()
+        for grant in self.book.grants.values():
+            if grant.server == server and grant.may_begin(now_s):
+                self.routers[grant.router].revoked.append(grant.grant_id)
+
+    def _is_lost(self, router: RouterRecord, now_s: float) -> bool:
+        """Return whether a router's grants need not be counted one by one."""
+        if self.candidates.is_gone(router.name):
+            return True
+        if router.name not in self.candidates.membership.members:
+            return True
+        if any(slots.reports_load is False for slots in self.slots.values()):
+            return False
+        silent_s = 2 * self.options.lease_s + self.options.load_lag_s
+        return bool(router.grants) and now_s - router.received_at_s > silent_s
+
+    def _end_router(self, router: RouterRecord, now_s: float) -> None:
+        self._lost_at_s = now_s
+        self.delegations.remove(router.name)
+        for grant in self.book.end_router(router, now_s):
+            slots = self.slots.get(grant.server)
+            if slots is not None and slots.reports_load:
+                slots.foreign.add(1)
+        for _, account in self.accounts.items():
+            account.elsewhere_cost.pop(router.name, None)
+
+    def _finish_retirement(self, now_s: float) -> None:
+        if any(grant.may_begin(now_s) for grant in self.book.grants.values()):
+            return
+        self.retiring = self.draining
+        for name in list(self.delegations.by_router):
+            self.delegations.remove(name)
+            self.routers[name].released_at_s = now_s
+            self._send_batch(self.routers[name], released=True)
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/grants.py
@@ -0,0 +1,129 @@
+"""Book of the grants that a dispatcher counts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from itertools import count
+
+import attrs
+
+from teaseldyke.fairness import Accounts
+
+from .messages import Grant, Holding
+from .records import LiveGrant, RouterRecord
+from .slots import ServerSlots
+
+COUNTER_BITS = 32
+
+
+@attrs.define(eq=False)
+class GrantBook:
+    """Every grant that may be in use, with what it charges and occupies.
+
+    Parameters
+    ----------
+    incarnation : int
+        Makes the identifiers unique over the fleet.
+    accounts : Accounts
+        Charged with the estimates.
+    slots : dict of str to ServerSlots
+        Occupied by the grants.
+    """
+
+    incarnation: int
+    accounts: Accounts
+    slots: dict[str, ServerSlots]
+    grants: dict[int, LiveGrant] = attrs.field(factory=dict)
+    _numbers: count[int] = attrs.field(factory=lambda: count(1))
+
+    def give(
+        self,
+        router: RouterRecord,
+        organisation: str,
+        slots: ServerSlots,
+        until_s: float,
+        now_s: float,
+    ) -> None:
+        """Add a grant that the next batch to the router carries."""
+        record = router.demand[organisation]
+        estimate_cost = record.entry.estimate_cost
+        virtual_time = self.accounts.grant(organisation, estimate_cost)
+        grant = Grant(
+            grant_id=(self.incarnation << COUNTER_BITS) | next(self._numbers),
+            organisation=organisation,
+            server=slots.server,
+            estimate_cost=estimate_cost,
+            virtual_time=virtual_time,
+            ttl_s=until_s - router.received_at_s,
+        )
+        live = LiveGrant(
+            grant_id=grant.grant_id,
+            router=router.name,
+            organisation=organisation,
+            server=slots.server,
+            estimate_cost=estimate_cost,
+            seq=0,
+            expires_at_s=until_s,
+        )
+        record.remaining -= 1
+        router.pending.append(grant)
+        router.grants[grant.grant_id] = live
+        self.grants[grant.grant_id] = live
+        slots.change_granted(1, now_s)
+
+    def take_holdings(
+        self,
+        router: RouterRecord,
+        holdings: Iterable[Holding],
+        seen_seq: int,
+        now_s: float,
+    ) -> None:
+        """Take in which grants a router still has.
+
+        A grant that the router must have seen and does not list is finished or
+        returned; one that it lists without this dispatcher's knowledge was given
+        by another dispatcher and counts as well.
+        """
+        listed = set()
+        for holding in holdings:
+            listed.add(holding.grant_id)
+            live = router.grants.get(holding.grant_id)
+            if live is None:
+                live = self._adopt(router, holding, now_s)
+            live.running = live.running or holding.running
+        for live in list(router.grants.values()):
+            if live.grant_id not in listed and live.seq <= seen_seq:
+                self._drop(router, live, now_s)
+
+    def end_router(self, router: RouterRecord, now_s: float) -> list[LiveGrant]:
+        """Drop all grants of a router's process that has ended and return them."""
+        ended = list(router.grants.values())
+        for live in ended:
+            self._drop(router, live, now_s)
+        router.restart()
+        return ended
+
+    def _adopt(self, router: RouterRecord, holding: Holding, now_s: float) -> LiveGrant:
+        live = LiveGrant(
+            grant_id=holding.grant_id,
+            router=router.name,
+            organisation=holding.organisation,
+            server=holding.server,
+            estimate_cost=holding.estimate_cost,
+            seq=0,
+            expires_at_s=now_s,
+            running=holding.running,
+        )
+        router.grants[live.grant_id] = live
+        self.grants[live.grant_id] = live
+        self.accounts[live.organisation].outstanding_cost += live.estimate_cost
+        if live.server in self.slots:
+            self.slots[live.server].change_granted(1, now_s)
+        return live
+
+    def _drop(self, router: RouterRecord, live: LiveGrant, now_s: float) -> None:
+        del router.grants[live.grant_id]
+        del self.grants[live.grant_id]
+        self.accounts.end_grant(live.organisation, live.estimate_cost)
+        if live.server in self.slots:
+            self.slots[live.server].change_granted(-1, now_s)
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/pacing.py
@@ -0,0 +1,46 @@
+"""Pace of a router's reports."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+BURST_REPORTS = 8
+SPACING_MIN_S = 0.001
+
+
+@attrs.define(eq=False)
+class Pace:
+    """Allows a short burst of reports, and one per interval over time.
+
+    Parameters
+    ----------
+    interval_s : float
+        Mean time between two reports when there is always something new.
+
+    Examples
+    --------
+    >>> pace = Pace(interval_s=0.02)
+    >>> for _ in range(8):
+    ...     pace.note(now_s=5.0)
+    >>> round(pace.next_at_s(), 3)
+    5.02
+    """
+
+    interval_s: float
+    sent_at_s: float = -math.inf
+    _tokens: float = BURST_REPORTS
+
+    def note(self, now_s: float) -> None:
+        """Take in that a report is sent."""
+        if math.isfinite(self.sent_at_s):
+            earned = (now_s - self.sent_at_s) / self.interval_s
+            self._tokens = min(BURST_REPORTS, self._tokens + earned)
+        self._tokens = max(0.0, self._tokens - 1)
+        self.sent_at_s = now_s
+
+    def next_at_s(self) -> float:
+        """Return when the next report may be sent."""
+        lacking_s = (1 - self._tokens) * self.interval_s
+        return self.sent_at_s + max(SPACING_MIN_S, lacking_s)
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/polls.py
@@ -0,0 +1,78 @@
+"""Polls of the load of backend servers, by the dispatcher of their shard only."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import attrs
+import trio
+
+from teaseldyke.capacity import LoadSource
+from teaseldyke.types import TeaseldykeError
+
+from .dispatcher import Dispatcher
+from .options import DispatchOptions
+
+JITTER = 0.2  # part of the interval by which a poll moves either way
+
+
+@attrs.define(eq=False)
+class LoadPolls:
+    """Keeps one poll task per backend server.
+
+    Parameters
+    ----------
+    source : LoadSource
+        Asks the backend servers.
+    options : DispatchOptions
+        Interval of the polls.
+    dispatcher_of : callable
+        Returns the dispatcher of a shard if this router plays it.
+    random : Random
+        Spreads the polls.
+    """
+
+    source: LoadSource
+    options: DispatchOptions
+    dispatcher_of: Callable[[str], Dispatcher | None]
+    random: Random
+    _scopes: dict[tuple[str, str], trio.CancelScope] = attrs.field(factory=dict)
+
+    def update(self, nursery: trio.Nursery, wanted: set[tuple[str, str]]) -> None:
+        """Start and stop tasks so that the (shard, server) pairs are polled."""
+        for key in list(self._scopes):
+            if key not in wanted:
+                self._scopes.pop(key).cancel()
+        for key in sorted(wanted):
+            if key in self._scopes:
+                continue
+            scope = trio.CancelScope()
+            self._scopes[key] = scope
+            nursery.start_soon(self._poll, scope, *key)
+
+    async def _poll(self, scope: trio.CancelScope, shard: str, server: str) -> None:
+        with scope:
+            while True:
+                await self._poll_once(shard, server)
+                jitter = 1 + JITTER * (2 * self.random.random() - 1)
+                await trio.sleep(self.options.load_interval_s * jitter)
+
+    async def _poll_once(self, shard: str, server: str) -> None:
+        dispatcher = self.dispatcher_of(shard)
+        if dispatcher is None or server not in dispatcher.shard.servers:
+            return
+        polled_at_s = trio.current_time()
+        try:
+            with trio.move_on_after(self.options.load_interval_s) as timeout:
+                report = await self.source.load(dispatcher.shard.servers[server])
+        except TeaseldykeError as exc:
+            if exc.executed == "no":
+                dispatcher.take_no_load(server, refused=True)
+            return
+        if timeout.cancelled_caught:
+            return
+        if report is None:
+            dispatcher.take_no_load(server, refused=False)
+            return
+        dispatcher.take_load(server, report, polled_at_s)
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/shard_client.py
@@ -0,0 +1,326 @@
+"""A router's side of one shard: its promise, its reports and its permits."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import attrs
+
+from teaseldyke.capacity import Promise
+from teaseldyke.peers import Membership
+from teaseldyke.types import Configuration
+
+from .candidates import Candidates
+from .messages import Grant, GrantBatch, RampState, Report
+from .options import DispatchOptions
+from .pacing import Pace
+from .permit import Completion, Permit
+from .reports import Counts, demand_of, holdings_of
+from .service_queues import ServiceQueues
+from .shards import Shard
+
+Send = Callable[[str, object], None]
+LOCAL_FLUSH_INTERVAL_S = 0.0005
+
+
+@attrs.define(eq=False)
+class ShardClient:
+    """Reports demand to the shard's dispatcher and uses its grants.
+
+    Parameters
+    ----------
+    shard : Shard
+        Shard of the configuration in force.
+    queues : ServiceQueues
+        What waits for the service; shared with its other shards.
+    membership, candidates : Membership, Candidates
+        Who belongs to the fleet, and who may be dispatcher.
+    options : DispatchOptions
+        Times and bounds.
+    clock : callable
+        Returns the time in seconds.
+    send : callable
+        Sends a message to a router.
+    on_change : callable
+        Called when there is something new to report.
+    promise : Promise
+        This router's promise of its part.
+    """
+
+    shard: Shard
+    queues: ServiceQueues
+    membership: Membership
+    candidates: Candidates
+    options: DispatchOptions
+    clock: Callable[[], float]
+    send: Send
+    on_change: Callable[[], None]
+    promise: Promise
+    configuration: Configuration
+    permits: dict[int, Permit] = attrs.field(factory=dict)
+    counts: dict[str, Counts] = attrs.field(factory=dict)
+    ramps: dict[str, RampState] = attrs.field(factory=dict)
+    virtual_times: dict[str, float] = attrs.field(factory=dict)
+    term: int = 0
+    active_until_s: float = -math.inf
+    flushed_at_s: float = -math.inf
+    changed: bool = False
+    pace: Pace = attrs.field(init=False)
+    _seq: int = 0
+    _echo_seq: int = 0
+    _echo_sent_at_s: float = 0.0
+    _seen_seqs: dict[tuple[str, int], int] = attrs.field(factory=dict)
+    _received_at_s: float = -math.inf
+    _unanswered_at_s: float | None = None
+    _stepped_at_s: float = -math.inf
+    _moving: bool = False
+    _is_urgent: bool = False
+    _ended: set[tuple[str, int]] = attrs.field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        self.pace = Pace(self.options.flush_interval_s)
+
+    def mark_changed(self) -> None:
+        """Note that the dispatcher should hear of something new."""
+        self.changed = True
+        self.on_change()
+
+    def is_active(self, now_s: float) -> bool:
+        """Return whether the promise must be renewed."""
+        if self.permits or now_s < self.active_until_s:
+            return True
+        return self.queues.waiting > 0
+
+    def due_at_s(self, now_s: float) -> float:
+        """Return when the next report is due."""
+        if self.changed and self._is_urgent:
+            return now_s
+        if self.changed and self.promise.dispatcher == self.membership.name:
+            return self.flushed_at_s + LOCAL_FLUSH_INTERVAL_S
+        if self.changed:
+            return self.pace.next_at_s()
+        if not self.is_active(now_s):
+            return math.inf
+        return self.flushed_at_s + self.options.renewal_s
+
+    def step(self) -> None:
+        """Decide whom to report to."""
+        now_s = self.clock()
+        if now_s - self._stepped_at_s > self.options.silence_s / 2:
+            self._unanswered_at_s = None  # this process may have been paused
+        self._stepped_at_s = now_s
+        silent_since_s = self._unanswered_at_s
+        current = self.promise.dispatcher
+        silent = False
+        if silent_since_s is not None:
+            silent = now_s - silent_since_s > self.options.silence_s
+        if silent and current is not None:
+            self.candidates.suspect(current)
+        preferred = self.candidates.preferred(self.shard.name)
+        if current == preferred:
+            self._moving = False
+            return
+        lost = current is None or self.candidates.is_lost(current)
+        if lost or self.promise.until_s <= now_s:
+            self._point_to(preferred)
+        elif not self._moving:
+            self._moving = True
+            self.mark_changed()
+
+    def flush(self) -> None:
+        """Send a report now."""
+        self.step()
+        now_s = self.clock()
+        self.flushed_at_s = now_s
+        self.pace.note(now_s)
+        self.changed = False
+        self._is_urgent = False
+        dispatcher = self.promise.dispatcher
+        if dispatcher is None:
+            return
+        answer_due = now_s - self._received_at_s >= self.options.lease_s / 8
+        if answer_due and self._unanswered_at_s is None:
+            self._unanswered_at_s = now_s
+        self.send(dispatcher, self._report(now_s))
+
+    def take_batch(self, sender: str, batch: GrantBatch) -> None:
+        """Take in a message of the dispatcher."""
+        if batch.draining:
+            self.candidates.draining.add(sender)
+        if sender != self.promise.dispatcher:
+            return
+        if (sender, batch.incarnation) in self._ended:
+            return
+        is_new = batch.incarnation != self.promise.incarnation
+        key = (sender, batch.incarnation)
+        if batch.seq <= self._seen_seqs.get(key, 0):
+            return
+        if is_new and self.promise.incarnation:
+            self._ended.add((sender, self.promise.incarnation))
+        now_s = self.clock()
+        self._seen_seqs[key] = batch.seq
+        stale = now_s - self._received_at_s > self.options.lease_s / 2
+        self._received_at_s = now_s
+        self._unanswered_at_s = None
+        self.term = max(self.term, batch.term)
+        if is_new or not self._moving:
+            self.promise.renew(batch.incarnation, now_s)
+            self._echo_seq = batch.seq
+            self._echo_sent_at_s = batch.sent_at_s
+        if batch.active:
+            self.active_until_s = now_s + 2 * self.options.lease_s
+        for state in batch.ramps:
+            self.ramps[state.server] = state
+        for grant_id in batch.revoked:
+            self._revoke(grant_id)
+        if batch.released:
+            self._released()
+        overdue = now_s - self.flushed_at_s > self.options.lease_s / 6
+        if is_new or stale or overdue or batch.revoked:
+            self.changed = True
+            self._is_urgent = True  # the dispatcher waits for the answer
+        if batch.echo_incarnation == self.membership.incarnation:
+            for grant in batch.grants:
+                self._take_grant(grant, batch)
+        if self.changed:
+            self.on_change()
+
+    def apply(self, shard: Shard, configuration: Configuration) -> None:
+        """Use a new configuration from now on."""
+        self.shard = shard
+        self.configuration = configuration
+        self.mark_changed()
+
+    def lapse_reason(self, permit: Permit) -> str | None:
+        """Return why a permit may not be used, or ``None``."""
+        now_s = self.clock()
+        server = permit.server
+        current = self.configuration.backend_servers.get(server.name)
+        if permit.is_finished:
+            return "it is finished"
+        if permit.is_revoked:
+            return "the dispatcher revoked it"
+        if permit.dispatcher != (self.promise.dispatcher, self.promise.incarnation):
+            return "its dispatcher was replaced"
+        if now_s >= permit.expires_at_s:
+            return "it was held too long"
+        if now_s >= permit.deadline_at_s:
+            return "the request's deadline is over"
+        if current != server or self.configuration.is_out(server):
+            return "the backend server was taken out"
+        if server.name in self.membership.leaving_servers:
+            return "the backend server is leaving"
+        return None
+
+    def sent(self, permit: Permit) -> None:
+        """Take in that a request is about to be sent."""
+
+    def charged(self, permit: Permit, cost_so_far: float) -> None:
+        """Take in the cost so far of a running request."""
+        self.queues.served.charge(
+            permit.organisation, permit.grant_id, cost_so_far, permit.estimate_cost
+        )
+
+    def finished(self, permit: Permit, cost: float, completion: Completion) -> None:
+        """Take in the end of a request."""
+        organisation = permit.organisation
+        del self.permits[permit.grant_id]
+        self.queues.charge_grant(organisation, -permit.estimate_cost)
+        if completion is not Completion.UNUSED:
+            self.queues.served.finish(organisation, permit.grant_id, cost)
+            self.counts.setdefault(permit.server.name, Counts()).add(completion)
+        if completion is Completion.OK:
+            self.queues.complete(organisation, cost, self.clock())
+        self.active_until_s = max(
+            self.active_until_s, self.clock() + self.options.lease_s
+        )
+        self.mark_changed()
+
+    def note_cold(self, server: str) -> None:
+        """Take in a sign that a backend server is cold."""
+        self.counts.setdefault(server, Counts()).cold += 1
+        self.mark_changed()
+
+    def _point_to(self, dispatcher: str) -> None:
+        self.promise.point_to(dispatcher)
+        self._moving = False
+        self._echo_seq = 0
+        self._received_at_s = -math.inf
+        self._unanswered_at_s = None
+        self.mark_changed()
+
+    def _released(self) -> None:
+        self.promise.release()
+        self.mark_changed()
+
+    def _revoke(self, grant_id: int) -> None:
+        permit = self.permits.get(grant_id)
+        if permit is not None and not permit.is_sent:
+            permit.is_revoked = True
+
+    def _take_grant(self, grant: Grant, batch: GrantBatch) -> None:
+        now_s = self.clock()
+        expires_at_s = batch.echo_sent_at_s + grant.ttl_s
+        server = self.shard.servers.get(grant.server)
+        known = self.virtual_times.get(grant.organisation, 0.0)
+        self.virtual_times[grant.organisation] = max(known, grant.virtual_time)
+        if server is None or expires_at_s <= now_s or self.promise.is_starting(now_s):
+            self.changed = True
+            return
+        waiter = self.queues.take(grant.organisation, grant.server)
+        if waiter is None:
+            self.changed = True
+            return
+        permit = Permit(
+            grant_id=grant.grant_id,
+            organisation=grant.organisation,
+            server=server,
+            fencing=batch.term,
+            estimate_cost=grant.estimate_cost,
+            expires_at_s=expires_at_s,
+            dispatcher=(self.promise.dispatcher or "", batch.incarnation),
+            owner=self,
+            deadline_at_s=waiter.deadline_at_s,
+        )
+        self.permits[grant.grant_id] = permit
+        self.queues.charge_grant(grant.organisation, grant.estimate_cost)
+        waiter.give(permit)
+
+    def _report(self, now_s: float) -> Report:
+        self._seq += 1
+        promise = self.promise
+        binding = promise.binding(now_s)
+        starting = promise.is_starting(now_s)
+        key = (promise.dispatcher or "", promise.incarnation)
+        gone = all(self._is_ended(name, number) for name, number in binding)
+        heard = self.candidates.heard_count(self.membership.drop_delay_s)
+        confirmed = self.membership.is_confirmed(heard)
+        return Report(
+            shard=self.shard.name,
+            incarnation=self.membership.incarnation,
+            seq=self._seq,
+            sent_at_s=now_s,
+            echo_incarnation=promise.incarnation,
+            echo_seq=self._echo_seq,
+            echo_sent_at_s=self._echo_sent_at_s,
+            seen_seq=self._seen_seqs.get(key, 0),
+            members=len(self.membership.members) if confirmed else 0,
+            held_for_s=promise.hold_s(now_s),
+            predecessors_gone=gone and not starting,
+            joined=not starting,
+            wants_release=self._moving,
+            term=self.term,
+            demand=demand_of(self, now_s),
+            holdings=holdings_of(self),
+            counts=tuple(c.message(name) for name, c in self.counts.items()),
+            ramps=tuple(self.ramps.values()),
+        )
+
+    def _is_ended(self, name: str, incarnation: int) -> bool:
+        if (name, incarnation) in self._ended:
+            return True
+        if self.candidates.is_gone(name):
+            self._ended.add((name, incarnation))
+            return True
+        return False
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/waiting.py
@@ -0,0 +1,101 @@
+"""Queues of waiting requests in one router."""
+
+from __future__ import annotations
+
+import math
+from bisect import insort
+
+import attrs
+import trio
+
+from .errors import DispatchError
+from .permit import Permit
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request that waits for a permit.
+
+    Parameters
+    ----------
+    organisation : str
+        Whose request.
+    first_at_s : float
+        When the request first asked, over all its attempts.
+    avoid : frozenset of str
+        Backend servers that it should not go to.
+    deadline_at_s : float
+        Nothing is sent after that.
+    """
+
+    organisation: str
+    first_at_s: float
+    avoid: frozenset[str] = frozenset()
+    deadline_at_s: float = math.inf
+    wake: trio.Event = attrs.field(factory=trio.Event)
+    permit: Permit | None = None
+    error: DispatchError | None = None
+
+    def give(self, permit: Permit) -> None:
+        """End the wait with a permit."""
+        self.permit = permit
+        self.wake.set()
+
+    def fail(self, error: DispatchError) -> None:
+        """End the wait with an error."""
+        self.error = error
+        self.wake.set()
+
+
+@attrs.define(eq=False)
+class OrganisationQueue:
+    """Waiting requests of one organisation for one service, the oldest first.
+
+    Examples
+    --------
+    >>> queue = OrganisationQueue("parish")
+    >>> queue.add(Waiter("parish", 2.0, frozenset({"engine-1"})))
+    >>> queue.add(Waiter("parish", 1.0, frozenset({"engine-1", "engine-2"})))
+    >>> queue.oldest_at_s, sorted(queue.avoided())
+    (1.0, ['engine-1'])
+    >>> queue.take("engine-2").first_at_s
+    2.0
+    """
+
+    organisation: str
+    waiters: list[Waiter] = attrs.field(factory=list)
+
+    def __len__(self) -> int:
+        return len(self.waiters)
+
+    @property
+    def oldest_at_s(self) -> float:
+        """Return when the oldest request first asked."""
+        return self.waiters[0].first_at_s
+
+    def add(self, waiter: Waiter) -> None:
+        """Put a request in the order of its age."""
+        insort(self.waiters, waiter, key=lambda other: other.first_at_s)
+
+    def discard(self, waiter: Waiter) -> None:
+        """Take out a request that has given up."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+
+    def take(self, server: str) -> Waiter | None:
+        """Take out the oldest request that may go to a backend server."""
+        for waiter in self.waiters:
+            if server in waiter.avoid:
+                continue
+            self.waiters.remove(waiter)
+            return waiter
+        return None
+
+    def avoided(self) -> frozenset[str]:
+        """Return the backend servers that no waiting request may go to."""
+        avoided = self.waiters[0].avoid if self.waiters else frozenset()
+        for waiter in self.waiters:
+            if not avoided:
+                break
+            avoided &= waiter.avoid
+        return avoided
--- a/libs/fairness/src/teaseldyke/fairness/accounts.py
+++ b/libs/fairness/src/teaseldyke/fairness/accounts.py
@@ -121,12 +121,11 @@
         account.virtual_time += max(0.0, lift)
 
     def grant(self, organisation: str, estimate_cost: float) -> float:
-        """Charge a grant; return the virtual time that it starts at."""
+        """Charge a grant; return the virtual time, without what is outstanding."""
         account = self[organisation]
-        tag = account.start_tag
-        self._system_time = max(self._system_time, tag)
+        self._system_time = max(self._system_time, account.start_tag)
         account.outstanding_cost += estimate_cost
-        return tag
+        return account.virtual_time
 
     def end_grant(self, organisation: str, estimate_cost: float) -> None:
         """Drop the estimate of a grant that is finished or returned."""
