--- a/libs/http/src/teaseldyke/http/watchdog.py
+++ b/libs/http/src/teaseldyke/http/watchdog.py
@@ -39,36 +39,48 @@
 
     def start(self) -> None:
         """Begin to enforce the deadline."""
-        watches = _watches()
-        if not watches:
-            trio.lowlevel.spawn_system_task(_sweep, watches)
-        watches.add(self)
+        _sweeper().add(self)
 
     def stop(self) -> None:
         """End the watch."""
-        _watches().discard(self)
+        _sweeper().watches.discard(self)
 
 
-_WATCHES: trio.lowlevel.RunVar[set[Watch]] = trio.lowlevel.RunVar("watches")
+class _Sweeper:
+    """The watches of one run of trio, and the task that looks at them."""
 
+    def __init__(self) -> None:
+        self.watches: set[Watch] = set()
+        self._running = False
 
-def _watches() -> set[Watch]:
-    try:
-        return _WATCHES.get()
-    except LookupError:
-        watches: set[Watch] = set()
-        _WATCHES.set(watches)
-        return watches
+    def add(self, watch: Watch) -> None:
+        self.watches.add(watch)
+        if not self._running:
+            self._running = True
+            trio.lowlevel.spawn_system_task(self._sweep)
 
+    async def _sweep(self) -> None:
+        while self.watches:
+            await trio.sleep(SWEEP_INTERVAL_S)
+            self._close_expired(trio.current_time())
+        self._running = False
 
-async def _sweep(watches: set[Watch]) -> None:
-    """Run while there are watches."""
-    while watches:
-        await trio.sleep(SWEEP_INTERVAL_S)
-        now_s = trio.current_time()
-        for watch in watches:
+    def _close_expired(self, now_s: float) -> None:
+        for watch in self.watches:
             if watch.deadline_s > now_s:
                 continue
             watch.deadline_s = math.inf
             watch.expired = True
             close_now(watch.stream)
+
+
+_SWEEPER: trio.lowlevel.RunVar[_Sweeper] = trio.lowlevel.RunVar("http_sweeper")
+
+
+def _sweeper() -> _Sweeper:
+    try:
+        return _SWEEPER.get()
+    except LookupError:
+        sweeper = _Sweeper()
+        _SWEEPER.set(sweeper)
+        return sweeper
