--- /dev/null
+++ b/libs/router/src/teaseldyke/router/forwarding.py
@@ -0,0 +1,313 @@
+"""Forwards a call to backend servers until it has its one final answer."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from teaseldyke.dispatch import Completion, Dispatching, Permit, PermitLapsed
+from teaseldyke.http import (
+    BackendPool,
+    CallerGone,
+    ConnectFailed,
+    Exchange,
+    ExchangeBroken,
+    OutgoingRequest,
+    end_to_end_headers,
+)
+from teaseldyke.outcomes import AttemptState, Decision, RetryBudget, retry_decision
+from teaseldyke.telemetry import Tracing, counter
+from teaseldyke.types import TeaseldykeError
+
+from .calls import Call
+from .costs import CostMeter
+from .errors import BackendUnreachable, DeadlinePassed, OutcomeUncertain
+from .events import EventSplitter, EventTooLong
+from .sink import EVENT_STREAM, Headers, Sink, content_type_of
+
+ATTEMPTS_MAX = 4  # sends of one idempotent call
+FIRST_BYTE_TIMEOUT_S = 120.0
+IDLE_TIMEOUT_S = 60.0
+CHARGE_EVERY_COST = 32.0  # output tokens between two corrections of a running charge
+RETRY_AFTER_S = 1.0
+RESUME_OFFSET = b"resume-offset"
+
+PRIVATE_HEADERS = frozenset(
+    (
+        b"authorization",
+        b"x-request-id",
+        b"fencing-number",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"teaseldyke-organisation",
+        b"traceparent",
+        RESUME_OFFSET,
+    )
+)
+
+RETRIES = counter("teaseldyke_retries_total", "Sends after the first, by cause.")
+RESUMED = counter("teaseldyke_streams_resumed_total", "Streams resumed elsewhere.")
+
+
+class AnswerIncomplete(ExchangeBroken):
+    """A stream ended without its last event."""
+
+    code = "answer_incomplete"
+
+
+class ResumeRefused(TeaseldykeError):
+    """A backend server did not resume a stream where it broke."""
+
+    code = "resume_refused"
+    status = 502
+
+
+class ServerFailed(ExchangeBroken):
+    """A backend server answered an idempotent request with a server error."""
+
+    code = "server_failed"
+
+
+@attrs.define
+class Progress:
+    """What of a call's answer has passed over all its attempts.
+
+    Parameters
+    ----------
+    meter : CostMeter
+        Real cost so far.
+    splitter : EventSplitter
+        Whole events so far, for a stream.
+    """
+
+    meter: CostMeter
+    splitter: EventSplitter = attrs.field(factory=EventSplitter)
+    streaming: bool = False
+    charged_cost: float = 0.0
+
+
+@attrs.define
+class Forwarder:
+    """Sends calls under permits and passes their answers on.
+
+    Parameters
+    ----------
+    dispatching : Dispatching
+        Gives permits.
+    pool : BackendPool
+        Connections to backend servers.
+    retry_budget : RetryBudget
+        Bounds sends after the first over all calls of this router.
+    tracing : Tracing
+        Records a span for the queue and one for each send.
+    """
+
+    dispatching: Dispatching
+    pool: BackendPool
+    retry_budget: RetryBudget
+    tracing: Tracing
+
+    async def forward(self, call: Call, sink: Sink) -> None:
+        """Bring a call to its final answer, or raise the refusal to answer with."""
+        progress = Progress(CostMeter(call.service, call.hint))
+        avoid: frozenset[str] = frozenset()
+        self.retry_budget.record_request()
+        while True:
+            permit = await self._acquire(call, avoid)
+            try:
+                await self._attempt(call, permit, sink, progress)
+                return
+            except PermitLapsed:
+                continue
+            except CallerGone:
+                raise
+            except TeaseldykeError as exc:
+                self._settle(call, sink, progress, exc)
+            avoid |= {permit.server.name}
+
+    async def _acquire(self, call: Call, avoid: frozenset[str]) -> Permit:
+        with self.tracing.span("queue", call.span):
+            return await self.dispatching.acquire(
+                call.service.name,
+                call.organisation.name,
+                estimate_cost=call.hint.cost,
+                deadline_at_s=call.deadline_at_s,
+                avoid=avoid,
+                prefix_key=call.hint.prefix_key,
+                first_at_s=call.arrived_at_s,
+            )
+
+    async def _attempt(
+        self, call: Call, permit: Permit, sink: Sink, progress: Progress
+    ) -> None:
+        """Send once; the permit is finished whatever happens."""
+        completion = Completion.CANCELLED
+        sends = call.sends
+        try:
+            await self._exchange(call, permit, sink, progress)
+            completion = Completion.OK
+        except (PermitLapsed, DeadlinePassed):
+            completion = Completion.UNUSED
+            raise
+        except ConnectFailed:
+            completion = Completion.REFUSED
+            raise
+        except CallerGone:
+            raise
+        except TeaseldykeError:
+            completion = Completion.FAILED
+            raise
+        finally:
+            sent = call.sends > sends
+            permit.finish(progress.meter.final_cost() if sent else 0.0, completion)
+
+    async def _exchange(
+        self, call: Call, permit: Permit, sink: Sink, progress: Progress
+    ) -> None:
+        server = permit.server
+        request_id = send_id(call, progress)
+        headers = backend_headers(call, permit, progress, request_id)
+        request = OutgoingRequest(call.method, call.target, headers, call.body)
+        with self.tracing.span("send", call.span, backend_server=server.name) as span:
+            if span.traceparent:
+                headers.append((b"traceparent", span.traceparent.encode()))
+            connection = await self.pool.take(
+                server.host, server.port, fresh=not call.idempotent
+            )
+            try:
+                self._last_check(call, permit)
+            except TeaseldykeError:
+                connection.close()
+                raise
+            async with self.pool.exchange_on(
+                connection,
+                request,
+                request_id=request_id,
+                answer_limit_bytes=call.service.answer_limit_bytes,
+                first_byte_timeout_s=FIRST_BYTE_TIMEOUT_S,
+                idle_timeout_s=IDLE_TIMEOUT_S,
+            ) as exchange:
+                await self._pass_on(call, exchange, permit, sink, progress)
+
+    def _last_check(self, call: Call, permit: Permit) -> None:
+        """Check all that may forbid sending; nothing runs between this and the send."""
+        permit.check()
+        if trio.current_time() > call.deadline_at_s:
+            raise DeadlinePassed("the deadline passed before the request was sent")
+        if call.check_record is not None:
+            call.check_record()
+        permit.mark_sent()
+        call.sends += 1
+
+    async def _pass_on(
+        self,
+        call: Call,
+        exchange: Exchange,
+        permit: Permit,
+        sink: Sink,
+        progress: Progress,
+    ) -> None:
+        if exchange.status >= 500 and self._may_send_again(call, sink):
+            raise ServerFailed(f"backend server answered {exchange.status}")
+        if progress.splitter.passed:
+            check_resumed(exchange, progress.splitter.passed)
+        streaming = content_type_of(exchange.headers) == EVENT_STREAM
+        progress.streaming = streaming
+        sink.head(exchange.status, exchange.headers, hold=not streaming)
+        if streaming and exchange.status == 200:
+            await self._pass_events(exchange, permit, sink, progress)
+        else:
+            async for chunk in exchange.chunks():
+                progress.meter.feed(chunk)
+                await sink.write(chunk)
+        await sink.finish()
+
+    async def _pass_events(
+        self, exchange: Exchange, permit: Permit, sink: Sink, progress: Progress
+    ) -> None:
+        splitter = progress.splitter
+        splitter.restart()
+        async for chunk in exchange.chunks():
+            try:
+                whole = splitter.feed(chunk)
+            except EventTooLong as exc:
+                raise AnswerIncomplete(exc.detail) from exc
+            if not whole:
+                continue
+            progress.meter.feed(whole)
+            cost = progress.meter.cost_so_far
+            if cost - progress.charged_cost >= CHARGE_EVERY_COST:
+                progress.charged_cost = cost
+                permit.charge(cost)
+            await sink.write(whole)
+        if not splitter.done:
+            raise AnswerIncomplete("the stream ended before its last event")
+
+    def _may_send_again(self, call: Call, sink: Sink) -> bool:
+        if not call.idempotent or sink.started:
+            return False
+        return call.sends < ATTEMPTS_MAX
+
+    def _settle(
+        self, call: Call, sink: Sink, progress: Progress, exc: TeaseldykeError
+    ) -> None:
+        """Return when the call is to be sent again; otherwise raise its last error."""
+        state = AttemptState(
+            idempotent=call.idempotent,
+            sent_before=call.sends > 0,
+            answer_started=sink.started,
+            resumable=progress.streaming,
+            may_retry=call.sends < ATTEMPTS_MAX,
+        )
+        decision = retry_decision(exc, state)
+        if decision in (Decision.ELSEWHERE, Decision.RESUME):
+            if self.retry_budget.try_spend():
+                RETRIES.bind(cause=exc.code).add()
+                if decision is Decision.RESUME:
+                    RESUMED.bind(service=call.service.name).add()
+                return
+            decision = retry_decision(exc, attrs.evolve(state, may_retry=False))
+        if isinstance(exc, DeadlinePassed) or exc.code == "attempt_lapsed":
+            raise exc
+        if decision is Decision.ANSWER_NO:
+            raise BackendUnreachable(exc.detail, retry_after_s=RETRY_AFTER_S) from exc
+        raise OutcomeUncertain(exc.detail, retry_after_s=RETRY_AFTER_S) from exc
+
+
+def check_resumed(exchange: Exchange, offset: int) -> None:
+    """Raise `ResumeRefused` unless an answer goes on at an offset in events."""
+    resumed_at = exchange.header("resume-offset")
+    if exchange.status != 200 or resumed_at != str(offset):
+        raise ResumeRefused(
+            f"stream resumed with status {exchange.status} at {resumed_at!r}, "
+            f"expected 200 at {offset}"
+        )
+
+
+def send_id(call: Call, progress: Progress) -> str:
+    """Return the id that the backend server echoes; a resumed stream keeps its id."""
+    if progress.splitter.passed:
+        return call.stream_id
+    call.stream_id = call.request_id
+    if call.sends:
+        call.stream_id = f"{call.request_id}-{call.sends}"
+    return call.stream_id
+
+
+def backend_headers(
+    call: Call, permit: Permit, progress: Progress, request_id: str
+) -> Headers:
+    """Return the headers that the backend server gets."""
+    headers = [
+        (name, value)
+        for name, value in end_to_end_headers(call.headers)
+        if name.lower() not in PRIVATE_HEADERS
+    ]
+    headers.append((b"x-request-id", request_id.encode()))
+    headers.append((b"teaseldyke-organisation", call.organisation.name.encode()))
+    if call.service.checks_fencing:
+        headers.append((b"fencing-number", str(permit.fencing).encode()))
+    if progress.splitter.passed:
+        headers.append((RESUME_OFFSET, str(progress.splitter.passed).encode()))
+    return headers
--- /dev/null
+++ b/libs/router/src/teaseldyke/router/recording.py
@@ -0,0 +1,88 @@
+"""Records callers' requests as a trace that can be replayed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import IO
+
+import attrs
+import msgspec
+import trio
+
+from .calls import Call
+
+
+@attrs.frozen
+class RecordedCall:
+    """One line of a recorded trace.
+
+    Parameters
+    ----------
+    at_s : float
+        Since the start of the recording.
+    router, organisation, service, method, path : str
+        What arrived where.
+    idempotent : bool
+        Class of the request.
+    prompt_cost, cost : float
+        Hints of the request, in output tokens or requests.
+    body_bytes : int
+        Size of the body; the body itself is not kept.
+    idempotency_key : str or None
+        The caller's key.
+    """
+
+    at_s: float
+    router: str
+    organisation: str
+    service: str
+    method: str
+    path: str
+    idempotent: bool
+    prompt_cost: float
+    cost: float
+    body_bytes: int
+    idempotency_key: str | None
+
+
+@attrs.define
+class TraceRecorder:
+    """Appends one JSON line for each request.
+
+    Parameters
+    ----------
+    path : Path
+        File to append to.
+    router : str
+        Name of this router.
+    """
+
+    path: Path
+    router: str
+    _file: IO[bytes] = attrs.field(init=False)
+    _started_at_s: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._file = self.path.open("ab", buffering=0)
+        self._started_at_s = trio.current_time()
+
+    def record(self, call: Call) -> None:
+        """Append a call."""
+        line = RecordedCall(
+            at_s=round(call.arrived_at_s - self._started_at_s, 6),
+            router=self.router,
+            organisation=call.organisation.name,
+            service=call.service.name,
+            method=call.method,
+            path=call.target,
+            idempotent=call.idempotent,
+            prompt_cost=call.hint.prompt_cost,
+            cost=call.hint.cost,
+            body_bytes=len(call.body),
+            idempotency_key=call.idempotency_key,
+        )
+        self._file.write(msgspec.json.encode(line) + b"\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
