--- a/libs/standins/src/teaseldyke/standins/engine.py
+++ b/libs/standins/src/teaseldyke/standins/engine.py
@@ -159,6 +159,8 @@
             *self.state.echo(request, faults),
             (b"content-type", b"text/event-stream"),
         ]
+        if request.header("Resume-Offset") is not None:
+            headers.append((b"resume-offset", str(job.first).encode()))
         await request.start_response(200, headers)
         truncated_at = generation.output_tokens // 2
         async for indices in self.batch.tokens(job.first, generation.output_tokens):
