Keep the newest configuration in force in every router

Routers poll one small row, tell eight peers of a new version and compare with a random peer, so a change spreads while the store is down. A router that starts empty is ready by the store, or by a majority of ready peers. Worker threads under the mock clock let time jump, so small sheets decode inline and the large one is tested on the real clock.

--- a/libs/configuration/src/teaseldyke/configuration/__init__.py
+++ b/libs/configuration/src/teaseldyke/configuration/__init__.py
@@ -26,6 +26,9 @@
     SheetInvalid,
 )
 from .files import SheetFile, read_sheet, read_sheet_file, write_sheet
+from .messages import MESSAGE_TYPES
+from .reader import ConfigurationReader, ReaderCounters
+from .readiness import PeerVersion
 from .records import SWITCH_KINDS, ChangeRecord, Head, SwitchKind
 from .sheet import Sheet, combine, sheet_of
 from .snapshot import Snapshot
@@ -42,15 +45,19 @@
     "ChangeUnsettled",
     "Column",
     "ConfigurationNotReady",
+    "ConfigurationReader",
     "ConfigurationStore",
     "CreateOrganisation",
     "DifferenceLine",
     "DocumentBroken",
     "Head",
+    "MESSAGE_TYPES",
     "NameTaken",
     "NameUnknown",
     "PAGES",
     "Page",
+    "PeerVersion",
+    "ReaderCounters",
     "ReplaceKey",
     "SWITCH_KINDS",
     "SetSwitch",
--- /dev/null
+++ b/libs/configuration/src/teaseldyke/configuration/archive.py
@@ -0,0 +1,89 @@
+"""Snapshots in the object store, the second source while the tables are down."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import attrs
+
+from teaseldyke.platform import ObjectStore
+from teaseldyke.types import AnswerLost
+
+from .documents import Document, decode_document, encode_document
+from .encoding import decode_sheet_off_loop, encode_sheet
+from .errors import DocumentBroken
+from .offloading import run_off_loop
+from .records import sheet_object_name
+from .snapshot import Snapshot
+
+SNAPSHOT_PREFIX = "configuration/snapshots/"
+SNAPSHOT_SLOTS = 8  # a late write of an older version hits another slot
+
+
+@attrs.define
+class SnapshotArchive:
+    """Keeps the newest snapshots as objects.
+
+    Each is a small object that names its sheet by hash; the sheet is an object of its
+    own, shared by all snapshots that have it.
+
+    Parameters
+    ----------
+    objects : ObjectStore
+        Where they are kept.
+    """
+
+    objects: ObjectStore
+    _saved_sheet_sha256: str = attrs.field(default="", init=False)
+
+    async def save(self, snapshot: Snapshot) -> None:
+        """Store a snapshot that was accepted.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the object store is down; the snapshots before stay.
+        """
+        sha256 = snapshot.head.sheet_sha256
+        if sha256 != self._saved_sheet_sha256:
+            entries = len(snapshot.sheet.organisations)
+            encode = partial(encode_sheet, snapshot.sheet)
+            encoded = await run_off_loop(entries, encode)
+            await self._put(sheet_object_name(sha256), encoded.data)
+            self._saved_sheet_sha256 = sha256
+        name = f"{SNAPSHOT_PREFIX}{snapshot.version % SNAPSHOT_SLOTS}"
+        document = Document(snapshot.head, snapshot.switches)
+        await self._put(name, encode_document(document))
+
+    async def newest(self) -> Snapshot | None:
+        """Return the newest snapshot that is whole.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the object store is down.
+        """
+        documents = []
+        for name in await self.objects.names(SNAPSHOT_PREFIX):
+            data = await self.objects.get(name)
+            if data is None:
+                continue
+            documents.append(decode_document(data))
+        documents.sort(key=lambda document: document.head.version, reverse=True)
+        for document in documents:
+            sha256 = document.head.sheet_sha256
+            data = await self.objects.get(sheet_object_name(sha256))
+            if data is None:
+                continue
+            try:
+                sheet = await decode_sheet_off_loop(data, sha256)
+            except DocumentBroken:
+                continue
+            return Snapshot(document.head, sheet, document.switches)
+        return None
+
+    async def _put(self, name: str, data: bytes) -> None:
+        try:
+            await self.objects.put(name, data)
+        except AnswerLost:
+            await self.objects.put(name, data)
--- a/libs/configuration/src/teaseldyke/configuration/encoding.py
+++ b/libs/configuration/src/teaseldyke/configuration/encoding.py
@@ -9,6 +9,7 @@
 
 import hashlib
 import zlib
+from functools import partial
 
 import attrs
 import msgspec
@@ -16,10 +17,12 @@
 from teaseldyke.types import Organisation
 
 from .errors import DocumentBroken
+from .offloading import run_off_loop
 from .sheet import Sheet
 
 ORGANISATIONS_PER_LINE = 250
 DECODED_LIMIT_BYTES = 256 * 1024 * 1024
+ENCODED_ORGANISATION_BYTES = 64  # least size of one with a key, compressed
 _COMPRESSION_LEVEL = 1  # key hashes hardly compress; level 6 takes longer for 2 %
 
 _sheet_decoder = msgspec.json.Decoder(Sheet)
@@ -66,6 +69,12 @@
     return EncodedSheet(digest, zlib.compress(text, _COMPRESSION_LEVEL))
 
 
+async def decode_sheet_off_loop(data: bytes, sha256: str) -> Sheet:
+    """Return the sheet of a stored form, from a worker thread if it is large."""
+    entries = len(data) // ENCODED_ORGANISATION_BYTES
+    return await run_off_loop(entries, partial(decode_sheet, data, sha256))
+
+
 def decode_sheet(data: bytes, sha256: str) -> Sheet:
     """Return the sheet of a stored form.
 
--- a/libs/configuration/src/teaseldyke/configuration/loading.py
+++ b/libs/configuration/src/teaseldyke/configuration/loading.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from functools import partial
-
 import attrs
-import trio
 
 from teaseldyke.platform import ABSENT, ObjectStore, Row, TableService
 from teaseldyke.types import PlatformUnavailable, Switches
 
 from .difference import apply_difference
-from .encoding import decode_sheet
+from .encoding import decode_sheet, decode_sheet_off_loop
 from .errors import DocumentBroken
 from .records import (
     HEAD_KEY,
@@ -93,7 +90,7 @@
         data = await self.objects.get(sheet_object_name(sha256))
         if data is None:
             raise DocumentBroken(f"object {sheet_object_name(sha256)!r} is missing")
-        return await trio.to_thread.run_sync(partial(decode_sheet, data, sha256))
+        return await decode_sheet_off_loop(data, sha256)
 
     async def _load_sheet(self, head: Head, known: Snapshot) -> Sheet | None:
         if head.sheet_sha256 == known.head.sheet_sha256:
