--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -336,6 +336,24 @@
 
 
 class TestStop:
+    @pytest.mark.promise("whole-answer")
+    async def test_a_cancelled_answer_never_looks_whole(self) -> None:
+        async def stall(request: Request) -> None:
+            await request.start_response(200, [])
+            await request.send(b"part")
+            await trio.sleep_forever()
+
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        async with await trio.open_tcp_stream(HOST, port) as stream:
+            async with trio.open_nursery() as serving:
+                serving.start_soon(serve, listeners[0], stall, ServerLimits())
+                await stream.send_all(GET.replace(b"1.1", b"1.0"))
+                assert (await stream.receive_some()).endswith(b"part")
+                serving.cancel_scope.cancel()
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some()
+
     async def test_an_error_during_cancellation_stays_inside(
         self,
     ) -> None:
