--- a/libs/router/src/teaseldyke/router/parts.py
+++ b/libs/router/src/teaseldyke/router/parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from teaseldyke.configuration import (
@@ -24,6 +26,8 @@
 from teaseldyke.settings import CallerLimits, RouterSettings, TracingSettings
 from teaseldyke.telemetry import Tracing
 
+from .administration import Administration
+from .administration_access import AccessControl, AuditTrail
 from .callers import CallerHandler
 from .forwarding import Forwarder
 from .load import HttpLoadSource
@@ -130,6 +134,25 @@
     )
 
 
+def administration_of(parts: Parts, is_stopping: Callable[[], bool]) -> Administration:
+    """Return the administration API of a router."""
+    settings = parts.settings
+    return Administration(
+        settings.name,
+        parts.reader,
+        AccessControl(settings.operator_tokens),
+        AuditTrail(parts.platform.table, settings.name),
+        {
+            "dispatch": parts.dispatching.snapshot,
+            "links": lambda: parts.links.counters,
+            "members": lambda: sorted(parts.membership.members),
+            "running": lambda: parts.callers.running,
+            "records": lambda: parts.records.held,
+        },
+        is_stopping,
+    )
+
+
 def tracing_of(settings: TracingSettings, process: str) -> Tracing:
     """Return the tracing that the settings ask for."""
     if settings.endpoint is None:
--- a/libs/router/src/teaseldyke/router/process.py
+++ b/libs/router/src/teaseldyke/router/process.py
@@ -6,14 +6,16 @@
 
 import trio
 
-from teaseldyke.http import Request, ServerLimits, serve
+from teaseldyke.http import ServerLimits, serve
 from teaseldyke.settings import Address, RouterSettings
-from teaseldyke.telemetry import log_change, log_fault, render_metrics
+from teaseldyke.telemetry import log_change, log_fault
 from teaseldyke.timers import Timers
 
+from .administration import SHEET_LIMIT_BYTES
 from .instances import InstanceListKeeper
-from .parts import Parts, assemble, caller_limits
+from .parts import Parts, administration_of, assemble, caller_limits
 
+ADMINISTRATION_LIMITS = ServerLimits(body_bytes=SHEET_LIMIT_BYTES, connections=256)
 READINESS_GRACE_S = 1.0  # the balancer sees the readiness go before the port closes
 
 
@@ -72,19 +74,10 @@
 async def _serve_administration(
     parts: Parts, listener: trio.SocketListener, stopping: trio.Event
 ) -> None:
-    async def handle(request: Request) -> None:
-        ready = parts.reader.ready and not stopping.is_set()
-        match request.path:
-            case "/healthz":
-                await request.respond(200, b"ok")
-            case "/readyz":
-                await request.respond(200 if ready else 503)
-            case "/metrics":
-                await request.respond(200, render_metrics())
-            case _:
-                await request.respond(404)
-
-    await serve(listener, handle, ServerLimits())
+    administration = administration_of(parts, stopping.is_set)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(administration.run)
+        await serve(listener, administration.handle, ADMINISTRATION_LIMITS)
 
 
 async def _stop_on_signal(
