Serve the administration API with roles, audit and an OpenAPI document

Operators see and change the configuration through any router. Keys are made by the operator's command and only hashes travel, so that repeating an unsettled request with its id is harmless. Refused uses are written at most once a second.

--- a/libs/configuration/src/teaseldyke/configuration/reader.py
+++ b/libs/configuration/src/teaseldyke/configuration/reader.py
@@ -10,9 +10,9 @@
 
 import attrs
 import trio
-from absl import logging
 
 from teaseldyke.peers import PeerLinks
+from teaseldyke.telemetry import log_change, log_fault
 from teaseldyke.timers import Timers
 from teaseldyke.types import Configuration, PlatformUnavailable
 
@@ -178,9 +178,7 @@
             self.counters.applied += 1
             for callback in self._subscribers:
                 callback(snapshot.configuration)
-        logging.info(
-            "configuration in force version=%d source=%s", snapshot.version, source
-        )
+        log_change("configuration_in_force", version=snapshot.version, source=source)
         if source in ("store", "operator"):
             self._confirm(source)
         self._tell(self._some_peers(FAN_OUT, sender))
@@ -248,10 +246,8 @@
         if self.ready and source == self.source:
             return
         if not self.ready:
-            logging.info(
-                "configuration ready version=%d source=%s",
-                self.snapshot.version,
-                source,
+            log_change(
+                "configuration_ready", version=self.snapshot.version, source=source
             )
         self.ready = True
         self.source = source
@@ -260,7 +256,10 @@
         if reachable == self._store_reachable:
             return
         self._store_reachable = reachable
-        logging.info("configuration store reachable=%s detail=%r", reachable, detail)
+        if reachable:
+            log_change("configuration_store_reachable")
+        else:
+            log_fault("configuration_store_unreachable", detail=detail)
 
     async def _compare_with_a_peer(self) -> None:
         self._tell(self._some_peers(1))
@@ -329,7 +328,7 @@
                 sheet = await self._fetch_sheet(sender, document)
         except DocumentBroken as exc:
             self.counters.documents_broken += 1
-            logging.warning("configuration refused sender=%s: %s", sender, exc.detail)
+            log_fault("configuration_broken", sender=sender, detail=exc.detail)
             return
         snapshot = Snapshot(document.head, sheet, document.switches)
         await self.offer(snapshot, "peer", sender)
--- /dev/null
+++ b/libs/router/src/teaseldyke/router/administration.py
@@ -0,0 +1,351 @@
+"""Administration API of a router."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+import attrs
+import trio
+
+from teaseldyke.configuration import (
+    ApplySheet,
+    Change,
+    ChangeConflict,
+    ConfigurationNotReady,
+    ConfigurationReader,
+    CreateOrganisation,
+    ReplaceKey,
+    SetSwitch,
+    SheetInvalid,
+    check,
+)
+from teaseldyke.http import Request, problem_response
+from teaseldyke.settings import OperatorRole
+from teaseldyke.telemetry import log_fault, render_metrics
+from teaseldyke.timers import Timers
+from teaseldyke.types import Organisation, TeaseldykeError
+
+from .administration_access import (
+    AUDIT_INTERVAL_S,
+    AccessControl,
+    AuditTrail,
+    RoleMissing,
+    TokenExpired,
+    TokenMissing,
+    TokenUnknown,
+)
+from .administration_bodies import (
+    AcceptedBody,
+    BodyInvalid,
+    KeyBody,
+    OrganisationBody,
+    SheetBody,
+    SwitchBody,
+    decode_body,
+    encode_answer,
+)
+from .administration_views import (
+    configuration_view,
+    publish_metrics,
+    status_view,
+    versions_view,
+)
+
+SHEET_LIMIT_BYTES = 32 * 1024 * 1024
+BODY_LIMIT_BYTES = 64 * 1024
+PEERS_TIMEOUT_S = 1.0  # time in which peers tell their versions
+HISTORY_LIMIT = 1000  # records in one answer
+CHANGE_ID_LIMIT = 128  # characters
+
+_DENIALS = (TokenMissing, TokenUnknown, TokenExpired, RoleMissing)
+
+
+class RouteUnknown(TeaseldykeError):
+    """The administration API has no such path, or not with this method."""
+
+    code = "route_unknown"
+    status = 404
+    executed = "no"
+
+
+@attrs.frozen
+class Use:
+    """One authenticated request.
+
+    Parameters
+    ----------
+    request : Request
+        The request.
+    operator : str
+        Name of the operator; empty on paths that need no token.
+    role : str
+        Role of the operator.
+    name : str
+        What stands for ``{name}`` in the path.
+    """
+
+    request: Request
+    operator: str = ""
+    role: OperatorRole = "read"
+    name: str = ""
+
+
+@attrs.define(eq=False)
+class Administration:
+    """Answers the administration port.
+
+    Parameters
+    ----------
+    router : str
+        Name of this router.
+    reader : ConfigurationReader
+        Configuration in force; also gives the store.
+    access : AccessControl
+        Who may do what.
+    audit : AuditTrail
+        Takes refused uses.
+    status_sources : dict of str to callable
+        Further parts of the status, each a value that encodes as JSON.
+    is_stopping : callable
+        Returns whether a planned stop has begun, which ends readiness.
+    """
+
+    router: str
+    reader: ConfigurationReader
+    access: AccessControl
+    audit: AuditTrail
+    status_sources: dict[str, Callable[[], object]] = attrs.field(factory=dict)
+    is_stopping: Callable[[], bool] = lambda: False
+    _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Write the audit trail and archive accepted versions until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            Timers(nursery).every(AUDIT_INTERVAL_S, self.audit.write_waiting)
+            task_status.started()
+
+    async def handle(self, request: Request) -> None:
+        """Answer one request."""
+        try:
+            await self._dispatch(request)
+        except TeaseldykeError as exc:
+            if request.response_started:
+                raise
+            status, headers, body = _problem(exc, request.id)
+            await request.respond(status, body, headers)
+
+    async def _dispatch(self, request: Request) -> None:
+        route, name = _find_route(request)
+        if route.role is None:
+            await route.answer(self, Use(request))
+            return
+        operator = ""
+        try:
+            token = self.access.find(request.header("authorization"))
+            operator = token.name
+            self.access.check(token, route.role)
+        except _DENIALS as exc:
+            self.audit.note(operator, request.method, request.path, exc.code)
+            if not operator:
+                self.access.check_rate(operator)
+            raise
+        await route.answer(self, Use(request, operator, token.role, name))
+
+    async def get_health(self, use: Use) -> None:
+        """Say that the process runs."""
+        await use.request.respond(200, b"ok\n")
+
+    async def get_readiness(self, use: Use) -> None:
+        """Say whether the router takes callers."""
+        if self.is_stopping():
+            raise ConfigurationNotReady("a planned stop has begun", retry_after_s=1.0)
+        if not self.reader.ready:
+            raise ConfigurationNotReady(
+                "no version that there is reason to believe current; the store "
+                f"is {'reachable' if self.reader.store_reachable else 'down'}",
+                retry_after_s=1.0,
+            )
+        await use.request.respond(200, b"ready\n")
+
+    async def get_metrics(self, use: Use) -> None:
+        """Return the metrics in the text format of Prometheus."""
+        publish_metrics(self.reader)
+        fields = [(b"content-type", b"text/plain; version=0.0.4")]
+        await use.request.respond(200, render_metrics(), fields)
+
+    async def get_status(self, use: Use) -> None:
+        """Return what this router knows of itself."""
+        await _answer(use, status_view(self.router, self.reader, self.status_sources))
+
+    async def get_configuration(self, use: Use) -> None:
+        """Return the configuration in force; key hashes only from role operate."""
+        snapshot = self.reader.snapshot
+        build = partial(configuration_view, snapshot, use.role != "read")
+        body = await trio.to_thread.run_sync(build)
+        await use.request.respond(200, body, _JSON)
+
+    async def get_versions(self, use: Use) -> None:
+        """Return the version in force on every known router."""
+        told = await self.reader.ask_peers(PEERS_TIMEOUT_S)
+        await _answer(use, versions_view(self.router, self.reader, told))
+
+    async def get_history(self, use: Use) -> None:
+        """Return accepted changes after a version, oldest first."""
+        after_version = _number(use, "after", 0)
+        limit = min(_number(use, "limit", 100), HISTORY_LIMIT)
+        await _answer(use, await self.reader.store.history(after_version, limit))
+
+    async def get_audit(self, use: Use) -> None:
+        """Return refused uses of the administration API."""
+        limit = min(_number(use, "limit", 100), HISTORY_LIMIT)
+        await _answer(use, await self.audit.read(limit))
+
+    async def put_sheet(self, use: Use) -> None:
+        """Replace the sheet."""
+        data = await use.request.read_body(SHEET_LIMIT_BYTES)
+        body = await trio.to_thread.run_sync(decode_body, data, SheetBody)
+        await trio.to_thread.run_sync(check, body.sheet)
+        change = ApplySheet(body.sheet, body.base_version)
+        await self._change(use, change, body.change_id)
+
+    async def post_switch(self, use: Use) -> None:
+        """Take something out or bring it back in."""
+        body = await _read(use, SwitchBody)
+        change = SetSwitch(body.kind, body.name, body.out, body.base_version)
+        await self._change(use, change, body.change_id)
+
+    async def post_organisation(self, use: Use) -> None:
+        """Create an organisation."""
+        body = await _read(use, OrganisationBody)
+        organisation = Organisation(
+            body.name, body.share, (body.key_hash,), body.services
+        )
+        await self._change(use, CreateOrganisation(organisation), body.change_id)
+
+    async def post_key(self, use: Use) -> None:
+        """Give an organisation a new key."""
+        body = await _read(use, KeyBody)
+        change = ReplaceKey(use.name, body.key_hash, body.keep_old)
+        await self._change(use, change, body.change_id)
+
+    async def _change(self, use: Use, change: Change, change_id: str) -> None:
+        if not 0 < len(change_id) <= CHANGE_ID_LIMIT or not change_id.isprintable():
+            raise BodyInvalid(f"change_id must have 1 to {CHANGE_ID_LIMIT} characters")
+        store = self.reader.store
+        accepted = await store.change(change, change_id, use.operator)
+        if accepted.snapshot is not None:
+            await self.reader.offer(accepted.snapshot, "operator")
+            if self._nursery is not None:
+                self._nursery.start_soon(self._archive)
+        record = accepted.record
+        body = AcceptedBody(
+            record.version, change_id, record.summary, accepted.snapshot is None
+        )
+        await _answer(use, body)
+
+    async def _archive(self) -> None:
+        try:
+            await self.reader.archive.save(self.reader.snapshot)
+        except TeaseldykeError as exc:
+            log_fault("configuration_not_archived", detail=exc.detail)
+
+
+@attrs.frozen
+class Route:
+    """One method on one path.
+
+    Parameters
+    ----------
+    method, path : str
+        ``{name}`` in the path stands for any one segment.
+    role : str or None
+        Role that is needed; ``None`` for paths without a token.
+    answer : callable
+        Method of `Administration`.
+    """
+
+    method: str
+    path: str
+    role: OperatorRole | None
+    answer: Callable[[Administration, Use], Awaitable[None]]
+
+
+ROUTES = (
+    Route("GET", "/healthz", None, Administration.get_health),
+    Route("GET", "/readyz", None, Administration.get_readiness),
+    Route("GET", "/metrics", None, Administration.get_metrics),
+    Route("GET", "/v1/status", "read", Administration.get_status),
+    Route("GET", "/v1/configuration", "read", Administration.get_configuration),
+    Route("GET", "/v1/versions", "read", Administration.get_versions),
+    Route("GET", "/v1/history", "read", Administration.get_history),
+    Route("GET", "/v1/audit", "own", Administration.get_audit),
+    Route("PUT", "/v1/sheet", "operate", Administration.put_sheet),
+    Route("POST", "/v1/switches", "operate", Administration.post_switch),
+    Route("POST", "/v1/organisations", "own", Administration.post_organisation),
+    Route(
+        "POST", "/v1/organisations/{name}/rotate-key", "own", Administration.post_key
+    ),
+)
+
+_JSON = [(b"content-type", b"application/json")]
+
+
+def _find_route(request: Request) -> tuple[Route, str]:
+    segments = request.path.split("/")
+    for route in ROUTES:
+        if route.method != request.method:
+            continue
+        name = _match(route.path.split("/"), segments)
+        if name is not None:
+            return route, name
+    raise RouteUnknown(f"{request.method} {request.path} is not in docs/openapi.json")
+
+
+def _match(template: list[str], segments: list[str]) -> str | None:
+    """Return what stands for ``{name}``, or ``None`` when the paths differ."""
+    if len(template) != len(segments):
+        return None
+    name = ""
+    for expected, found in zip(template, segments, strict=True):
+        if expected == "{name}" and found:
+            name = found
+            continue
+        if expected != found:
+            return None
+    return name
+
+
+async def _read(use: Use, cls: type[Any]) -> Any:
+    return decode_body(await use.request.read_body(BODY_LIMIT_BYTES), cls)
+
+
+async def _answer(use: Use, value: object) -> None:
+    await use.request.respond(200, encode_answer(value), _JSON)
+
+
+def _number(use: Use, name: str, default: int) -> int:
+    text = use.request.query.get(name, str(default))
+    if not (text.isascii() and text.isdigit() and len(text) <= 15):
+        raise BodyInvalid(f"query {name}={text!r} is not a whole number")
+    return int(text)
+
+
+def _problem(
+    error: TeaseldykeError, request_id: str
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Return a problem answer, with the winner of a conflict or a sheet's faults."""
+    status, headers, body = problem_response(error, request_id)
+    if status == 401:
+        headers.append((b"www-authenticate", b"Bearer"))
+    extra: dict[str, Any] = {}
+    if isinstance(error, ChangeConflict) and error.winner is not None:
+        extra["winner"] = attrs.asdict(error.winner)
+    if isinstance(error, SheetInvalid):
+        extra["faults"] = [attrs.asdict(fault) for fault in error.faults]
+    return status, headers, json.dumps({**json.loads(body), **extra}).encode()
--- /dev/null
+++ b/libs/router/src/teaseldyke/router/administration_access.py
@@ -0,0 +1,246 @@
+"""Who may use the administration API, and the trail of refused uses."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from datetime import UTC, datetime
+
+import attrs
+import msgspec
+import trio
+
+from teaseldyke.platform import TableService, Write
+from teaseldyke.settings import OperatorRole, OperatorToken
+from teaseldyke.telemetry import counter
+from teaseldyke.types import TeaseldykeError
+
+AUDIT_TABLE = "administration_audit"
+AUDIT_INTERVAL_S = 1.0  # between two writes of refused uses
+AUDIT_WAITING = 64  # refused uses that wait to be written; more are only counted
+REQUESTS_PER_S = 20.0  # of one operator, and of all refused ones together
+BURST_REQUESTS = 100.0
+
+_RANKS: dict[OperatorRole, int] = {"read": 0, "operate": 1, "own": 2}
+
+DENIED = counter(
+    "teaseldyke_administration_denied_total", "Refused uses of the administration."
+)
+
+
+class TokenMissing(TeaseldykeError):
+    """The request carries no ``Authorization: Bearer`` header."""
+
+    code = "token_missing"
+    status = 401
+    executed = "no"
+
+
+class TokenUnknown(TeaseldykeError):
+    """The token belongs to no operator."""
+
+    code = "token_unknown"
+    status = 401
+    executed = "no"
+
+
+class TokenExpired(TeaseldykeError):
+    """The token is no longer accepted."""
+
+    code = "token_expired"
+    status = 401
+    executed = "no"
+
+
+class RoleMissing(TeaseldykeError):
+    """The operator's role does not allow the request."""
+
+    code = "role_missing"
+    status = 403
+    executed = "no"
+
+
+class TooManyRequests(TeaseldykeError):
+    """The operator sends more requests than the administration takes."""
+
+    code = "too_many_requests"
+    status = 429
+    executed = "no"
+
+
+@attrs.frozen
+class Denial:
+    """A refused use, for the audit trail.
+
+    Parameters
+    ----------
+    at_s : float
+        Unix time.
+    router : str
+        Router that refused.
+    operator : str
+        Name of the operator; empty when unknown.
+    method, path : str
+        Of the request.
+    code : str
+        Why it was refused.
+    suppressed : int
+        Refused uses before this one that were only counted.
+    """
+
+    at_s: float
+    router: str
+    operator: str
+    method: str
+    path: str
+    code: str
+    suppressed: int = 0
+
+
+@attrs.define
+class RequestRate:
+    """Token bucket for one operator.
+
+    Parameters
+    ----------
+    available : float
+        Requests that may come at once.
+    filled_at_s : float
+        When that was so, on trio's clock.
+    """
+
+    available: float = BURST_REQUESTS
+    filled_at_s: float = 0.0
+
+    def take(self, now_s: float) -> None:
+        """Take one request from the bucket; raises `TooManyRequests`."""
+        gained = (now_s - self.filled_at_s) * REQUESTS_PER_S
+        self.available = min(BURST_REQUESTS, self.available + gained)
+        self.filled_at_s = now_s
+        if self.available < 1:
+            raise TooManyRequests(
+                f"more than {REQUESTS_PER_S:g} requests a second", retry_after_s=1.0
+            )
+        self.available -= 1
+
+
+@attrs.define
+class AccessControl:
+    """Finds the operator of a token and checks role, expiry and rate.
+
+    Parameters
+    ----------
+    tokens : iterable of OperatorToken
+        Known operators.
+    clock : callable
+        Returns the time of day.
+    """
+
+    tokens: Iterable[OperatorToken]
+    clock: Callable[[], datetime] = lambda: datetime.now(UTC)
+    _by_hash: dict[str, OperatorToken] = attrs.field(init=False)
+    _rates: dict[str, RequestRate] = attrs.field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._by_hash = {token.hash: token for token in self.tokens}
+
+    def find(self, authorization: str | None) -> OperatorToken:
+        """Return the operator that an ``Authorization`` header names.
+
+        Raises
+        ------
+        TokenMissing, TokenUnknown
+            If it names none.
+        """
+        scheme, _, secret = (authorization or "").partition(" ")
+        if scheme.lower() != "bearer" or not secret:
+            raise TokenMissing("expected a header 'Authorization: Bearer <token>'")
+        digest = hashlib.sha256(secret.strip().encode()).hexdigest()
+        token = self._by_hash.get(digest)
+        if token is None:
+            raise TokenUnknown("the token belongs to no operator of this router")
+        return token
+
+    def check(self, token: OperatorToken, role: OperatorRole) -> None:
+        """Check that an operator may do what needs a role now.
+
+        Raises
+        ------
+        TokenExpired, RoleMissing, TooManyRequests
+            If not.
+        """
+        if token.expires_at is not None and token.expires_at <= self.clock():
+            raise TokenExpired(
+                f"the token of {token.name!r} expired {token.expires_at}"
+            )
+        if _RANKS[token.role] < _RANKS[role]:
+            raise RoleMissing(
+                f"operator {token.name!r} has role {token.role!r}; needed: {role!r}"
+            )
+        self.check_rate(token.name)
+
+    def check_rate(self, name: str) -> None:
+        """Count a request against the rate of a name; raises `TooManyRequests`."""
+        rate = self._rates.setdefault(name, RequestRate())
+        rate.take(trio.current_time())
+
+
+@attrs.define
+class AuditTrail:
+    """Writes refused uses to the store, at most one transaction a second.
+
+    Parameters
+    ----------
+    table : TableService
+        Where they are kept.
+    router : str
+        Name of this router.
+    clock : callable
+        Returns Unix time in seconds.
+    """
+
+    table: TableService
+    router: str
+    clock: Callable[[], float] = time.time
+    _waiting: deque[Denial] = attrs.field(factory=deque, init=False)
+    _suppressed: int = attrs.field(default=0, init=False)
+
+    def note(self, operator: str, method: str, path: str, code: str) -> None:
+        """Keep a refused use to be written; never blocks."""
+        DENIED.bind(code=code).add()
+        if len(self._waiting) >= AUDIT_WAITING:
+            self._suppressed += 1
+            return
+        denial = Denial(
+            self.clock(), self.router, operator, method, path, code, self._suppressed
+        )
+        self._suppressed = 0
+        self._waiting.append(denial)
+
+    async def write_waiting(self) -> None:
+        """Write what waits; keep it when the store does not confirm."""
+        if not self._waiting:
+            return
+        batch = list(self._waiting)
+        writes = [Write(AUDIT_TABLE, self._key(d), _encode(d)) for d in batch]
+        try:
+            await self.table.transact(writes)
+        except TeaseldykeError:
+            return  # rows have keys of their own, so writing them again is harmless
+        for _ in batch:
+            self._waiting.popleft()
+
+    async def read(self, limit: int) -> list[Denial]:
+        """Return the oldest refused uses that are kept."""
+        rows = await self.table.scan(AUDIT_TABLE, limit=limit)
+        return [msgspec.json.decode(row.value, type=Denial) for row in rows]
+
+    def _key(self, denial: Denial) -> str:
+        digest = hashlib.sha256(_encode(denial)).hexdigest()[:8]
+        return f"{int(denial.at_s * 1000):015d}/{self.router}/{digest}"
+
+
+def _encode(denial: Denial) -> bytes:
+    return msgspec.json.encode(denial)
