Add the operator command

Every command works through any router and ends with a documented status. A change is asked for with an id, so that it is repeated safely when an answer is lost; the base version is left out of the change's digest, since an operator who repeats a change may have seen a newer one.

--- a/libs/configuration/src/teaseldyke/configuration/changes.py
+++ b/libs/configuration/src/teaseldyke/configuration/changes.py
@@ -125,7 +125,12 @@
 
 
 def digest_of(change: Change) -> str:
-    """Return a hash that tells a repeated change from another with the same id."""
+    """Return a hash that tells a repeated change from another with the same id.
+
+    The base version is left out: who repeats a change may have seen a newer one.
+    """
+    if isinstance(change, (ApplySheet, SetSwitch)):
+        change = attrs.evolve(change, base_version=0)
     data = msgspec.json.encode(change, order="sorted")
     return hashlib.sha256(type(change).__name__.encode() + data).hexdigest()
 
--- a/libs/configuration/tests/test_store.py
+++ b/libs/configuration/tests/test_store.py
@@ -82,8 +82,10 @@
     async def test_a_repeated_id_changes_nothing(
         self, store: ConfigurationStore
     ) -> None:
-        again = await store.change(ApplySheet(SHEET, 0), "first", "morning")
-        assert again.record.version == 1
+        for base_version in (0, 1):
+            again = ApplySheet(SHEET, base_version)
+            accepted = await store.change(again, "first", "morning")
+            assert accepted.record.version == 1
         assert (await store.head()).version == 1
 
     async def test_a_large_sheet_lies_in_the_object_store(
--- a/libs/operator/src/teaseldyke/operator/__init__.py
+++ b/libs/operator/src/teaseldyke/operator/__init__.py
@@ -2,4 +2,7 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .errors import EXIT_MEANINGS
+from .main import main
+
+__all__ = ["EXIT_MEANINGS", "main"]
--- /dev/null
+++ b/libs/operator/src/teaseldyke/operator/switch_commands.py
@@ -0,0 +1,100 @@
+"""Commands that take something out for the day or bring it back in."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+from teaseldyke.configuration import SwitchKind
+
+from .client import FleetConfiguration
+from .session import Session
+
+
+@attrs.frozen
+class SwitchCommands:
+    """Take something out, and bring it back in.
+
+    Parameters
+    ----------
+    session : Session
+        Options of the command.
+    kind : str
+        What is switched.
+    """
+
+    session: Session
+    kind: SwitchKind
+
+    def out(self, name: str) -> None:
+        """Give it no new work; running requests finish."""
+        set_switch(self.session, self.kind, name, out=True)
+
+    def bring_in(self, name: str) -> None:
+        """Give it work again; its backend servers start cold."""
+        set_switch(self.session, self.kind, name, out=False)
+
+    def status(self) -> None:
+        """List failure domains with their backend servers."""
+        configuration = self.session.run(lambda client: client.configuration())
+        rows = [
+            {
+                "failure_domain": domain,
+                "state": _state(configuration, domain),
+                **_counts(configuration, domain),
+            }
+            for domain in configuration.sheet.failure_domains
+        ]
+        self.session.output.rows(rows)
+
+
+def set_switch(session: Session, kind: SwitchKind, name: str, *, out: bool) -> None:
+    """Ask for one switch, on condition that nobody set it since it was shown."""
+    configuration = session.run(lambda client: client.configuration())
+    verb = "out" if out else "in"
+    if kind == "organisation":
+        verb = "disabled" if out else "enabled"
+    if kind == "failure-domain":
+        _warn_of_gaps(session, configuration, str(name), out=out)
+    session.change(
+        "POST",
+        "/v1/switches",
+        {
+            "kind": kind,
+            "name": str(name),
+            "out": out,
+            "base_version": configuration.head.version,
+        },
+        f"{kind} {name} {verb}",
+    )
+
+
+def _warn_of_gaps(
+    session: Session, configuration: FleetConfiguration, domain: str, *, out: bool
+) -> None:
+    """Name services that would have no backend server left."""
+    if not out:
+        return
+    closed = configuration.switches.failure_domains_out | {domain}
+    left = {
+        server.service
+        for server in configuration.sheet.backend_servers.values()
+        if server.failure_domain not in closed
+        and server.name not in configuration.switches.backend_servers_out
+    }
+    for service in sorted(set(configuration.sheet.services) - left):
+        session.output.note(f"warning: service {service} will have no backend server")
+
+
+def _state(configuration: FleetConfiguration, domain: str) -> str:
+    return "out" if domain in configuration.switches.failure_domains_out else "in"
+
+
+def _counts(configuration: FleetConfiguration, domain: str) -> dict[str, int]:
+    counts = Counter(
+        server.service
+        for server in configuration.sheet.backend_servers.values()
+        if server.failure_domain == domain
+    )
+    return {name: counts[name] for name in sorted(configuration.sheet.services)}
