--- a/examples/write_workbooks.py
+++ b/examples/write_workbooks.py
@@ -10,9 +10,9 @@
 
 
 def main() -> None:
-    """Write ``sheet.xlsx`` beside every directory ``sheet``."""
-    for directory in sorted(EXAMPLES.glob("*/sheet")):
-        workbook = directory.with_suffix(".xlsx")
+    """Write ``sheet.xlsx`` beside the CSV files of every example."""
+    for directory in sorted(path for path in EXAMPLES.iterdir() if path.is_dir()):
+        workbook = directory / "sheet.xlsx"
         write_sheet(read_sheet(directory), workbook)
         print(workbook.relative_to(EXAMPLES))
 
--- a/libs/configuration/tests/test_examples.py
+++ b/libs/configuration/tests/test_examples.py
@@ -20,7 +20,7 @@
 def test_both_forms_hold_the_sizes_of_the_brief(
     name: str, servers: dict[str, int]
 ) -> None:
-    sheet = read_sheet(EXAMPLES / name / "sheet")
+    sheet = read_sheet(EXAMPLES / name)
     assert sheet == read_sheet(EXAMPLES / name / "sheet.xlsx")
     counts = dict.fromkeys(sheet.services, 0)
     for server in sheet.backend_servers.values():
@@ -34,7 +34,7 @@
 def test_only_idempotent_requests_are_marked_so(
     name: str, servers: dict[str, int]
 ) -> None:
-    sheet = read_sheet(EXAMPLES / name / "sheet")
+    sheet = read_sheet(EXAMPLES / name)
     plain = next(s for s in sheet.services.values() if s.kind == "plain")
     assert [plain.is_idempotent(r.method, r.path_prefix) for r in plain.rules] == [
         True,
