--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -136,11 +136,9 @@
 
     async def _next_request(self) -> Request | None:
         """Return the next request, or ``None`` when there will be none."""
+        if not self._parser.trailing_data[0] and not await self._wait_first_byte():
+            return None
         head = self._parse_head()
-        if head is None and not self._parser.trailing_data[0]:
-            if not await self._wait_first_byte():
-                return None
-            head = self._parse_head()
         if head is None:
             head = await self._rest_of_head()
         if head is None:
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -115,6 +115,7 @@
     async def receive_head(self) -> h11.Response:
         """Return the final answer's status line and header."""
         informational = 0
+        await self._receive()
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
