--- /dev/null
+++ b/benchmarks/unreliable_table.py
@@ -0,0 +1,89 @@
+"""A table service in memory with random delays, outages and lost answers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+import attrs
+import trio
+
+from teaseldyke.platform import MemoryTableService, Row, Write
+from teaseldyke.types import AnswerLost, PlatformUnavailable, WriteConflict
+
+DELAY_S = 0.02  # largest delay of a call, each way
+LATE_S = 0.3  # largest time by which a write without an answer takes effect later
+
+
+@attrs.define(eq=False)
+class UnreliableTable:
+    """Loses answers of writes that took effect, take effect later, or never do.
+
+    Parameters
+    ----------
+    inner : MemoryTableService
+        Holds the rows.
+    nursery : trio.Nursery
+        Where late writes land.
+    random : Random
+        Draws delays and losses.
+    loss : float
+        Part of the writes whose answer is lost.
+    down : bool
+        Whether every call is refused.
+    """
+
+    inner: MemoryTableService
+    nursery: trio.Nursery
+    random: Random
+    loss: float = 0.0
+    down: bool = False
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Return a row, or ``None``."""
+        await self._reach()
+        row = await self.inner.get(table, key)
+        await self._delay()
+        return row
+
+    async def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> list[Row]:
+        """Return rows in key order."""
+        await self._reach()
+        rows = await self.inner.scan(table, prefix, after, limit)
+        await self._delay()
+        return rows
+
+    async def transact(self, writes: Sequence[Write]) -> list[int]:
+        """Apply all writes or none, perhaps without an answer, perhaps later."""
+        await self._reach()
+        if self.random.random() < self.loss:
+            await self._lose(writes)
+            raise AnswerLost("the answer was lost")
+        versions = await self.inner.transact(writes)
+        await self._delay()
+        return versions
+
+    async def _lose(self, writes: Sequence[Write]) -> None:
+        fate = self.random.choice(("now", "later", "never"))
+        if fate == "now":
+            await self._land(writes, 0.0)
+        if fate == "later":
+            late_s = self.random.uniform(0.0, LATE_S)
+            self.nursery.start_soon(self._land, writes, late_s)
+
+    async def _land(self, writes: Sequence[Write], late_s: float) -> None:
+        await trio.sleep(late_s)
+        try:
+            await self.inner.transact(writes)
+        except WriteConflict:
+            return
+
+    async def _reach(self) -> None:
+        await self._delay()
+        if self.down:
+            raise PlatformUnavailable("the table service is down")
+
+    async def _delay(self) -> None:
+        await trio.sleep(self.random.uniform(0.0, DELAY_S))
