--- a/libs/outcomes/src/teaseldyke/outcomes/endings.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/endings.py
@@ -71,7 +71,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
 
     async def drained(self) -> None:
         """Wait until every end stands in the store."""
