--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -4,7 +4,7 @@
 
 import json
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
@@ -15,6 +15,7 @@
 from .limits import ServerLimits
 from .stream import LISTEN_BYTES, Stream, TcpStream, close_with_reset
 from .target import parse_query, split_target
+from .watchdog import DisconnectWatch
 
 REQUEST_ID_BYTES = 8
 
@@ -241,6 +242,14 @@
             self._connection.receive_data(data)
         await trio.sleep_forever()
 
+    def on_disconnect(self, callback: Callable[[], None]) -> DisconnectWatch:
+        """Return a block in which the callback is called if the caller goes away.
+
+        It costs less than a task in `wait_disconnect` and is a quarter of a second
+        slower. The callback is called at most once and must not raise.
+        """
+        return DisconnectWatch(self._stream, callback)
+
     def _take_buffered_body(self) -> None:
         """Move what has arrived of the body from the parser into ``_pending``."""
         while not self._body_read.is_set():
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -334,6 +334,29 @@
             await done.wait()
         assert seen == ["/"]
 
+    @pytest.mark.parametrize("behind", [b"", GET], ids=["alone", "behind a request"])
+    async def test_a_disconnect_calls_back(
+        self, start_server: StartServer, clock: object, behind: bytes
+    ) -> None:
+        scopes = []
+        done = trio.Event()
+
+        async def wait(request: Request) -> None:
+            with trio.CancelScope() as scope, request.on_disconnect(scope.cancel):
+                scopes.append(scope)
+                await trio.sleep(10)
+            done.set()
+
+        port = await start_server(wait)
+        async with await trio.open_tcp_stream(HOST, port) as stream:
+            await stream.send_all(GET + behind)
+            await trio.sleep(1)
+            assert not scopes[0].cancel_called
+        started_s = trio.current_time()
+        await done.wait()
+        assert scopes[0].cancelled_caught
+        assert trio.current_time() - started_s < 0.5
+
 
 class TestStop:
     @pytest.mark.promise("whole-answer")
