--- a/libs/outcomes/tests/test_at_most_once.py
+++ b/libs/outcomes/tests/test_at_most_once.py
@@ -78,8 +78,10 @@
         if not self._open.is_set():
             return
         self._open = trio.Event()
-        await trio.sleep(duration_s)
-        self._open.set()
+        try:
+            await trio.sleep(duration_s)
+        finally:
+            self._open.set()
 
 
 @attrs.define
--- a/libs/outcomes/tests/test_records.py
+++ b/libs/outcomes/tests/test_records.py
@@ -287,3 +287,20 @@
         await trio.sleep(5.0)
         assert records.endings_waiting == 0
         await started(records)
+
+
+@pytest.mark.promise("at-most-once")
+async def test_end_of_an_uncertain_begin_leaves_another_attempt_alone(
+    autojump_clock: MockClock,
+) -> None:
+    store = Store()
+    async with store.router("r1") as first, store.router("r2") as second:
+        store.table.faults.slow_s = 0.5
+        with trio.move_on_after(0.2):
+            await begin(first)
+        store.table.faults.slow_s = 0.0
+        await started(second)
+        await trio.sleep(2.0)
+        assert first.endings_waiting == 0
+        with pytest.raises(AttemptRunning):
+            await begin(first)
