Prove seven promises under faults of real processes

A silent return to cold with requests running can't be seen before it does harm, so the stand-in's restart in place breaks what runs, as a restart does.

--- a/libs/replay/src/teaseldyke/replay/deployments.py
+++ b/libs/replay/src/teaseldyke/replay/deployments.py
@@ -58,7 +58,7 @@
     the largest one sends twice what the whole pool can do, all to the first router.
     """
     workload = Workload(
-        sheet, seed, routers, CLOSING_KINDS, PlainCalls("/payments", "/ledger")
+        sheet, seed, routers, CLOSING_KINDS, PlainCalls("/payments", "/balances")
     )
     entries: list[Entry] = []
     flooding, *others = workload.organisations
--- a/libs/replay/src/teaseldyke/replay/switching.py
+++ b/libs/replay/src/teaseldyke/replay/switching.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 
 import attrs
 import trio
@@ -16,6 +17,7 @@
 SWITCHES_PATH = "/v1/switches"
 ATTEMPTS = 20
 PAUSE_S = 0.5
+CHANGE_ID_BYTES = 8
 
 
 class SwitchRefused(TeaseldykeError):
@@ -52,10 +54,11 @@
             If none accepts it within the attempts.
         """
         last = "nothing was tried"
+        body = _body_of(order)
         for i in range(ATTEMPTS):
             address = self.administrations[i % len(self.administrations)]
             try:
-                last = await self._send(order, address)
+                last = await self._send(body, address)
             except TeaseldykeError as exc:
                 last = exc.detail
             if not last:
@@ -64,17 +67,27 @@
             await trio.sleep(PAUSE_S)
         raise SwitchRefused(f"{order}: {last}")
 
-    async def _send(self, order: SwitchOrder, address: Address) -> str:
+    async def _send(self, body: bytes, address: Address) -> str:
         """Return why the order was not accepted, empty if it was."""
-        value = {"kind": order.switch, "name": order.name, "out": order.out}
         response = await self._client.request(
             "POST",
             address.host,
             address.port,
             SWITCHES_PATH,
             headers=[("authorization", f"Bearer {self.token}")],
-            body=json.dumps(value).encode(),
+            body=body,
         )
         if 200 <= response.status < 300:
             return ""
         return f"{response.status} {response.body[:200]!r}"
+
+
+def _body_of(order: SwitchOrder) -> bytes:
+    """Return the body of every attempt; its id makes a repetition harmless."""
+    value = {
+        "change_id": f"replay-{secrets.token_hex(CHANGE_ID_BYTES)}",
+        "kind": order.switch,
+        "name": order.name,
+        "out": order.out,
+    }
+    return json.dumps(value).encode()
--- a/libs/standins/src/teaseldyke/standins/engine.py
+++ b/libs/standins/src/teaseldyke/standins/engine.py
@@ -123,11 +123,13 @@
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
             self._scopes[job.request_id] = scope
+            self.state.running.add(scope)
             nursery.start_soon(_cancel_when_gone, job.request, scope)
             try:
                 await self._run(job)
                 completed = True
             finally:
+                self.state.running.discard(scope)
                 if self._scopes.get(job.request_id) is scope:
                     del self._scopes[job.request_id]
             scope.cancel()
--- a/libs/standins/src/teaseldyke/standins/service.py
+++ b/libs/standins/src/teaseldyke/standins/service.py
@@ -69,7 +69,7 @@
         match request.method, split_path(request):
             case "POST", ["grants" | "payments"]:
                 return
-            case "GET", ["stations" | "ledger", _]:
+            case "GET", ["stations" | "balances", _]:
                 return
         raise unknown_path(request)
 
--- /dev/null
+++ b/tests/processes/test_faults.py
@@ -0,0 +1,176 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+import pytest
+import trio
+
+from tests.processes.fleet import ENGINE_SERVICE, Fleet, FleetPlan, FleetProcess
+from tests.processes.traffic import Observed, mixed_traffic, observe
+
+StartFleet = Callable[..., Awaitable[Fleet]]
+Event = Callable[[], Awaitable[None]]
+
+FAULT_AT_S = 1.5  # after the time in which fresh routers hold their parts back
+RATE_HZ = 40.0
+REQUEST_S = 0.3  # the longest that a request takes by itself
+FREEZE_S = 2.5
+OUTAGE_S = 1.0
+PLAN = FleetPlan(
+    engine={"tokens_per_s": 200},
+    router={"join_delay_s": 0.7, "list_poll_s": 0.3, "poll_interval_s": 0.3},
+)
+
+pytestmark = pytest.mark.processes
+
+
+async def _load_and(
+    fleet: Fleet, event: Event, *, after_s: float, routers: tuple[int, ...] = ()
+) -> Observed:
+    """Send requests, bring an event about and go on for some time."""
+    entries = mixed_traffic(
+        fleet, duration_s=FAULT_AT_S + after_s, rate_hz=RATE_HZ, routers=routers
+    )
+    return await observe(fleet, entries, [(FAULT_AT_S, event)])
+
+
+async def _sum(fleet: Fleet, servers: list[FleetProcess], field: str) -> int:
+    states = [await fleet.call(server, "GET", "/standin/state") for server in servers]
+    return sum(state[field] for state in states)
+
+
+async def _check_limits(fleet: Fleet) -> None:
+    for engine in fleet.engines:
+        state = await fleet.call(engine, "GET", "/standin/state")
+        assert state["running_max"] <= PLAN.engine_service.limit
+        assert state["cold_overrun"] == 0
+
+
+async def _dispatcher_and_others(fleet: Fleet) -> tuple[FleetProcess, tuple[int, ...]]:
+    dispatcher = await fleet.dispatcher(ENGINE_SERVICE)
+    others = [i for i, router in enumerate(fleet.routers) if router is not dispatcher]
+    return dispatcher, tuple(others)
+
+
+@pytest.mark.promise("no-idle-capacity")
+@pytest.mark.promise("at-most-once")
+@pytest.mark.parametrize(
+    ("fault", "silence_s"), [("kill", 1.0), ("freeze", 2.0)], ids=["kill", "freeze"]
+)
+async def test_loss_of_the_dispatcher(
+    start_fleet: StartFleet, fault: str, silence_s: float
+) -> None:
+    fleet = await start_fleet(PLAN)
+    dispatcher, others = await _dispatcher_and_others(fleet)
+
+    async def lose() -> None:
+        if fault == "kill":
+            dispatcher.kill()
+            return
+        dispatcher.freeze()
+        await trio.sleep(FREEZE_S)
+        dispatcher.thaw()
+
+    observed = await _load_and(fleet, lose, after_s=FREEZE_S + 1.5, routers=others)
+    assert not observed.failed
+    observed.assert_no_harm()
+    await _check_limits(fleet)
+    end_s = FAULT_AT_S + FREEZE_S + 1.0
+    measured_s = observed.longest_silence_s(ENGINE_SERVICE, FAULT_AT_S, end_s)
+    assert measured_s <= silence_s + REQUEST_S
+
+
+@pytest.mark.promise("true-refusal")
+async def test_store_outage_refuses_only_what_needs_the_record(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(PLAN)
+
+    async def outage() -> None:
+        await fleet.set_faults(down=True)
+        await trio.sleep(OUTAGE_S)
+        await fleet.set_faults()
+
+    observed = await _load_and(fleet, outage, after_s=OUTAGE_S + 2.0)
+    observed.assert_no_harm()
+    assert observed.failed
+    for result in observed.failed:
+        assert not result.arrival.idempotent
+        assert result.final.code == "record_unavailable"
+        assert result.final.retry_after_s is not None
+        assert result.total_s < 0.5
+        assert -0.5 < result.arrival.at_s - FAULT_AT_S < OUTAGE_S + 1.0
+        assert observed.count_executions(result.arrival.idempotency_key) == 0
+
+
+@pytest.mark.promise("at-most-once")
+async def test_lost_store_answers_double_nothing(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet(PLAN)
+    await fleet.set_faults(lose_answers=0.3, seed=5)
+    entries = mixed_traffic(fleet, duration_s=3.0, rate_hz=RATE_HZ)
+    observed = await observe(fleet, entries, retries=3)
+    observed.assert_no_harm()
+    assert not [result for result in observed.failed if result.arrival.idempotent]
+
+
+@pytest.mark.promise("failure-domain-out")
+async def test_failure_domain_out_with_the_store_down_right_after(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(PLAN)
+    taken_out = [fleet.engines[0], fleet.services[0]]
+    counts: list[int] = []
+
+    async def take_out() -> None:
+        await fleet.switch("failure-domain", PLAN.domain(0), out=True)
+        await fleet.set_faults(down=True)
+        await trio.sleep(2.0)
+        counts.append(await _sum(fleet, taken_out, "executions"))
+        await fleet.set_faults()
+
+    observed = await _load_and(fleet, take_out, after_s=3.5)
+    assert await _sum(fleet, taken_out, "executions") == counts[0] > 0
+    assert not [result for result in observed.failed if result.arrival.idempotent]
+    observed.assert_no_harm()
+
+
+@pytest.mark.promise("backend-server-leaving")
+@pytest.mark.promise("planned-stop")
+async def test_planned_stops_cut_nothing(start_fleet: StartFleet) -> None:
+    plan = attrs.evolve(PLAN, engine={**PLAN.engine, "leave_s": 2.0})
+    fleet = await start_fleet(plan)
+    dispatcher = await fleet.dispatcher(ENGINE_SERVICE)
+    engine = fleet.engines[0]
+
+    async def stop() -> None:
+        engine.terminate()
+        dispatcher.terminate()
+
+    observed = await _load_and(fleet, stop, after_s=4.0)
+    assert await engine.wait() == 0
+    assert await dispatcher.wait() == 0
+    assert not observed.failed
+    observed.assert_no_harm()
+
+
+@pytest.mark.promise("cold-backend-server")
+@pytest.mark.parametrize("way", ["in-place", "killed"])
+async def test_restarted_engine_gets_no_more_than_it_bears(
+    start_fleet: StartFleet, way: str
+) -> None:
+    plan = attrs.evolve(PLAN, engines=2, engine={"tokens_per_s": 60, "die": False})
+    fleet = await start_fleet(plan)
+
+    async def restart() -> None:
+        engine = fleet.engines[0]
+        if way == "in-place":
+            await fleet.call(engine, "POST", "/standin/cold", b'{"restart": true}')
+            return
+        engine.kill()
+        await fleet.restart(engine)
+
+    observed = await _load_and(fleet, restart, after_s=2.5)
+    assert await _sum(fleet, fleet.engines, "cold_overrun") == 0
+    assert not observed.failed
+    observed.assert_no_harm()
