Show the fleet under a flood, and keep a cold server at its cold limit

Cause: in the first demonstration an engine ended itself as overrun while cold. Two causes: the ramp grew with each completion although nothing says that a half-warmed server bears more, and the stand-in counted a request as running until its last byte had left, later than a real engine frees its place. Ruled out: two dispatchers at once (one acted throughout). Before: an engine died 2 s into the load. Lands with it the dispatch library as it stands: a router that was only silent or not yet listed is heard again.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,12 @@
 format: $(READY)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+demo: $(READY)
+	$(BIN)/python -m benchmarks.demo
+
+proofs: $(READY)
+	$(BIN)/python -m benchmarks.proofs
+
+benchmark: $(READY)
+	$(BIN)/python -m benchmarks.path
--- a/libs/capacity/src/teaseldyke/capacity/ramp.py
+++ b/libs/capacity/src/teaseldyke/capacity/ramp.py
@@ -9,6 +9,9 @@
 class Ramp:
     """Limit in force of one backend server since its last start.
 
+    The limit steps up once, when the server is warm: a cold server fails above what
+    it bears, and nothing says that it bears more before that.
+
     Parameters
     ----------
     limit_max : int
@@ -23,9 +26,12 @@
     >>> ramp = Ramp(limit_max=8, cold_limit=1, warm_after_requests=4)
     >>> ramp.limit
     1
-    >>> ramp.complete(2)
+    >>> ramp.complete(3)
+    >>> ramp.limit
+    1
+    >>> ramp.complete(1)
     >>> ramp.limit
-    4
+    8
     >>> ramp.fall()
     >>> ramp.limit, ramp.epoch
     (1, 1)
@@ -43,9 +49,7 @@
         """Return the concurrent requests that the server bears now."""
         if self.completed >= self.warm_after_requests:
             return self.limit_max
-        cold = min(self.cold_limit, self.limit_max)
-        grown = (self.limit_max - cold) * self.completed // self.warm_after_requests
-        return cold + grown
+        return min(self.cold_limit, self.limit_max)
 
     def complete(self, count: int) -> None:
         """Count completed requests."""
--- a/libs/dispatch/src/teaseldyke/dispatch/candidates.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/candidates.py
@@ -89,14 +89,6 @@
             if self._is_suspect(name):
                 self.links.send(name, Probe(is_answer=False))
 
-    def heard_count(self, within_s: float) -> int:
-        """Return how many other members were heard lately."""
-        since_s = self.clock() - within_s
-        count = 0
-        for name in self.membership.members:
-            count += self.links.heard_at_s(name) >= since_s
-        return count
-
     def _is_suspect(self, name: str) -> bool:
         suspected_at_s = self.suspected_at_s.get(name)
         if suspected_at_s is None:
--- a/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
@@ -110,7 +110,7 @@
             return
         is_first = report.incarnation != router.incarnation
         if is_first and router.incarnation:
-            self._end_router(router, now_s)
+            self._end_router(router, now_s, has_ended=True)
         router.take(report, now_s)
         self.term = max(self.term, report.term)
         knew_part = self._take_delegation(sender, report, now_s)
@@ -150,7 +150,8 @@
         now_s = self.clock()
         for router in self.routers.values():
             if router.incarnation and self._is_lost(router, now_s):
-                self._end_router(router, now_s)
+                gone = self.candidates.is_gone(router.name)
+                self._end_router(router, now_s, has_ended=gone)
         self.assign()
         if self.retiring:
             self._finish_retirement(now_s)
@@ -312,6 +313,7 @@
             echo_seq=router.seq,
             echo_sent_at_s=router.sent_at_s,
             term=self.term,
+            members=self._members_for(router.name, now_s),
             active=self.has_work(),
             released=released,
             draining=self.draining,
@@ -324,6 +326,19 @@
         router.batch_at_s = now_s
         self.send(router.name, batch)
 
+    def _members_for(self, router: str, now_s: float) -> int:
+        """Return how many members a router may believe in, or 0."""
+        members = self.candidates.membership.members
+        if router not in members:
+            return 0
+        if self.candidates.membership.is_confirmed():
+            return len(members)
+        heard = 0
+        for record in self.routers.values():
+            recent = now_s - record.received_at_s < self.options.lease_s
+            heard += recent and record.name in members
+        return len(members) if 2 * heard > len(members) else 0
+
     def _revoke_unused(self, server: str) -> None:
         now_s = self.clock()
         for grant in self.book.grants.values():
@@ -341,10 +356,12 @@
         silent_s = 2 * self.options.lease_s + self.options.load_lag_s
         return bool(router.grants) and now_s - router.received_at_s > silent_s
 
-    def _end_router(self, router: RouterRecord, now_s: float) -> None:
+    def _end_router(
+        self, router: RouterRecord, now_s: float, *, has_ended: bool
+    ) -> None:
         self._lost_at_s = now_s
         self.delegations.remove(router.name)
-        for grant in self.book.end_router(router, now_s):
+        for grant in self.book.end_router(router, now_s, has_ended=has_ended):
             slots = self.slots.get(grant.server)
             if slots is not None and slots.reports_load:
                 slots.foreign.add(1)
--- a/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
@@ -74,7 +74,6 @@
     _pumping: bool = attrs.field(default=False, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
     _polls: LoadPolls | None = attrs.field(default=None, init=False)
-    _started_at_s: float | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.candidates = Candidates(
@@ -272,13 +271,11 @@
 
     def _new_client(self, shard: Shard, configuration: Configuration) -> ShardClient:
         clock = self.membership.clock
-        if self._started_at_s is None:
-            self._started_at_s = clock()
-        held_until_s = self._started_at_s + self.options.join_delay_s
+        held_until_s = -math.inf
         for client in self.clients.values():
             if client.shard.service.name == shard.service.name:
                 # The servers of another split may still be promised elsewhere.
-                held_until_s = max(held_until_s, clock() + self.options.lease_s)
+                held_until_s = clock() + self.options.lease_s
         return ShardClient(
             shard=shard,
             queues=self.queues[shard.service.name],
@@ -288,8 +285,9 @@
             clock=clock,
             send=self._send,
             on_change=self._wake_flusher,
-            promise=Promise(self.options.lease_s, held_until_s),
+            promise=Promise(self.options.lease_s, math.inf),
             configuration=configuration,
+            held_until_s=held_until_s,
         )
 
     def _changed(self, service: str) -> None:
--- a/libs/dispatch/src/teaseldyke/dispatch/grants.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/grants.py
@@ -95,12 +95,14 @@
             if live.grant_id not in listed and live.seq <= seen_seq:
                 self._drop(router, live, now_s)
 
-    def end_router(self, router: RouterRecord, now_s: float) -> list[LiveGrant]:
-        """Drop all grants of a router's process that has ended and return them."""
+    def end_router(
+        self, router: RouterRecord, now_s: float, *, has_ended: bool
+    ) -> list[LiveGrant]:
+        """Drop all grants of a router that is lost and return them."""
         ended = list(router.grants.values())
         for live in ended:
             self._drop(router, live, now_s)
-        router.restart()
+        router.restart(has_ended=has_ended)
         return ended
 
     def _adopt(self, router: RouterRecord, holding: Holding, now_s: float) -> LiveGrant:
--- a/libs/dispatch/src/teaseldyke/dispatch/messages.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/messages.py
@@ -165,6 +165,8 @@
         Last report of the router that the dispatcher took in.
     term : int
         Grows with each change of the dispatcher.
+    members : int
+        Members that the dispatcher sees; 0 when it is not sure of them.
     active : bool
         Whether the shard has work, so that routers renew their promises.
     released : bool
@@ -181,6 +183,7 @@
     echo_seq: int
     echo_sent_at_s: float
     term: int
+    members: int
     active: bool
     released: bool = False
     draining: bool = False
--- a/libs/dispatch/src/teaseldyke/dispatch/options.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/options.py
@@ -14,8 +14,8 @@
     lease_s : float
         Length of a router's promise to a dispatcher.
     join_delay_s : float
-        A router that has just started holds its part back for so long; at least
-        the lag of the instance list.
+        A router that has just joined holds its part back for so long; at least the
+        lag of the instance list, the time between two reads of it and the lease.
     flush_interval_s : float
         Shortest time between two reports of a shard.
     silence_s : float
@@ -29,7 +29,7 @@
     """
 
     lease_s: float = 1.0
-    join_delay_s: float = 2.0
+    join_delay_s: float = 3.0
     flush_interval_s: float = 0.02
     silence_s: float = 0.5
     load_interval_s: float = 0.5
--- a/libs/dispatch/src/teaseldyke/dispatch/records.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/records.py
@@ -85,9 +85,13 @@
         self.received_at_s = now_s
         self.joined = report.joined
 
-    def restart(self) -> list[LiveGrant]:
-        """Forget the incarnation that ended; return the grants that it held."""
-        if self.incarnation:
+    def restart(self, *, has_ended: bool) -> list[LiveGrant]:
+        """Forget the incarnation; return the grants that it held.
+
+        Only one that has surely ended is never heard again; one that was merely
+        silent, or not yet a member, may come back.
+        """
+        if self.incarnation and has_ended:
             self.ended.add(self.incarnation)
         grants = list(self.grants.values())
         self.incarnation = 0
--- a/libs/dispatch/src/teaseldyke/dispatch/shard_client.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/shard_client.py
@@ -46,6 +46,10 @@
         Called when there is something new to report.
     promise : Promise
         This router's promise of its part.
+    configuration : Configuration
+        Configuration in force.
+    held_until_s : float
+        Before then the part may still be promised for another split of the service.
     """
 
     shard: Shard
@@ -58,6 +62,7 @@
     on_change: Callable[[], None]
     promise: Promise
     configuration: Configuration
+    held_until_s: float = -math.inf
     permits: dict[int, Permit] = attrs.field(factory=dict)
     counts: dict[str, Counts] = attrs.field(factory=dict)
     ramps: dict[str, RampState] = attrs.field(factory=dict)
@@ -74,6 +79,9 @@
     _received_at_s: float = -math.inf
     _unanswered_at_s: float | None = None
     _stepped_at_s: float = -math.inf
+    _resumed_at_s: float = -math.inf
+    _told_members: int = 0
+    _told_at_s: float = -math.inf
     _moving: bool = False
     _is_urgent: bool = False
     _ended: set[tuple[str, int]] = attrs.field(factory=set)
@@ -107,9 +115,7 @@
     def step(self) -> None:
         """Decide whom to report to."""
         now_s = self.clock()
-        if now_s - self._stepped_at_s > self.options.silence_s / 2:
-            self._unanswered_at_s = None  # this process may have been paused
-        self._stepped_at_s = now_s
+        self._note_pause(now_s)
         silent_since_s = self._unanswered_at_s
         current = self.promise.dispatcher
         silent = False
@@ -164,6 +170,9 @@
         self._received_at_s = now_s
         self._unanswered_at_s = None
         self.term = max(self.term, batch.term)
+        if batch.members:
+            self._told_members = batch.members
+            self._told_at_s = now_s
         if is_new or not self._moving:
             self.promise.renew(batch.incarnation, now_s)
             self._echo_seq = batch.seq
@@ -242,6 +251,26 @@
         self.counts.setdefault(server, Counts()).cold += 1
         self.mark_changed()
 
+    def _note_pause(self, now_s: float) -> None:
+        paused_s = now_s - self._stepped_at_s
+        self._stepped_at_s = now_s
+        if paused_s > self.options.silence_s / 2:
+            self._unanswered_at_s = None
+        if math.isfinite(paused_s) and paused_s > self.options.lease_s:
+            self._resumed_at_s = now_s  # the list may have grown meanwhile
+        counts_from_s = max(self.membership.joined_at_s, self._resumed_at_s)
+        held_until_s = counts_from_s + self.options.join_delay_s
+        self.promise.held_until_s = max(self.held_until_s, held_until_s)
+
+    def _members_for_part(self, now_s: float) -> int:
+        """Return of how many members this router is sure to be one, or 0."""
+        told = 0
+        if now_s - self._told_at_s < self.membership.fresh_s:
+            told = self._told_members
+        if not told and not self.membership.is_confirmed():
+            return 0
+        return max(told, len(self.membership.members))
+
     def _point_to(self, dispatcher: str) -> None:
         self.promise.point_to(dispatcher)
         self._moving = False
@@ -294,8 +323,6 @@
         starting = promise.is_starting(now_s)
         key = (promise.dispatcher or "", promise.incarnation)
         gone = all(self._is_ended(name, number) for name, number in binding)
-        heard = self.candidates.heard_count(self.membership.drop_delay_s)
-        confirmed = self.membership.is_confirmed(heard)
         return Report(
             shard=self.shard.name,
             incarnation=self.membership.incarnation,
@@ -305,7 +332,7 @@
             echo_seq=self._echo_seq,
             echo_sent_at_s=self._echo_sent_at_s,
             seen_seq=self._seen_seqs.get(key, 0),
-            members=len(self.membership.members) if confirmed else 0,
+            members=self._members_for_part(now_s),
             held_for_s=promise.hold_s(now_s),
             predecessors_gone=gone and not starting,
             joined=not starting,
--- a/libs/standins/src/teaseldyke/standins/engine.py
+++ b/libs/standins/src/teaseldyke/standins/engine.py
@@ -12,6 +12,7 @@
 from .executions import Execution
 from .faults import AnswerFaults
 from .generation import Generation
+from .load import ServerLoad
 from .orders import BadOrder, UnknownPath, split_path, unknown_path
 from .settings import EngineSettings
 
@@ -19,6 +20,23 @@
 PREFILL_TOKENS = 1000  # prompt tokens that take ``prefill_s``
 
 
+@attrs.define(eq=False)
+class _Slot:
+    """A request's place in the batch; it is free before the answer's last bytes go."""
+
+    load: ServerLoad
+    batch: Batch
+    held: bool = True
+
+    def release(self, *, completed: bool) -> None:
+        """Free the place; later calls do nothing."""
+        if not self.held:
+            return
+        self.held = False
+        self.batch.running -= 1
+        self.load.finish(completed=completed)
+
+
 @attrs.frozen
 class _Job:
     """One request that runs in the engine."""
@@ -30,6 +48,7 @@
     generation: Generation
     first: int
     cached_tokens: int
+    slot: _Slot
 
 
 @attrs.define
@@ -79,13 +98,11 @@
         faults = self.state.take_faults()
         self.state.load.start()
         job = self._enter(request, generation, first, faults)
-        self.batch.running += 1
         completed = False
         try:
             completed = await self._run_until_gone(job)
         finally:
-            self.batch.running -= 1
-            self.state.load.finish(completed=completed)
+            job.slot.release(completed=completed)
             job.execution.cancelled |= not completed
 
     def _enter(
@@ -95,7 +112,8 @@
         first: int | None,
         faults: AnswerFaults,
     ) -> _Job:
-        """Count the request and use the prefix cache."""
+        """Count the request, use the prefix cache and take a place in the batch."""
+        self.batch.running += 1
         execution = self.state.executions.of(request)
         if first is None:
             execution.count += 1
@@ -112,6 +130,7 @@
             generation,
             first or 0,
             cached_tokens,
+            _Slot(self.state.load, self.batch),
         )
 
     async def _run_until_gone(self, job: _Job) -> bool:
@@ -144,6 +163,7 @@
             return
         async for _ in self.batch.tokens(job.first, job.generation.output_tokens):
             continue
+        job.slot.release(completed=True)
         body = job.generation.whole_answer(job.request_id, job.cached_tokens)
         await self.state.respond(job.request, job.execution, job.faults, body)
 
@@ -170,6 +190,7 @@
             if faults.truncate and indices.stop >= truncated_at:
                 await request.abort()
                 return
+        job.slot.release(completed=True)
         await request.send(b" " * faults.oversize_bytes)
         skipped = max(0, job.first - generation.output_tokens)
         await request.send(
