--- a/libs/configuration/src/teaseldyke/configuration/__init__.py
+++ b/libs/configuration/src/teaseldyke/configuration/__init__.py
@@ -14,6 +14,7 @@
     SetSwitch,
 )
 from .columns import PAGES, Column, Page
+from .counters import ReaderCounters
 from .difference import DifferenceLine, SheetDifference, diff
 from .errors import (
     BaseUnknown,
@@ -28,7 +29,7 @@
 from .files import SheetFile, read_sheet, read_sheet_file, write_sheet
 from .messages import MESSAGE_TYPES
 from .offloading import run_off_loop
-from .reader import ConfigurationReader, ReaderCounters
+from .reader import ConfigurationReader
 from .readiness import PeerVersion
 from .records import SWITCH_KINDS, ChangeRecord, Head, SwitchKind
 from .sheet import Sheet, combine, sheet_of
--- a/libs/configuration/tests/test_reader.py
+++ b/libs/configuration/tests/test_reader.py
@@ -90,6 +90,15 @@
         assert fleet.versions() == {version}
         assert fleet.table.counts.reads - reads < 20
 
+    async def test_the_death_of_the_router_that_accepted_it_holds_up_nothing(
+        self, fleet: Fleet, autojump_clock: MockClock
+    ) -> None:
+        version = await fleet.accept(OUT, "c")
+        fleet.table.faults.down = True
+        fleet.stop("c")
+        await trio.sleep(0.1)
+        assert fleet.versions(set(fleet.names) - {"c"}) == {version}
+
     async def test_a_router_that_was_cut_off_catches_up(
         self, fleet: Fleet, autojump_clock: MockClock
     ) -> None:
