Tell a fenced-off order from an answer of the service

A backend server that checks fencing numbers refuses before it executes anything; kept as the request's answer, its refusal would close the key for an operation that never ran. raise_if_fenced_off and the decision 'elsewhere' are there for the router's forwarder; it does not call them yet.

--- a/libs/outcomes/src/teaseldyke/outcomes/__init__.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/__init__.py
@@ -8,10 +8,12 @@
 from .errors import (
     AttemptLapsed,
     AttemptRunning,
+    FencedOff,
     KeyReused,
     OutcomeUnknown,
     RecordUnavailable,
 )
+from .fencing import is_refusal_candidate, raise_if_fenced_off
 from .fingerprint import fingerprint_of
 from .limits import RecordLimits
 from .record import StoredOutcome
@@ -27,6 +29,7 @@
     "Circuit",
     "CircuitState",
     "Decision",
+    "FencedOff",
     "Finished",
     "KeyReused",
     "OutcomeRecords",
@@ -37,5 +40,7 @@
     "Started",
     "StoredOutcome",
     "fingerprint_of",
+    "is_refusal_candidate",
+    "raise_if_fenced_off",
     "retry_decision",
 ]
--- a/libs/outcomes/src/teaseldyke/outcomes/decision.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/decision.py
@@ -10,6 +10,8 @@
 from teaseldyke.http import AnswerTooLarge, ConnectFailed, ExchangeBroken
 from teaseldyke.types import TeaseldykeError
 
+from .errors import FencedOff
+
 
 class Decision(enum.Enum):
     """Next step after a failed attempt.
@@ -34,7 +36,7 @@
     idempotent : bool
         Whether the request may run more than once.
     sent_before : bool
-        Whether an earlier attempt of the same request may have left bytes.
+        Whether an attempt of the same request may have been executed.
     answer_started : bool
         Whether the caller already has a part of the answer.
     resumable : bool
@@ -88,6 +90,14 @@
     return _end(state)
 
 
+@retry_decision.register
+def _(failure: FencedOff, state: AttemptState) -> Decision:
+    # Sent, but refused before anything ran: a newer permit may pass.
+    if state.may_retry and (state.idempotent or not state.sent_before):
+        return Decision.ELSEWHERE
+    return _end(state)
+
+
 @retry_decision.register
 def _(failure: ExchangeBroken, state: AttemptState) -> Decision:
     if not state.idempotent:
--- a/libs/outcomes/src/teaseldyke/outcomes/errors.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/errors.py
@@ -64,3 +64,11 @@
     code = "attempt_lapsed"
     status = 503
     executed = "no"
+
+
+class FencedOff(TeaseldykeError):
+    """A backend server refused an order with an old fencing number."""
+
+    code = "fenced_off"
+    status = 503
+    executed = "no"
--- a/libs/outcomes/tests/test_decision.py
+++ b/libs/outcomes/tests/test_decision.py
@@ -3,12 +3,19 @@
 import pytest
 
 from teaseldyke.http import AnswerTooLarge, ConnectFailed, CrossedAnswer, ExchangeBroken
-from teaseldyke.outcomes import AttemptLapsed, AttemptState, Decision, retry_decision
+from teaseldyke.outcomes import (
+    AttemptLapsed,
+    AttemptState,
+    Decision,
+    FencedOff,
+    retry_decision,
+)
 
 CONNECT = ConnectFailed("refused")
 BROKEN = ExchangeBroken("reset")
 CROSSED = CrossedAnswer("id of another request")
 LARGE = AnswerTooLarge("17 MiB")
+FENCED = FencedOff("old number")
 LAPSED = AttemptLapsed("lease over")
 
 
@@ -45,6 +52,9 @@
         (LARGE, AttemptState(True), Decision.ANSWER_UNKNOWN),
         (LAPSED, AttemptState(False), Decision.ANSWER_NO),
         (LAPSED, AttemptState(False, sent_before=True), Decision.ANSWER_UNKNOWN),
+        (FENCED, AttemptState(False), Decision.ELSEWHERE),
+        (FENCED, AttemptState(False, may_retry=False), Decision.ANSWER_NO),
+        (FENCED, AttemptState(False, sent_before=True), Decision.ANSWER_UNKNOWN),
         (ValueError("bug"), AttemptState(False), Decision.ANSWER_UNKNOWN),
     ],
 )
