--- a/libs/outcomes/src/teaseldyke/outcomes/batcher.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/batcher.py
@@ -23,6 +23,7 @@
 
 SETTLE_ROUNDS = 4  # transactions that one batch may take
 BURST_S = 0.25  # of the mean rate of transactions
+BURST_MIN = 2.0  # transactions
 
 
 @attrs.define(eq=False)
@@ -78,8 +79,14 @@
 
     def __attrs_post_init__(self) -> None:
         self._slots = trio.Semaphore(self.limits.transactions_at_once)
-        rate_per_s = self.limits.transactions_per_s
-        self._bucket = TokenBucket(rate_per_s, max(2.0, rate_per_s * BURST_S))
+        self._bucket = TokenBucket(1.0, BURST_MIN)
+        self.share(self.limits.routers)
+
+    def share(self, routers: int) -> None:
+        """Take an equal part of the rate that all routers have together."""
+        rate_per_s = self.limits.transactions_per_s / max(1, routers)
+        burst = max(BURST_MIN, rate_per_s * BURST_S)
+        self._bucket.resize(rate_per_s, burst)
 
     @property
     def waiting(self) -> int:
--- a/libs/outcomes/src/teaseldyke/outcomes/limits.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/limits.py
@@ -31,7 +31,9 @@
     transactions_at_once : int
         Transactions under way at a time.
     transactions_per_s : float
-        Mean rate of transactions of this router.
+        Mean rate of transactions of all routers together.
+    routers : int
+        Routers that share the rate until `OutcomeRecords.share_store` says more.
     closings : int
         Ends of attempts that wait for the store; more are left to the lease.
     closing_bytes : int
@@ -53,7 +55,8 @@
     batch_bytes: int = attrs.field(default=256 * 1024, validator=gt(0))
     waiting_writes: int = attrs.field(default=1024, validator=gt(0))
     transactions_at_once: int = attrs.field(default=4, validator=gt(0))
-    transactions_per_s: float = attrs.field(default=60.0, validator=gt(0))
+    transactions_per_s: float = attrs.field(default=400.0, validator=gt(0))
+    routers: int = attrs.field(default=7, validator=gt(0))
     closings: int = attrs.field(default=2048, validator=gt(0))
     closing_bytes: int = attrs.field(default=16 * 1024 * 1024, validator=gt(0))
     row_body_bytes: int = attrs.field(default=4096, validator=gt(0))
--- a/libs/outcomes/src/teaseldyke/outcomes/records.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/records.py
@@ -120,6 +120,10 @@
             timers.every(SWEEP_INTERVAL_S, self._sweep.page, first_after_s=first_s)
             task_status.started()
 
+    def share_store(self, routers: int) -> None:
+        """Share the fleet's rate of transactions with this many live routers."""
+        self._batcher.share(routers)
+
     async def drained(self) -> None:
         """Wait until the end of every ended attempt stands in the store."""
         await self._endings.drained()
--- a/libs/outcomes/src/teaseldyke/outcomes/token_bucket.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/token_bucket.py
@@ -47,6 +47,13 @@
         self._refill()
         self._tokens = min(self.burst, self._tokens + tokens)
 
+    def resize(self, rate_per_s: float, burst: float) -> None:
+        """Change rate and burst; tokens above the new burst are lost."""
+        self._refill()
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def wait_s(self) -> float:
         """Return the seconds until one token is there."""
         self._refill()
--- a/libs/outcomes/tests/test_batcher.py
+++ b/libs/outcomes/tests/test_batcher.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import partial
 
 import attrs
 import pytest
@@ -156,16 +157,17 @@
     assert refused == 12
 
 
-async def test_transactions_keep_to_their_rate(
-    autojump_clock: MockClock, nursery: trio.Nursery
+@pytest.mark.parametrize("routers", [4, 40])
+async def test_routers_share_the_rate_of_transactions(
+    routers: int, autojump_clock: MockClock, nursery: trio.Nursery
 ) -> None:
-    limits = RecordLimits(transactions_per_s=10.0, finish_gather_s=0.001)
+    limits = RecordLimits(transactions_per_s=40.0, finish_gather_s=0.001)
     batcher = batcher_for(MemoryTableService(), limits)
+    batcher.share(routers)
     await nursery.start(batcher.run)
     async with trio.open_nursery() as writers:
         for i in range(500):
-            writers.start_soon(
-                lambda i=i: batcher.write(write(str(i), "a"), urgent=False)
-            )
+            one = partial(batcher.write, write(str(i), "a"), urgent=False)
+            writers.start_soon(one)
             await trio.sleep(0.01)
-    assert batcher.transactions <= 10.0 * trio.current_time() + 3
+    assert batcher.transactions <= 40.0 / routers * trio.current_time() + 3
--- a/libs/outcomes/tests/test_token_bucket.py
+++ b/libs/outcomes/tests/test_token_bucket.py
@@ -12,3 +12,13 @@
     assert not bucket.try_take()
     await trio.sleep(bucket.wait_s())
     assert bucket.try_take()
+
+
+async def test_a_new_size_gives_no_tokens(autojump_clock: MockClock) -> None:
+    bucket = TokenBucket(rate_per_s=1.0, burst=4.0)
+    for _ in range(4):
+        assert bucket.try_take()
+    bucket.resize(2.0, 8.0)
+    assert not bucket.try_take()
+    await trio.sleep(0.5)
+    assert bucket.try_take()
