--- a/libs/router/src/teaseldyke/router/callers.py
+++ b/libs/router/src/teaseldyke/router/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 import trio
@@ -97,10 +98,10 @@
             service=call.service.name,
         ) as span:
             call.span = span
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_watch, call, request, sink, nursery.cancel_scope)
-                await self._forward(call, sink)
-                nursery.cancel_scope.cancel()
+            with trio.CancelScope() as scope:
+                gone = partial(_give_up, call, sink, scope)
+                with request.on_disconnect(gone):
+                    await self._forward(call, sink)
         if sink.caller_gone:
             raise CallerGone("caller closed its connection before its answer")
 
@@ -111,11 +112,8 @@
         await self.recorded.forward(call, sink)
 
 
-async def _watch(
-    call: Call, request: Request, sink: Sink, scope: trio.CancelScope
-) -> None:
-    """Cancel a call whose caller goes away, unless it may not be cut any more."""
-    await request.wait_disconnect()
+def _give_up(call: Call, sink: Sink, scope: trio.CancelScope) -> None:
+    """Cancel a call whose caller went away, unless it may not be cut any more."""
     sink.caller_gone = True
     if call.idempotent or call.sends == 0:
         scope.cancel()
