--- a/benchmarks/configuration_races.py
+++ b/benchmarks/configuration_races.py
@@ -11,7 +11,7 @@
 from functools import partial
 from itertools import pairwise
 from random import Random
-from typing import Literal
+from typing import Any, Literal
 
 import attrs
 import trio
@@ -235,7 +235,7 @@
                 case "outage":
                     table.down = True
                 case "cut":
-                    for other in set(ROUTERS) - {router}:
+                    for other in ROUTERS:
                         network.cut(router, other)
                 case "restart":
                     self.scopes[router].cancel()
@@ -287,11 +287,19 @@
     """Run one race for each seed on a virtual clock and add up the harms."""
     total = RaceResult()
     for seed in seeds:
+        _repeat_scheduling(seed)
         clock = trio.testing.MockClock(autojump_threshold=0)
         total.add(trio.run(Race(design, seed).run, clock=clock))
     return total
 
 
+def _repeat_scheduling(seed: int) -> None:
+    """Let trio run tasks in an order that the seed decides, as pytest-trio does."""
+    scheduler: Any = trio._core._run
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._r.seed(seed)
+
+
 def _fresh_store(
     design: Design, table: UnreliableTable, objects: MemoryObjectStore
 ) -> Store:
@@ -310,7 +318,7 @@
     if isinstance(store, NaiveStore):
         return NaiveReader(store, observe, POLL_INTERVAL_S).run
     links = network.join(router)
-    others = set(ROUTERS) - {router}
+    others = [other for other in ROUTERS if other != router]
     reader = ConfigurationReader(
         store, links, lambda: others, poll_interval_s=POLL_INTERVAL_S, seed=seed
     )
--- a/libs/settings/src/teaseldyke/settings/conversion.py
+++ b/libs/settings/src/teaseldyke/settings/conversion.py
@@ -122,14 +122,18 @@
 
 def _describe_bounds(spec: FieldSpec) -> str:
     if spec.low is not None and spec.high is not None:
-        return f" from {spec.low:g} to {spec.high:g}"
+        return f" from {_number(spec.low)} to {_number(spec.high)}"
     if spec.low is not None:
-        return f" from {spec.low:g}"
+        return f" from {_number(spec.low)}"
     if spec.high is not None:
-        return f" up to {spec.high:g}"
+        return f" up to {_number(spec.high)}"
     return ""
 
 
+def _number(bound: float) -> str:
+    return str(int(bound)) if bound == int(bound) else repr(bound)
+
+
 def _join(path: str, name: str) -> str:
     return f"{path}.{name}" if path else name
 
--- a/libs/settings/tests/test_loading.py
+++ b/libs/settings/tests/test_loading.py
@@ -47,6 +47,7 @@
         ("lease_s: true", "lease_s: found True"),
         ("lease_s: 61", "lease_s: found 61"),
         ("limits: {connections: 0}", "limits.connections: found 0; allowed: an int"),
+        ("limits: {header_bytes: 1}", "allowed: an integer from 1024 to 1048576"),
         ("limits: {connections: 1.5}", "limits.connections: found 1.5"),
         ("limits: 7", "limits: found 7; allowed: a mapping"),
         ("callers: localhost:80", "callers: found 'localhost:80'; allowed: IP"),
