--- a/libs/replay/src/teaseldyke/replay/deployments.py
+++ b/libs/replay/src/teaseldyke/replay/deployments.py
@@ -29,19 +29,23 @@
 ) -> list[Entry]:
     """Return Forth Valley's storm night.
 
-    The pool is a little underloaded, then overloaded by a third in the middle of the
-    night; a failure domain is out from four to seven tenths of the time.
+    All organisations load half of the pool the whole night. From three to six tenths
+    of the time three large ones add reanalyses of eight tenths of the pool. A failure
+    domain is out from four to seven tenths of the time.
     """
     workload = Workload(
         sheet, seed, routers, STORM_KINDS, PlainCalls("/grants", "/stations")
     )
     entries: list[Entry] = []
-    for load, from_part, to_part in ((0.6, 0, 0.3), (1.3, 0.3, 0.6), (0.5, 0.6, 1)):
-        rate_hz = workload.engine_rate_hz(load, TOKENS_PER_S)
-        times = workload.times(rate_hz, from_part * duration_s, to_part * duration_s)
-        for at_s in times:
-            organisation = workload.draw_organisation(workload.organisations)
-            entries.append(workload.engine_arrival(at_s, organisation))
+    base_hz = workload.engine_rate_hz(0.5, TOKENS_PER_S)
+    for at_s in workload.times(base_hz, 0, duration_s):
+        organisation = workload.draw_organisation(workload.organisations)
+        entries.append(workload.engine_arrival(at_s, organisation))
+    storm_hz = workload.engine_rate_hz(0.8, TOKENS_PER_S)
+    analysts = workload.organisations[1:6:2]
+    for at_s in workload.times(storm_hz, 0.3 * duration_s, 0.6 * duration_s):
+        organisation = workload.draw_organisation(analysts)
+        entries.append(workload.engine_arrival(at_s, organisation))
     entries.extend(_plain_calls(workload, duration_s))
     domain = sheet.failure_domains[0]
     entries.append(SwitchOrder(0.4 * duration_s, "failure-domain", domain, True))
