Show shards and backend servers in the operator's status

Each is mended; new tests hold the first and the last. Run: pytest libs/operator libs/configuration, 162 passed; administration, 31.

--- a/libs/configuration/src/teaseldyke/configuration/assembly.py
+++ b/libs/configuration/src/teaseldyke/configuration/assembly.py
@@ -95,17 +95,13 @@
 
 
 def _check_references(pages: Pages, faults: list[SheetFault]) -> None:
-    names = {
-        name: {row.values[page.page.columns[0].name] for row in page.rows}
-        for name, page in pages.items()
-    }
     for page in pages.values():
         for column in page.page.columns:
             if column.page is None:
                 continue
             allowed = f"a name from page {column.page}"
             for row in page.rows:
-                if row.values[column.name] in names[column.page]:
+                if row.values[column.name] in pages[column.page].names:
                     continue
                 faults.append(page.fault(row, column.name, allowed))
 
--- a/libs/configuration/src/teaseldyke/configuration/changes.py
+++ b/libs/configuration/src/teaseldyke/configuration/changes.py
@@ -160,6 +160,8 @@
 def _(change: SetSwitch, snapshot: Snapshot) -> Outcome:
     _check_switch_name(change, snapshot)
     verb = "out" if change.out else "in"
+    if change.kind == "organisation":
+        verb = "disabled" if change.out else "enabled"
     return Outcome("switch", f"{change.kind} {change.name} {verb}", switch=change)
 
 
--- a/libs/configuration/src/teaseldyke/configuration/rows.py
+++ b/libs/configuration/src/teaseldyke/configuration/rows.py
@@ -49,11 +49,24 @@
 
 @attrs.frozen
 class ParsedPage:
-    """Rows of a page that are allowed each on its own."""
+    """Rows of a page that are allowed each on its own.
+
+    Parameters
+    ----------
+    page : Page
+        Which page.
+    file : str
+        How faults name it.
+    rows : tuple of ParsedRow
+        Rows without a fault.
+    names : frozenset of str
+        First cells of all rows, so that a faulty row is not also reported as missing.
+    """
 
     page: Page
     file: str
     rows: tuple[ParsedRow, ...] = ()
+    names: frozenset[str] = frozenset()
 
     def fault(self, row: ParsedRow, column: str, allowed: str) -> SheetFault:
         """Return a fault of one cell of this page."""
@@ -67,14 +80,18 @@
     if not _check_headers(raw, headers, faults):
         return ParsedPage(raw.page, raw.file)
     parsed = []
+    names = set()
+    first_column = headers.index(raw.page.columns[0].name)
     for number, cells in enumerate(raw.rows[1:], start=2):
         texts = [cell_text(cell) for cell in cells]
         if not any(texts):
             continue
+        if first_column < len(texts):
+            names.add(texts[first_column])
         values = _parse_row(raw, headers, number, texts, faults)
         if values is not None:
             parsed.append(ParsedRow(number, values))
-    page = ParsedPage(raw.page, raw.file, tuple(parsed))
+    page = ParsedPage(raw.page, raw.file, tuple(parsed), frozenset(names))
     _check_duplicates(page, faults)
     return page
 
--- a/libs/configuration/tests/test_files.py
+++ b/libs/configuration/tests/test_files.py
@@ -82,6 +82,15 @@
         read_sheet(tmp_path)
 
 
+def test_a_faulty_row_is_not_also_reported_as_missing(tmp_path: Path) -> None:
+    write_sheet(SHEET, tmp_path)
+    path = tmp_path / "organisations.csv"
+    path.write_text(path.read_text().replace("1.5", "many"))
+    with pytest.raises(SheetInvalid) as caught:
+        read_sheet(tmp_path)
+    assert [fault.value for fault in caught.value.faults] == ["many"]
+
+
 def test_faults_of_all_pages_are_listed_together(tmp_path: Path) -> None:
     write_sheet(SHEET, tmp_path)
     (tmp_path / "reach.csv").write_text("organisation,service\nx,y\n")
--- a/libs/operator/src/teaseldyke/operator/client.py
+++ b/libs/operator/src/teaseldyke/operator/client.py
@@ -74,6 +74,10 @@
     repeated: bool
 
 
+class _NotConnected(RouterUnavailable):
+    """One router did not take a connection; nothing was sent to it."""
+
+
 @attrs.define
 class RouterClient:
     """Asks the first router that answers.
@@ -138,27 +142,53 @@
             f"with --change-id={body['change_id']}"
         )
 
-    async def _ask(self, method: str, path: str, body: bytes) -> Response:
+    async def statuses(self) -> list[dict[str, Any]]:
+        """Return the status of every router that answers."""
+        found = []
         failures = []
         for router in self.routers:
             try:
-                answer = await self._http.request(
-                    method,
-                    router.host,
-                    router.port,
-                    path,
-                    headers=[("authorization", f"Bearer {self.token}")],
-                    body=body,
-                    limit_bytes=ANSWER_LIMIT_BYTES,
-                )
-            except ConnectFailed as exc:
-                failures.append(f"{router}: {exc.detail}")
+                answer = await self._ask_one(router, "GET", "/v1/status", b"")
+            except (RouterUnavailable, OutcomeUnknown) as exc:
+                failures.append(exc.detail)
                 continue
-            except (ExchangeBroken, AnswerTooLarge) as exc:
-                raise OutcomeUnknown(f"{router}: {exc.detail}") from exc
-            _raise_for(answer)
-            return answer
-        raise RouterUnavailable("no router answers\n  " + "\n  ".join(failures))
+            found.append(_decode(answer, dict[str, Any]))
+        if not found:
+            raise _no_router(failures)
+        return found
+
+    async def _ask(self, method: str, path: str, body: bytes) -> Response:
+        failures = []
+        for router in self.routers:
+            try:
+                return await self._ask_one(router, method, path, body)
+            except _NotConnected as exc:
+                failures.append(exc.detail)
+        raise _no_router(failures)
+
+    async def _ask_one(
+        self, router: Address, method: str, path: str, body: bytes
+    ) -> Response:
+        try:
+            answer = await self._http.request(
+                method,
+                router.host,
+                router.port,
+                path,
+                headers=[("authorization", f"Bearer {self.token}")],
+                body=body,
+                limit_bytes=ANSWER_LIMIT_BYTES,
+            )
+        except ConnectFailed as exc:
+            raise _NotConnected(f"{router}: {exc.detail}") from exc
+        except (ExchangeBroken, AnswerTooLarge) as exc:
+            raise OutcomeUnknown(f"{router}: {exc.detail}") from exc
+        _raise_for(answer)
+        return answer
+
+
+def _no_router(failures: Sequence[str]) -> RouterUnavailable:
+    return RouterUnavailable("no router answers\n  " + "\n  ".join(failures))
 
 
 def _raise_for(answer: Response) -> None:
@@ -178,6 +208,8 @@
     error = _ERRORS.get(answer.status, RequestRefused)
     if code == "name_taken":
         error = RequestRefused
+    if code == "platform_unavailable":
+        detail = f"the store is down; nothing was changed, try again soon ({detail})"
     raise error(detail)
 
 
--- a/libs/operator/src/teaseldyke/operator/fleet_commands.py
+++ b/libs/operator/src/teaseldyke/operator/fleet_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -15,23 +16,19 @@
 
 
 def show_status(session: Session) -> None:
-    """Print the versions in force and what the asked router shows of itself."""
-    status = session.run(lambda client: client.get("/v1/status", dict[str, Any]))
+    """Print the versions in force, what is out, and the state of the routers asked."""
+    statuses = session.run(lambda client: client.statuses())
     versions = session.run(lambda client: client.versions())
     if session.output.form == "json":
-        rows = [attrs.asdict(version) for version in versions]
-        session.output.rows([{**status, "fleet": rows}])
+        fleet = [attrs.asdict(version) for version in versions]
+        session.output.rows([{"fleet": fleet, "routers": statuses}])
         return
     session.output.rows([attrs.asdict(version) for version in versions])
-    summary = {
-        name: status[name]
-        for name in ("router", "source", "store_reachable", "confirmed_age_s")
-    }
-    session.output.note("")
-    session.output.rows([{**summary, **_switched_out(status["switches"])}])
-    for name, part in status["parts"].items():
-        session.output.note(f"\n{name}")
-        session.output.rows(_part_rows(part))
+    newest = max(statuses, key=lambda status: int(status["version"]))
+    _print_section(session, "out", _switched_out(newest["switches"]))
+    _print_section(session, "routers", [_router_row(status) for status in statuses])
+    _print_section(session, "shards", _shard_rows(statuses))
+    _print_section(session, "backend servers", _server_rows(statuses))
 
 
 def wait_for_version(session: Session, version: int, timeout_s: float) -> None:
@@ -63,14 +60,53 @@
     return f"version {version} is not in force after {timeout_s:g} s on: {names}"
 
 
-def _switched_out(switches: dict[str, list[str]]) -> dict[str, list[str]]:
-    return {name: names for name, names in switches.items() if names}
+def _print_section(
+    session: Session, title: str, rows: Sequence[Mapping[str, object]]
+) -> None:
+    if not rows:
+        return
+    session.output.note(f"\n{title}")
+    session.output.rows(rows)
+
+
+def _switched_out(switches: Mapping[str, list[str]]) -> list[dict[str, object]]:
+    return [{"what": what, "names": names} for what, names in switches.items() if names]
+
+
+def _router_row(status: Mapping[str, Any]) -> dict[str, object]:
+    parts = status["parts"]
+    return {
+        "router": status["router"],
+        "source": status["source"],
+        "store_reachable": status["store_reachable"],
+        "confirmed_age_s": status["confirmed_age_s"],
+        "running": parts.get("running"),
+        "members": len(parts.get("members", [])) or None,
+    }
+
+
+def _acting_shards(statuses: Sequence[Mapping[str, Any]]) -> list[dict[str, Any]]:
+    """Return the shards as their dispatchers show them."""
+    found = []
+    for status in statuses:
+        for shard in status["parts"].get("dispatch", {}).get("shards", []):
+            if shard.get("is_acting"):
+                found.append(shard)
+    return sorted(found, key=lambda shard: str(shard["shard"]))
+
+
+def _shard_rows(statuses: Sequence[Mapping[str, Any]]) -> list[dict[str, object]]:
+    names = ("shard", "dispatcher", "gap")
+    return [
+        {name: shard.get(name) for name in names} for shard in _acting_shards(statuses)
+    ]
 
 
-def _part_rows(part: Any) -> list[dict[str, Any]]:
-    """Return a part of the status as rows, whatever its form."""
-    if isinstance(part, list) and all(isinstance(item, dict) for item in part):
-        return part
-    if isinstance(part, dict):
-        return [{"name": name, "value": value} for name, value in part.items()]
-    return [{"value": part}]
+def _server_rows(statuses: Sequence[Mapping[str, Any]]) -> list[dict[str, object]]:
+    rows = []
+    for shard in _acting_shards(statuses):
+        for server in shard.get("servers", []):
+            rows.append({"backend_server": server["server"], **server})
+    for row in rows:
+        del row["server"]
+    return rows
--- a/libs/operator/src/teaseldyke/operator/sheet_commands.py
+++ b/libs/operator/src/teaseldyke/operator/sheet_commands.py
@@ -138,10 +138,10 @@
         self, found: SheetFile, configuration: FleetConfiguration
     ) -> list[DifferenceLine]:
         lines = diff(configuration.sheet, found.sheet)
-        if lines:
-            self.session.output.rows([attrs.asdict(line) for line in lines])
-        else:
+        if not lines:
             self.session.output.note("no difference")
+            return lines
+        self.session.output.rows([attrs.asdict(line) for line in lines])
         changed_at = configuration.head.sheet_version
         if found.base_version is not None and found.base_version < changed_at:
             self.session.output.note(
--- a/libs/router/src/teaseldyke/router/administration.py
+++ b/libs/router/src/teaseldyke/router/administration.py
@@ -167,6 +167,8 @@
         """Say whether the router takes callers."""
         if self.is_stopping():
             raise ConfigurationNotReady("a planned stop has begun", retry_after_s=1.0)
+        if self.router in self.reader.snapshot.switches.instances_out:
+            raise ConfigurationNotReady("operators have taken this instance out")
         if not self.reader.ready:
             raise ConfigurationNotReady(
                 "no version that there is reason to believe current; the store "
--- a/libs/router/tests/test_administration.py
+++ b/libs/router/tests/test_administration.py
@@ -151,6 +151,14 @@
         assert found["sheet"]["organisations"]["parish"]["share"] == 1.0
         assert (await bench.ask("PUT", "/v1/sheet", APPLY)).json()["repeated"]
 
+    async def test_an_instance_taken_out_is_not_ready(self, bench: Bench) -> None:
+        await bench.ask("PUT", "/v1/sheet", APPLY)
+        switch = {**OUT, "kind": "instance", "name": "router-1"}
+        await bench.ask("POST", "/v1/switches", switch)
+        answer = await bench.ask("GET", "/readyz", token="")
+        assert answer.status == 503
+        assert "taken this instance out" in answer.json()["detail"]
+
     async def test_the_history_tells_who(self, bench: Bench) -> None:
         await bench.ask("PUT", "/v1/sheet", APPLY, "day")
         await bench.ask("POST", "/v1/switches", OUT, "owner")
