Prove outcomes with real processes under mixes of faults

Eleven mixes (kill, freeze beyond the lease, relay cuts, store outages, lost store answers, spoiled and late answers, alone and two together) on fleets of three routers behind a relay, with callers that repeat through another router; counted at the stand-ins.

--- /dev/null
+++ b/benchmarks/fault_mixes.py
@@ -0,0 +1,176 @@
+"""Mixes of faults, alone and two together, drawn with a seed."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import attrs
+import trio
+
+from benchmarks.outcome_fleet import PLATFORM_ROUTE, RELAY, RelayedFleet
+from tests.processes.fleet import FleetProcess
+
+FREEZE_S = 13.0  # beyond the lease of an attempt and the margin of a reader
+RELAY_MODES = ("cut", "hold", "half-to-caller", "half-to-target")
+SPOILED_ANSWERS: tuple[dict[str, object], ...] = (
+    {"crossed": True},
+    {"truncate": True},
+    {"lose": True},
+    {"extra_bytes": 7},
+    {"late_s": 1.5},
+)
+
+Fault = Callable[[RelayedFleet, Random], Awaitable[None]]
+
+
+async def kill_routers(fleet: RelayedFleet, draw: Random) -> None:
+    """Kill one router after another and start it again."""
+    while True:
+        await trio.sleep(draw.uniform(0.5, 1.5))
+        router = draw.choice(fleet.routers)
+        router.kill()
+        await trio.sleep(draw.uniform(0.1, 0.5))
+        with trio.CancelScope(shield=True):
+            await fleet.restart(router)
+
+
+async def freeze_routers(fleet: RelayedFleet, draw: Random) -> None:
+    """Freeze one router beyond every lease, and others for a moment."""
+    await trio.sleep(draw.uniform(0.5, 1.5))
+    long, *others = draw.sample(fleet.routers, len(fleet.routers))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_freeze, long, FREEZE_S)
+        while True:
+            await _freeze(others[0], draw.uniform(0.1, 1.0))
+            await trio.sleep(draw.uniform(0.5, 1.5))
+
+
+async def _freeze(router: FleetProcess, duration_s: float) -> None:
+    router.freeze()
+    try:
+        await trio.sleep(duration_s)
+    finally:
+        router.thaw()
+
+
+async def cut_backends(fleet: RelayedFleet, draw: Random) -> None:
+    """Cut, hold or halve the connections to one backend server at a time."""
+    while True:
+        await trio.sleep(draw.uniform(0.2, 0.8))
+        name = draw.choice(fleet.services).name
+        await _cut(fleet, name, draw, draw.uniform(0.05, 0.6))
+
+
+async def cut_platform(fleet: RelayedFleet, draw: Random) -> None:
+    """Cut, hold or halve the connections to the platform."""
+    while True:
+        await trio.sleep(draw.uniform(0.5, 1.5))
+        await _cut(fleet, PLATFORM_ROUTE, draw, draw.uniform(0.1, 1.5))
+
+
+async def _cut(
+    fleet: RelayedFleet, route: str, draw: Random, duration_s: float
+) -> None:
+    await order_route(fleet, route, draw.choice(RELAY_MODES))
+    try:
+        await trio.sleep(duration_s)
+    finally:
+        with trio.CancelScope(shield=True):
+            await order_route(fleet, route, "cut")
+            await order_route(fleet, route, "pass")
+
+
+async def order_route(fleet: RelayedFleet, route: str, mode: str) -> None:
+    """Give the relay an order."""
+    body = json.dumps({"mode": mode}).encode()
+    await fleet.call(fleet.processes[RELAY], "PUT", f"/routes/{route}", body)
+
+
+async def store_outages(fleet: RelayedFleet, draw: Random) -> None:
+    """Take the platform's services down, or make them slow, for seconds."""
+    while True:
+        await trio.sleep(draw.uniform(0.5, 2.0))
+        if draw.random() < 0.7:
+            await fleet.set_faults(down=True)
+        else:
+            await fleet.set_faults(slow_s=draw.uniform(0.2, 2.0))
+        await trio.sleep(draw.uniform(0.5, 2.0))
+        await fleet.set_faults()
+
+
+async def lost_store_answers(fleet: RelayedFleet, draw: Random) -> None:
+    """Lose answers of the platform after writes took effect."""
+    await fleet.set_faults(lose_answers=0.3, seed=draw.randrange(1_000_000))
+    await trio.sleep_forever()
+
+
+async def spoiled_answers(fleet: RelayedFleet, draw: Random) -> None:
+    """Cross, truncate, lose, lengthen or delay answers of backend servers."""
+    while True:
+        await trio.sleep(draw.uniform(0.02, 0.2))
+        faults = draw.choice(SPOILED_ANSWERS)
+        body = json.dumps({**faults, "requests": draw.randint(1, 3)}).encode()
+        server = draw.choice(fleet.services)
+        await fleet.call(server, "PUT", "/standin/faults", body)
+
+
+async def failing_pool(fleet: RelayedFleet, draw: Random) -> None:
+    """Have every backend server execute and then answer late, or not at all."""
+    while True:
+        for faults in ({"late_s": 0.8, "requests": 2}, {"lose": True, "requests": 4}):
+            body = json.dumps(faults).encode()
+            for server in fleet.services:
+                await fleet.call(server, "PUT", "/standin/faults", body)
+            await trio.sleep(draw.uniform(0.2, 0.4))
+
+
+@attrs.frozen
+class Mix:
+    """Faults that happen side by side.
+
+    Parameters
+    ----------
+    name : str
+        For the table.
+    faults : tuple of callable
+        Each runs until it is cancelled.
+    """
+
+    name: str
+    faults: tuple[Fault, ...]
+
+    async def run(self, fleet: RelayedFleet, seed: int) -> None:
+        """Bring the faults about until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for i, fault in enumerate(self.faults):
+                nursery.start_soon(fault, fleet, Random(seed * 1000 + i))
+
+
+MIXES = (
+    Mix("kill", (kill_routers,)),
+    Mix("freeze", (freeze_routers,)),
+    Mix("cut", (cut_backends,)),
+    Mix("outage", (store_outages,)),
+    Mix("lost-writes", (lost_store_answers,)),
+    Mix("spoiled", (spoiled_answers,)),
+    Mix("kill+outage", (kill_routers, store_outages)),
+    Mix("freeze+cut", (freeze_routers, cut_backends)),
+    Mix("lost-writes+spoiled", (lost_store_answers, spoiled_answers)),
+    Mix("kill+cut-platform", (kill_routers, cut_platform)),
+    Mix("kill+failing-pool", (kill_routers, failing_pool)),
+)
+
+
+async def heal(fleet: RelayedFleet) -> None:
+    """End every fault and start every router that is not running."""
+    for router in fleet.routers:
+        router.thaw()
+        if router.process.poll() is not None:
+            await fleet.restart(router)
+    for service in fleet.services:
+        await fleet.call(service, "PUT", "/standin/faults", b"{}")
+        await order_route(fleet, service.name, "pass")
+    await order_route(fleet, PLATFORM_ROUTE, "pass")
+    await fleet.set_faults()
--- /dev/null
+++ b/benchmarks/outcome_fleet.py
@@ -0,0 +1,159 @@
+"""A fleet whose routers reach backend servers and platform through a relay."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import attrs
+import trio
+import yaml
+
+from teaseldyke.configuration import Sheet
+from teaseldyke.http import ConnectFailed
+from teaseldyke.settings import Address
+from teaseldyke.types import RequestRule, Service
+from tests.processes.fleet import (
+    BIN,
+    HOST,
+    PLAIN_SERVICE,
+    READY_POLL_S,
+    START_TIMEOUT_S,
+    Fleet,
+    FleetPlan,
+    FleetProcess,
+    free_port,
+)
+
+RELAY = "relay"
+PLATFORM_ROUTE = "platform"
+NAIVE_MODULE = "benchmarks.naive_router"
+
+SERVICE = Service(
+    PLAIN_SERVICE,
+    "plain",
+    limit=16,
+    cold_limit=16,
+    queue_timeout_s=5.0,
+    rules=(RequestRule("GET", "/stations", True),),
+)
+
+
+def outcome_plan(*, checks_fencing: bool = False) -> FleetPlan:
+    """Return three routers and three processes of a plain service."""
+    return FleetPlan(
+        routers=3,
+        engines=0,
+        services=3,
+        plain_service=attrs.evolve(SERVICE, checks_fencing=checks_fencing),
+        router={"join_delay_s": 0.5},
+    )
+
+
+@attrs.define
+class RelayedFleet(Fleet):
+    """Relays every connection of a router but those to other routers and callers.
+
+    Parameters
+    ----------
+    naive : bool
+        Whether naive routers take the place of the product's.
+    """
+
+    naive: bool = False
+    _routes: dict[str, Address] = attrs.field(factory=dict, init=False)
+
+    async def start(self) -> None:
+        """Start all processes, apply the sheet and wait until routers are ready."""
+        await self.start_platform()
+        async with trio.open_nursery() as nursery:
+            for server in self.plan.sheet().backend_servers.values():
+                nursery.start_soon(self.start_server, server)
+        await self._start_relay()
+        await self.apply(self.sheet())
+        async with trio.open_nursery() as nursery:
+            for i in range(self.plan.routers):
+                nursery.start_soon(self.start_router, i)
+
+    async def start_router(self, index: int) -> FleetProcess:
+        """Start a router of either kind and wait until it is ready."""
+        if not self.naive:
+            platform = str(self._routes[PLATFORM_ROUTE])
+            self.plan.router = {**self.plan.router, "platform": platform}
+            return await Fleet.start_router(self, index)
+        servers = [str(self._routes[server.name]) for server in self.services]
+        settings = {"listen": f"{HOST}:{free_port()}", "servers": servers}
+        return await self._start_naive(f"router-{index + 1}", settings)
+
+    async def restart(self, process: FleetProcess) -> FleetProcess:
+        """Start a router that has ended again, with the same settings."""
+        if not self.naive:
+            return await Fleet.restart(self, process)
+        settings = yaml.safe_load(process.settings.read_text())
+        return await self._start_naive(process.name, settings)
+
+    def sheet(self) -> Sheet:
+        """Return the sheet of the plan, with the addresses of the relay."""
+        sheet = Fleet.sheet(self)
+        servers = {}
+        for name, server in sheet.backend_servers.items():
+            route = self._routes[name]
+            servers[name] = attrs.evolve(server, host=route.host, port=route.port)
+        return attrs.evolve(sheet, backend_servers=servers)
+
+    async def _start_relay(self) -> None:
+        routes = []
+        for process in [self.processes["platform"], *self.services]:
+            listen = Address(HOST, free_port())
+            self._routes[process.name] = listen
+            route = {"name": process.name, "listen": str(listen)}
+            routes.append({**route, "target": str(process.address)})
+        admin = Address(HOST, free_port())
+        path = self.directory / f"{RELAY}.yaml"
+        path.write_text(yaml.safe_dump({"admin": str(admin), "routes": routes}))
+        command = [str(BIN / "teaseldyke-standin"), RELAY, "--settings", str(path)]
+        await self._run(RELAY, command, admin, path, "/routes")
+
+    async def _start_naive(
+        self, name: str, settings: dict[str, object]
+    ) -> FleetProcess:
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        command = [sys.executable, "-m", NAIVE_MODULE, str(path)]
+        address = Address.parse(str(settings["listen"]))
+        return await self._run(name, command, address, path, "/readyz")
+
+    async def _run(
+        self, name: str, command: list[str], address: Address, path: Path, target: str
+    ) -> FleetProcess:
+        log = self.directory / f"{name}.log"
+        with log.open("ab") as output:
+            process = subprocess.Popen(command, stdout=output, stderr=output)
+        kind = RELAY if name == RELAY else "router"
+        found = FleetProcess(name, process, log, address, path, kind)
+        self.processes[name] = found
+        with trio.fail_after(START_TIMEOUT_S):
+            while True:
+                assert process.poll() is None, f"{name} ended: {log.read_text()}"
+                try:
+                    await self.call(found, "GET", target)
+                except ConnectFailed:
+                    await trio.sleep(READY_POLL_S)
+                    continue
+                return found
+
+
+@asynccontextmanager
+async def running_relayed_fleet(
+    directory: Path, plan: FleetPlan, *, naive: bool
+) -> AsyncIterator[RelayedFleet]:
+    """Start a fleet and kill its processes at the end of the block."""
+    fleet = RelayedFleet(directory, plan, naive=naive)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        fleet.end()
--- /dev/null
+++ b/benchmarks/outcome_load.py
@@ -0,0 +1,199 @@
+"""Non-idempotent requests under faults, and the harm that came of them."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from random import Random
+
+import attrs
+import trio
+
+from benchmarks.fault_mixes import Mix, heal
+from benchmarks.outcome_fleet import RelayedFleet
+from teaseldyke.replay import Arrival, CallResult, Execution, read_executions
+from teaseldyke.replay.caller import Callers
+from tests.processes.fleet import PLAIN_SERVICE
+
+PATHS = ("/grants", "/payments")
+RETRIES = 8  # of one caller
+REPEATED_PART = 0.2  # callers that send their request once more, answered or not
+PATIENCE_S = 3.0  # after which a caller tries another router as well
+SETTLE_S = 2.5  # routers join, and give way to late executions
+END_S = 60.0  # longest wait for the last answers
+
+
+@attrs.frozen
+class Harm:
+    """Promises that were broken, by what callers saw and servers counted.
+
+    Parameters
+    ----------
+    requests : int
+        Requests, each with an idempotency key of its own.
+    answered : int
+        Those that got a successful answer.
+    doubled : int
+        Executed more than once.
+    false_refusals : int
+        Refusals that said "not executed" of one that was.
+    crossed : int
+        Successful answers that were not whole or not the caller's own.
+    lost : int
+        Answered with success and executed by no server.
+    unsettled : int
+        Callers that never got any answer.
+    unanswered : dict of str to int
+        Last code of the requests without a successful answer.
+    """
+
+    requests: int
+    answered: int
+    doubled: int
+    false_refusals: int
+    crossed: int
+    lost: int
+    unsettled: int
+    unanswered: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def total(self) -> int:
+        """Sum of all kinds."""
+        return self.doubled + self.false_refusals + self.crossed + self.lost
+
+
+@attrs.define
+class OutcomeLoad:
+    """Sends requests at even times and lets impatient callers try elsewhere.
+
+    Parameters
+    ----------
+    fleet : RelayedFleet
+        Where to send them.
+    mix : Mix
+        What goes wrong meanwhile.
+    seed : int
+        For faults and callers.
+    requests : int
+        Number of requests.
+    rate_hz : float
+        Requests each second.
+    """
+
+    fleet: RelayedFleet
+    mix: Mix
+    seed: int
+    requests: int
+    rate_hz: float
+    results: list[CallResult] = attrs.field(factory=list, init=False)
+    started: int = attrs.field(default=0, init=False)
+
+    async def run(self) -> Harm:
+        """Send all requests under the faults, heal, and count the harm."""
+        addresses = [router.address for router in self.fleet.routers]
+        from_s = trio.current_time()
+        callers = Callers(addresses, self.fleet.keys, RETRIES, from_s)
+        with trio.move_on_after(END_S + self.requests / self.rate_hz):
+            async with trio.open_nursery() as nursery:
+                async with trio.open_nursery() as faults:
+                    faults.start_soon(self.mix.run, self.fleet, self.seed)
+                    await self._send_all(callers, nursery, from_s)
+                    faults.cancel_scope.cancel()
+                await heal(self.fleet)
+        callers.pool.close_idle()
+        await trio.sleep(SETTLE_S)
+        servers = [service.address for service in self.fleet.services]
+        executions = await read_executions(servers)
+        unsettled = self.started - len(self.results)
+        return count_harm(self.results, executions, self.requests, unsettled)
+
+    async def _send_all(
+        self, callers: Callers, nursery: trio.Nursery, from_s: float
+    ) -> None:
+        draw = Random(self.seed)
+        organisations = sorted(self.fleet.plan.shares)
+        for i in range(self.requests):
+            await trio.sleep_until(from_s + i / self.rate_hz)
+            arrival = Arrival(
+                i / self.rate_hz,
+                draw.choice(organisations),
+                PLAIN_SERVICE,
+                path=PATHS[i % len(PATHS)],
+                router=draw.randrange(len(self.fleet.routers)),
+                idempotency_key=f"{self.mix.name}-{i}",
+                idempotent=False,
+            )
+            repeated = draw.random() < REPEATED_PART
+            nursery.start_soon(self._ask, callers, arrival, i, repeated)
+
+    async def _ask(
+        self, callers: Callers, arrival: Arrival, number: int, repeated: bool
+    ) -> None:
+        """Send a request; after a while send it through another router too."""
+        elsewhere = attrs.evolve(arrival, router=arrival.router + 1)
+        ended = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._call, callers, arrival, number, ended)
+            with trio.move_on_after(PATIENCE_S):
+                await ended.wait()
+            if repeated or not ended.is_set():
+                await self._call(callers, elsewhere, number, trio.Event())
+
+    async def _call(
+        self, callers: Callers, arrival: Arrival, number: int, ended: trio.Event
+    ) -> None:
+        self.started += 1
+        self.results.append(await callers.call(arrival, number))
+        ended.set()
+
+
+def count_harm(
+    results: Iterable[CallResult],
+    executions: Iterable[Execution],
+    requests: int,
+    unsettled: int,
+) -> Harm:
+    """Hold what callers were told against what backend servers executed."""
+    by_key: dict[str, int] = defaultdict(int)
+    by_id: dict[str, int] = defaultdict(int)
+    for execution in executions:
+        by_key[execution.idempotency_key] += execution.count
+        by_id[execution.request_id.partition("-")[0]] += execution.count
+    calls: dict[str, list[CallResult]] = defaultdict(list)
+    for result in results:
+        calls[result.arrival.idempotency_key].append(result)
+    doubled = sum(count > 1 for count in by_key.values())
+    answered = false_refusals = crossed = lost = 0
+    unanswered: Counter[str] = Counter()
+    for key, of_key in calls.items():
+        succeeded = [result for result in of_key if result.answered]
+        answered += bool(succeeded)
+        if not succeeded:
+            unanswered[of_key[-1].final.code] += 1
+        lost += bool(succeeded) and by_key[key] == 0
+        crossed += sum(not result.own_answer for result in succeeded)
+        false_refusals += _count_false_refusals(of_key, by_id, by_key[key])
+    return Harm(
+        requests,
+        answered,
+        doubled,
+        false_refusals,
+        crossed,
+        lost,
+        unsettled,
+        dict(unanswered),
+    )
+
+
+def _count_false_refusals(
+    calls: list[CallResult], by_id: dict[str, int], executed: int
+) -> int:
+    """Count refusals of executed requests, by their id or as last word on the key."""
+    false = 0
+    for call in calls:
+        for attempt in call.attempts:
+            if attempt.executed == "no" and attempt.request_id:
+                false += by_id.get(attempt.request_id, 0) > 0
+    if false == 0 and len(calls) == 1 and executed:
+        false += calls[0].final.executed == "no"
+    return false
