--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -12,13 +12,6 @@
 from pathlib import Path
 
 import trio
-from tests.processes.fleet import (
-    ENGINE_SERVICE,
-    PLAIN_SERVICE,
-    Fleet,
-    FleetPlan,
-    running_fleet,
-)
 
 from benchmarks.load import (
     OpenStreams,
@@ -30,6 +23,13 @@
 from benchmarks.processes import cpu_s, resident_bytes
 from teaseldyke.settings import Address
 from teaseldyke.types import RequestRule, Service
+from tests.processes.fleet import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    Fleet,
+    FleetPlan,
+    running_fleet,
+)
 
 REPORT = Path("build/benchmark.json")
 
@@ -57,13 +57,14 @@
         "engine" if kind == "engine" else "plain",
         SLOTS,
         cold_limit=SLOTS,
+        warm_after_requests=0,
         queue_limit=SLOTS,
         rules=(ANY,),
     )
 
 
-def _plan(engines: int, services: int, tokens_per_s: float) -> FleetPlan:
-    slots = {"limit": SLOTS, "cold_limit": SLOTS, "warm_after_requests": 0}
+def benchmark_plan(engines: int, services: int, tokens_per_s: float) -> FleetPlan:
+    """Return a fleet whose backend servers are never the limit."""
     return FleetPlan(
         routers=1,
         engines=engines,
@@ -72,8 +73,8 @@
         shares={"parish": 1.0},
         engine_service=_service(ENGINE_SERVICE, "engine"),
         plain_service=_service(PLAIN_SERVICE, "plain"),
-        engine={**slots, "tokens_per_s": tokens_per_s, "prefill_s": 0.0},
-        service={**slots, "work_s": 0.0},
+        engine={"tokens_per_s": tokens_per_s, "prefill_s": 0.0},
+        service={"work_s": 0.0},
     )
 
 
@@ -88,7 +89,8 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def _plain_targets(fleet: Fleet) -> tuple[Target, Target]:
+def plain_targets(fleet: Fleet) -> tuple[Target, Target]:
+    """Return a plain request, direct and through the router."""
     path = "/stations/9"
     direct = fleet.services[0].address
     through = fleet.routers[0].address
@@ -109,7 +111,8 @@
     return Target(name, address, _request("POST", path, json.dumps(body).encode()))
 
 
-def _router_streams(fleet: Fleet) -> list[Target]:
+def router_streams(fleet: Fleet) -> list[Target]:
+    """Return an endless stream through the router."""
     prefix = f"/services/{ENGINE_SERVICE}"
     return [_stream_target("router", fleet.routers[0].address, prefix)]
 
@@ -120,7 +123,7 @@
 
 def measure_latency(fleet: Fleet) -> list[Measure]:
     """Measure the latency that the router adds, both ways interleaved."""
-    targets = list(_plain_targets(fleet))
+    targets = list(plain_targets(fleet))
     latencies_s(targets, LATENCY_RATE_PER_S, 1.0)
     p50_ms: dict[str, list[float]] = {"direct": [], "router": []}
     p99_ms: dict[str, list[float]] = {"direct": [], "router": []}
@@ -146,7 +149,7 @@
 
 def measure_plain(fleet: Fleet) -> list[Measure]:
     """Measure plain requests a second, with the processor time of each."""
-    direct, through = _plain_targets(fleet)
+    direct, through = plain_targets(fleet)
     router_pid = fleet.routers[0].process.pid
     direct_rates, rates, costs_us = [], [], []
     for _ in range(ROUNDS):
@@ -174,7 +177,7 @@
     direct.read(STREAM_WARM_S)
     direct_events, _ = direct.read(STREAM_S)
     direct.close()
-    streams = OpenStreams(_router_streams(fleet), STREAMS)
+    streams = OpenStreams(router_streams(fleet), STREAMS)
     streams.read(STREAM_WARM_S)
     router_pid = fleet.routers[0].process.pid
     before_s = cpu_s(router_pid)
@@ -197,7 +200,7 @@
     """Measure the router's resident memory while many streams are open."""
     router_pid = fleet.routers[0].process.pid
     before_bytes = resident_bytes(router_pid)
-    streams = OpenStreams(_router_streams(fleet), MEMORY_STREAMS)
+    streams = OpenStreams(router_streams(fleet), MEMORY_STREAMS)
     streams.read(MEMORY_S)
     open_bytes = resident_bytes(router_pid)
     streams.close()
@@ -213,9 +216,9 @@
     """Start the processes and measure."""
     measures: list[Measure] = []
     plans = (
-        ("latency", _plan(0, 1, 1.0), (measure_latency, measure_plain)),
-        ("streams", _plan(2, 0, STREAM_TOKENS_PER_S), (measure_streams,)),
-        ("memory", _plan(1, 0, MEMORY_TOKENS_PER_S), (measure_memory,)),
+        ("latency", benchmark_plan(0, 1, 1.0), (measure_latency, measure_plain)),
+        ("streams", benchmark_plan(2, 0, STREAM_TOKENS_PER_S), (measure_streams,)),
+        ("memory", benchmark_plan(1, 0, MEMORY_TOKENS_PER_S), (measure_memory,)),
     )
     for name, plan, parts in plans:
         with tempfile.TemporaryDirectory() as directory:
--- /dev/null
+++ b/benchmarks/process_slopes.py
@@ -0,0 +1,181 @@
+"""Cost of requests, streams and routers, measured on real processes."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import attrs
+import trio
+
+from benchmarks.load import OpenStreams, Target, latencies_s
+from benchmarks.path import (
+    benchmark_plan,
+    measure_plain,
+    measure_streams,
+    plain_targets,
+    router_streams,
+)
+from benchmarks.processes import cpu_s, resident_bytes
+from benchmarks.slopes import Slope, fit
+from tests.processes.fleet import Fleet, FleetPlan, running_fleet
+
+ROUTERS = (1, 4, 8, 16)
+SETTLE_S = 6.0  # membership and the first reports
+IDLE_S = 10.0
+STREAMS = (50, 200, 500)
+QUEUED = (50, 200, 500)
+MEMORY_SETTLE_S = 4.0
+LOADED_ROUTERS = 4
+LOADED_RATE_PER_S = 200
+LOADED_S = 6.0
+SLOW_TOKENS_PER_S = 0.2
+SLOW_WORK_S = 600.0
+US_PER_S = 1e6
+
+
+@attrs.frozen
+class NodeUse:
+    """What one router has used and sent, and the platform has served, so far.
+
+    Parameters
+    ----------
+    cpu_s : float
+        Processor time of the router.
+    control_bytes, control_frames : float
+        Sent and received on the links between routers.
+    platform_reads : float
+        Reads that the table service has answered to all routers.
+    """
+
+    cpu_s: float
+    control_bytes: float
+    control_frames: float
+    platform_reads: float
+
+    def rate_since(self, before: NodeUse, divisor: float) -> NodeUse:
+        """Return what has been added, divided by a time or a count."""
+        return NodeUse(
+            (self.cpu_s - before.cpu_s) / divisor,
+            (self.control_bytes - before.control_bytes) / divisor,
+            (self.control_frames - before.control_frames) / divisor,
+            (self.platform_reads - before.platform_reads) / divisor,
+        )
+
+
+async def node_use(fleet: Fleet) -> NodeUse:
+    """Return what the first router has used so far."""
+    router = fleet.routers[0]
+    status = await fleet.status(router)
+    links = status["parts"]["links"]
+    counts = await fleet.call(fleet.processes["platform"], "GET", "/counts")
+    return NodeUse(
+        cpu_s(router.process.pid),
+        links["bytes_sent"] + links["bytes_received"],
+        links["frames_sent"] + links["frames_received"],
+        counts["tables"]["reads"],
+    )
+
+
+async def request_slopes() -> list[Slope]:
+    """Measure processor time and control traffic of proxied requests."""
+    async with _fleet(benchmark_plan(0, 1, 1.0)) as fleet:
+        latencies_s([plain_targets(fleet)[1]], LOADED_RATE_PER_S, 2.0)
+        found = {measure.name: measure.value for measure in measure_plain(fleet)}
+    slopes = [Slope("plain_request_cpu", "us a request", found["plain_request_cpu"])]
+    plan = attrs.evolve(benchmark_plan(0, 1, 1.0), routers=LOADED_ROUTERS)
+    async with _fleet(plan) as fleet:
+        target = plain_targets(fleet)[1]
+        latencies_s([target], LOADED_RATE_PER_S, 2.0)
+        before = await node_use(fleet)
+        latencies_s([target], LOADED_RATE_PER_S, LOADED_S)
+        use = (await node_use(fleet)).rate_since(before, LOADED_RATE_PER_S * LOADED_S)
+    suffix = f"a request, {LOADED_ROUTERS} routers, {LOADED_RATE_PER_S}/s at one"
+    return [
+        *slopes,
+        Slope("loaded_request_cpu", f"us {suffix}", use.cpu_s * US_PER_S),
+        Slope("loaded_request_control", f"bytes {suffix}", use.control_bytes),
+        Slope("loaded_request_frames", f"frames {suffix}", use.control_frames),
+    ]
+
+
+async def stream_slopes() -> list[Slope]:
+    """Measure processor time of streamed events and memory of open streams."""
+    slopes = []
+    for tokens_per_s, suffix in ((15.0, "alone"), (66.0, "saturated")):
+        async with _fleet(benchmark_plan(2, 0, tokens_per_s)) as fleet:
+            found = {m.name: m.value for m in measure_streams(fleet)}
+        unit = f"us an event, {found['streamed_events_a_read']:.1f} events a read"
+        name = f"streamed_event_cpu_{suffix}"
+        slopes.append(Slope(name, unit, found["streamed_event_cpu"]))
+    async with _fleet(benchmark_plan(1, 0, SLOW_TOKENS_PER_S)) as fleet:
+        memory = await _open_memory(fleet, STREAMS, router_streams(fleet))
+    slopes.append(Slope("open_stream_memory", "bytes an open stream", memory))
+    return slopes
+
+
+async def queue_memory_slope() -> list[Slope]:
+    """Measure the resident memory of a request that waits in a router."""
+    plan = benchmark_plan(0, 1, 1.0)
+    service = attrs.evolve(plan.plain_service, limit=1, cold_limit=1)
+    plan = attrs.evolve(plan, plain_service=service, service={"work_s": SLOW_WORK_S})
+    async with _fleet(plan) as fleet:
+        memory = await _open_memory(fleet, QUEUED, [plain_targets(fleet)[1]])
+    return [Slope("waiting_request_memory", "bytes a waiting request", memory)]
+
+
+async def node_slopes() -> list[Slope]:
+    """Measure an idle router by the number of routers."""
+    uses, memory = [], []
+    for count in ROUTERS:
+        plan = attrs.evolve(benchmark_plan(0, 1, 1.0), routers=count)
+        async with _fleet(plan) as fleet:
+            await trio.sleep(SETTLE_S)
+            before = await node_use(fleet)
+            await trio.sleep(IDLE_S)
+            uses.append((count, (await node_use(fleet)).rate_since(before, IDLE_S)))
+            memory.append((count, resident_bytes(fleet.routers[0].process.pid)))
+    cpu = fit([(n, use.cpu_s) for n, use in uses])
+    bytes_s = fit([(n, use.control_bytes) for n, use in uses])
+    frames_s = fit([(n, use.control_frames) for n, use in uses])
+    reads_s = fit([(n, use.platform_reads) for n, use in uses])
+    resident = fit([(float(n), float(size)) for n, size in memory])
+    return [
+        Slope("idle_cpu", "us a second, alone", (cpu[0] + cpu[1]) * US_PER_S),
+        Slope(
+            "idle_cpu_by_router", "us a second and further router", cpu[0] * US_PER_S
+        ),
+        Slope("idle_control_by_router", "bytes a second and router", bytes_s[0]),
+        Slope("idle_frames_by_router", "frames a second and router", frames_s[0]),
+        Slope("platform_reads_by_router", "reads a second and router", reads_s[0]),
+        Slope("router_memory", "bytes, alone", resident[0] + resident[1]),
+        Slope("router_memory_by_router", "bytes a further router", resident[0]),
+    ]
+
+
+@asynccontextmanager
+async def _fleet(plan: FleetPlan) -> AsyncIterator[Fleet]:
+    with tempfile.TemporaryDirectory() as directory:
+        async with running_fleet(Path(directory), plan) as fleet:
+            yield fleet
+
+
+async def _open_memory(
+    fleet: Fleet, counts: tuple[int, ...], targets: list[Target]
+) -> float:
+    """Return the resident memory of one more open request."""
+    pid = fleet.routers[0].process.pid
+    await trio.sleep(SETTLE_S)
+    points = []
+    opened: list[OpenStreams] = []
+    total = 0
+    for count in counts:
+        opened.append(OpenStreams(targets, count - total))
+        total = count
+        opened[-1].read(MEMORY_SETTLE_S)
+        points.append((float(total), float(resident_bytes(pid))))
+    for streams in opened:
+        streams.close()
+    return fit(points)[0]
