--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -10,7 +10,8 @@
 import h11
 import trio
 
-from .errors import BodyTooLarge, CallerGone, MalformedRequest, RequestTimedOut
+from .body import IncomingBody
+from .errors import CallerGone
 from .headers import Headers, MixedHeaders, encode_headers, first_header
 from .limits import ServerLimits
 from .stream import LISTEN_BYTES, Stream, TcpStream, close_with_reset
@@ -52,7 +53,8 @@
     Raises
     ------
     MalformedRequest
-        If the request target isn't a path.
+        If the request target isn't a path, or what has arrived of the body is
+        malformed.
     """
 
     def __init__(
@@ -73,13 +75,10 @@
         self._stream = stream
         self._limits = limits
         self._stopping = stopping
-        self._pending: list[bytes] = []
-        self._received_bytes = 0
-        self._body_read = trio.Event()
-        self._body_deadline_s = trio.current_time() + limits.body_timeout_s
         self._unsent_head = b""
         self._finished = False
-        self._take_buffered_body()
+        length = first_header(self.headers, b"content-length")
+        self._body = IncomingBody(connection, stream, length, limits, self._write)
 
     @property
     def query(self) -> dict[str, str]:
@@ -94,7 +93,7 @@
     @property
     def body_complete(self) -> bool:
         """Whether the whole request body has arrived."""
-        return self._body_read.is_set()
+        return self._body.complete.is_set()
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, by its name in any case."""
@@ -113,26 +112,11 @@
         CallerGone
             If the caller closes its connection before the end.
         """
-        limit_bytes = min(limit_bytes, self._limits.body_bytes)
-        self._check_length(limit_bytes)
-        parts = []
-        size_bytes = 0
-        async for chunk in self.body_chunks():
-            size_bytes += len(chunk)
-            if size_bytes > limit_bytes:
-                raise BodyTooLarge(f"request body exceeds {limit_bytes} bytes")
-            parts.append(chunk)
-        return b"".join(parts)
-
-    async def body_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raises as `read_body` does."""
-        self._check_length(self._limits.body_bytes)
-        while True:
-            while self._pending:
-                yield self._pending.pop(0)
-            if self._body_read.is_set():
-                return
-            await self._receive_body()
+        return await self._body.read(limit_bytes)
+
+    def body_chunks(self) -> AsyncIterator[bytes]:
+        """Return an iterator over the body as it arrives; raises as `read_body`."""
+        return self._body.chunks()
 
     async def respond(
         self,
@@ -176,7 +160,7 @@
         ``flush=False`` the header leaves together with the first data.
         """
         fields = encode_headers(headers)
-        if self._stopping.is_set() or not self._body_read.is_set():
+        if self._stopping.is_set() or not self._body.complete.is_set():
             fields.append((b"connection", b"close"))
         head = h11.Response(status_code=status, headers=fields)
         self._unsent_head = self._connection.send(head) or b""
@@ -229,7 +213,7 @@
         Watches only once the body has been read; bytes of a following request are
         kept, and end the watch when they exceed the header's limit.
         """
-        await self._body_read.wait()
+        await self._body.complete.wait()
         kept_bytes = 0
         while kept_bytes <= self._limits.header_bytes:
             try:
@@ -250,51 +234,6 @@
         """
         return DisconnectWatch(self._stream, callback)
 
-    def _take_buffered_body(self) -> None:
-        """Move what has arrived of the body from the parser into ``_pending``."""
-        while not self._body_read.is_set():
-            try:
-                event = self._connection.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise _body_error(exc) from exc
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Data):
-                self._received_bytes += len(event.data)
-                self._pending.append(bytes(event.data))
-                continue
-            self._body_read.set()
-
-    async def _receive_body(self) -> None:
-        if self._connection.they_are_waiting_for_100_continue:
-            head = h11.InformationalResponse(status_code=100, headers=[])
-            await self._write(self._connection.send(head) or b"")
-        deadline_s = trio.current_time() + self._limits.body_idle_timeout_s
-        with trio.CancelScope(deadline=min(deadline_s, self._body_deadline_s)) as scope:
-            try:
-                data = await self._stream.receive_some()
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                raise CallerGone("caller closed its connection in the body") from exc
-        if scope.cancelled_caught:
-            raise RequestTimedOut(
-                f"request body stopped after {self._received_bytes} bytes"
-            )
-        if not data:
-            raise CallerGone("caller closed its connection in the body")
-        self._connection.receive_data(data)
-        self._take_buffered_body()
-        if self._received_bytes > self._limits.body_bytes:
-            raise BodyTooLarge(f"request body exceeds {self._limits.body_bytes} bytes")
-
-    def _check_length(self, limit_bytes: int) -> None:
-        length = first_header(self.headers, b"content-length")
-        if length is None:
-            return
-        if int(length) > limit_bytes:
-            raise BodyTooLarge(
-                f"request body of {int(length)} bytes exceeds {limit_bytes} bytes"
-            )
-
     async def _flush_head(self) -> None:
         data = self._unsent_head
         self._unsent_head = b""
@@ -318,7 +257,3 @@
             raise CallerGone(
                 f"caller did not take its answer within {self._limits.send_timeout_s} s"
             )
-
-
-def _body_error(exc: h11.RemoteProtocolError) -> MalformedRequest:
-    return MalformedRequest(f"request body is malformed: {exc}")
