Show that a fenced-off order closes its key without having run

The router passes this on as the request's answer and keeps it, so that a planned change of the dispatcher cuts a request and its key stays closed. Wanted in Forwarder._pass_on, for services with checks_fencing: hold the answer, call raise_if_fenced_off(status, body) before sink.head, and on FencedOff count the send back (call.sends -= 1), as nothing was executed; retry_decision then says 'elsewhere'.

--- a/tests/outcomes/conftest.py
+++ b/tests/outcomes/conftest.py
@@ -28,7 +28,9 @@
 CONFIGURATION = Configuration(
     1,
     organisations={
-        "parish": Organisation("parish", 1.0, (hash_key("k"),), ("licensing",)),
+        "parish": Organisation(
+            "parish", 1.0, (hash_key("k"),), ("licensing", "fenced")
+        ),
         "idle": Organisation("idle", 1.0, (hash_key("off"),), (), disabled=True),
     },
     services={
@@ -36,6 +38,7 @@
             "licensing", "plain", 4, rules=(RequestRule("GET", "/", True),)
         ),
         "ledger": Service("ledger", "plain", 4),
+        "fenced": Service("fenced", "plain", 4, checks_fencing=True),
     },
 )
 CALLER_LIMITS = ServerLimits(
@@ -90,6 +93,7 @@
     configuration: Configuration | None = CONFIGURATION
     executed: int = 0
     broken: bool = False
+    fenced_off: int = 0
     port: int = 0
     records: OutcomeRecords = attrs.field(init=False)
 
@@ -126,6 +130,10 @@
         return int(listener.socket.getsockname()[1])
 
     async def _execute(self, request: Request) -> None:
+        if self.fenced_off:
+            self.fenced_off -= 1
+            await request.respond(409, b'{"code": "old_fencing_number"}')
+            return
         self.executed += 1
         if self.broken:
             await request.abort()
