Answer requests for configurations beside the links' own task

The links hand messages to their handlers one after another, so encoding a large sheet for one peer held up grants and reports of all. The new test was seen failing with the answer made in the handler. Run: pytest libs/configuration, 141 passed.

--- a/libs/configuration/src/teaseldyke/configuration/propagation.py
+++ b/libs/configuration/src/teaseldyke/configuration/propagation.py
@@ -108,8 +108,9 @@
         self.links.subscribe(ConfigurationDocument, self._take_document)
 
     def start(self, nursery: trio.Nursery) -> None:
-        """Take documents from now on, each in a task of its own."""
+        """Answer and take documents from now on, each in a task of its own."""
         self._nursery = nursery
+        self._transfer.start(nursery)
 
     def query(self) -> None:
         """Ask every known peer for its version."""
@@ -182,8 +183,11 @@
     async def _answer_request(self, sender: str, message: ConfigurationRequest) -> None:
         if self.in_force.snapshot.version <= message.have_version:
             return
-        answer = await self._document(message.have_sheet_sha256)
-        self._send_document(sender, answer)
+        if self._nursery is not None:
+            self._nursery.start_soon(self._answer, sender, message.have_sheet_sha256)
+
+    async def _answer(self, peer: str, have_sheet_sha256: str) -> None:
+        self._send_document(peer, await self._document(have_sheet_sha256))
 
     async def _document(self, have_sheet_sha256: str) -> ConfigurationDocument:
         snapshot = self.in_force.snapshot
--- a/libs/configuration/src/teaseldyke/configuration/sheet_transfer.py
+++ b/libs/configuration/src/teaseldyke/configuration/sheet_transfer.py
@@ -13,6 +13,7 @@
 from .encoding import decode_sheet_off_loop
 from .errors import DocumentBroken
 from .messages import SheetPart, SheetRequest
+from .offloading import run_off_loop
 from .sheet import Sheet
 
 PART_BYTES = 32 * 1024
@@ -35,6 +36,7 @@
 
     links: PeerLinks
     history: Callable[[], SheetHistory]
+    _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
     _lock: trio.Lock = attrs.field(factory=trio.Lock, init=False)
     _awaited: tuple[str, str, int] | None = attrs.field(default=None, init=False)
     _arrived: SheetPart | None = attrs.field(default=None, init=False)
@@ -44,6 +46,10 @@
         self.links.subscribe(SheetRequest, self._serve)
         self.links.subscribe(SheetPart, self._take)
 
+    def start(self, nursery: trio.Nursery) -> None:
+        """Serve parts from now on, each in a task of its own."""
+        self._nursery = nursery
+
     async def fetch(self, peer: str, sha256: str) -> Sheet:
         """Return a peer's sheet.
 
@@ -76,10 +82,14 @@
         raise DocumentBroken(f"peer {peer!r} did not send part {part} of its sheet")
 
     async def _serve(self, sender: str, message: SheetRequest) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._send_part, sender, message)
+
+    async def _send_part(self, sender: str, message: SheetRequest) -> None:
         history = self.history()
         if message.sha256 != history.sha256:
             return
-        data = await trio.to_thread.run_sync(history.data)
+        data = await run_off_loop(len(history.sheet.organisations), history.data)
         parts = -(-len(data) // PART_BYTES)
         if not 0 <= message.part < parts:
             return
--- a/libs/configuration/tests/test_reader.py
+++ b/libs/configuration/tests/test_reader.py
@@ -15,6 +15,7 @@
     SetSwitch,
     Sheet,
 )
+from teaseldyke.configuration.messages import ConfigurationRequest
 from teaseldyke.peers import MemoryNetwork
 from teaseldyke.platform import MemoryObjectStore, MemoryTableService
 from teaseldyke.types import Organisation
@@ -223,6 +224,23 @@
         assert reader.snapshot.version == 2
 
 
+async def test_messages_of_others_do_not_wait_for_a_large_sheet(
+    nursery: trio.Nursery,
+) -> None:
+    """Runs on the real clock, since a worker thread encodes."""
+    fleet = Fleet(nursery, MemoryNetwork(nursery), names=("a", "b"))
+    reader = fleet.start("a")
+    organisations = {f"org-{i}": Organisation(f"org-{i}", 1.0) for i in range(5000)}
+    await fleet.accept(ApplySheet(Sheet(organisations), 0), "a")
+    before = reader.counters.documents_sent
+    links = fleet.network.links["a"]
+    await links.receive("b", ConfigurationRequest(0))
+    assert reader.counters.documents_sent == before
+    with trio.fail_after(5):
+        while reader.counters.documents_sent == before:
+            await trio.sleep(0.01)
+
+
 @pytest.mark.promise("configuration")
 async def test_a_large_sheet_comes_from_a_peer_when_the_platform_is_down(
     nursery: trio.Nursery,
