--- a/libs/telemetry/src/teaseldyke/telemetry/opentelemetry_spans.py
+++ b/libs/telemetry/src/teaseldyke/telemetry/opentelemetry_spans.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Mapping
 from pathlib import Path
 from types import TracebackType
@@ -22,6 +23,7 @@
 QUEUED_SPANS_MAX = 4096
 EXPORT_INTERVAL_MS = 1000
 OTLP_TIMEOUT_S = 5
+CLOSE_TIMEOUT_S = 2.0
 
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 
@@ -62,8 +64,11 @@
         return RecordedSpan(span)
 
     def close(self) -> None:
-        """Export what is left and end the thread."""
-        self._provider.shutdown()
+        """Export what is left, for at most ``CLOSE_TIMEOUT_S``."""
+        # The SDK would try each waiting batch against a collector that is away.
+        closing = threading.Thread(target=self._provider.shutdown, daemon=True)
+        closing.start()
+        closing.join(CLOSE_TIMEOUT_S)
 
 
 class RecordedSpan:
--- a/libs/telemetry/src/teaseldyke/telemetry/tracing.py
+++ b/libs/telemetry/src/teaseldyke/telemetry/tracing.py
@@ -108,7 +108,7 @@
         return self._recorder.start(name, _traceparent(parent), attributes)
 
     def close(self) -> None:
-        """Export what is left; blocks for at most some seconds."""
+        """Export what is left; blocks for at most two seconds."""
         if self._recorder is not None:
             self._recorder.close()
 
--- a/libs/telemetry/tests/test_tracing.py
+++ b/libs/telemetry/tests/test_tracing.py
@@ -1,10 +1,15 @@
 from __future__ import annotations
 
 import json
+import threading
+from http.server import BaseHTTPRequestHandler, HTTPServer
 from pathlib import Path
 
 import pytest
 import trio
+from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import (
+    ExportTraceServiceRequest,
+)
 
 from teaseldyke.telemetry import Tracing
 
@@ -47,3 +52,39 @@
     with tracing.span("request", parent=parent) as span:
         assert tracing.span("send", parent=span).traceparent == passed_on
     assert not tracing.enabled
+
+
+async def test_spans_reach_a_collector_over_http() -> None:
+    received = []
+
+    class Collector(BaseHTTPRequestHandler):
+        def do_POST(self) -> None:
+            body = self.rfile.read(int(self.headers["content-length"]))
+            received.append((self.path, ExportTraceServiceRequest.FromString(body)))
+            self.send_response(200)
+            self.end_headers()
+
+        def log_message(self, *_: object) -> None:
+            pass
+
+    with HTTPServer(("127.0.0.1", 0), Collector) as server:
+        threading.Thread(target=server.handle_request, daemon=True).start()
+        tracing = Tracing("otlp", port=server.server_port, process="r1")
+        with tracing.span("request", parent=PARENT):
+            pass
+        await trio.to_thread.run_sync(tracing.close)
+    path, request = received[0]
+    span = request.resource_spans[0].scope_spans[0].spans[0]
+    assert path == "/v1/traces"
+    assert (span.name, span.trace_id.hex()) == ("request", "a" * 32)
+
+
+async def test_a_collector_that_is_away_holds_nothing_up() -> None:
+    tracing = Tracing("otlp", port=9, process="r1")
+    started_s = trio.current_time()
+    for _ in range(5000):  # more than are queued
+        with tracing.span("request"):
+            pass
+    assert trio.current_time() - started_s < 5
+    await trio.to_thread.run_sync(tracing.close)
+    assert trio.current_time() - started_s < 8
