Probe a peer only while its link is down

Cause: the probe of each peer woke ten times a second also while its link was up, 0.58 ms of processor a second for each further router (slopes measured before), 245 ms at 420 routers against 25 ms allowed. Ruled out: reports, which idle routers do not send.

--- a/libs/peers/src/teaseldyke/peers/links.py
+++ b/libs/peers/src/teaseldyke/peers/links.py
@@ -39,6 +39,12 @@
     frames_invalid: int = 0
 
 
+def _set_event() -> trio.Event:
+    event = trio.Event()
+    event.set()
+    return event
+
+
 @attrs.define(eq=False)
 class _Peer:
     """One peer: its outbox, its state and the scope of its task."""
@@ -50,6 +56,7 @@
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     state: LinkState = LinkState.DOWN
     pipes: int = 0
+    lost: trio.Event = attrs.field(factory=_set_event)
 
 
 @attrs.define(eq=False)
@@ -172,8 +179,10 @@
     def _count_pipe(self, peer: _Peer, change: int) -> None:
         peer.pipes += change
         if peer.pipes > 0:
+            peer.lost = trio.Event()
             self._set_state(peer, LinkState.UP)
             return
+        peer.lost.set()
         self._set_state(peer, LinkState.DOWN)
         peer.outbox.clear()
 
@@ -199,11 +208,11 @@
 
     async def _probe(self, peer: _Peer) -> None:
         while True:
+            await peer.lost.wait()
+            refused = await _is_refused(peer.address)
             if peer.pipes == 0:
-                refused = await _is_refused(peer.address)
-                if peer.pipes == 0:
-                    state = LinkState.GONE if refused else LinkState.DOWN
-                    self._set_state(peer, state)
+                state = LinkState.GONE if refused else LinkState.DOWN
+                self._set_state(peer, state)
             await trio.sleep(PROBE_INTERVAL_S)
 
 
