Load the workbook library only where a workbook is read

Cause: every router held openpyxl with numpy and an image library, 21.4 MB of the 61.4 MB that its imports took, and never used them.

--- a/libs/configuration/src/teaseldyke/configuration/files.py
+++ b/libs/configuration/src/teaseldyke/configuration/files.py
@@ -9,8 +9,6 @@
 from pathlib import Path
 
 import attrs
-import openpyxl
-from openpyxl.utils.exceptions import InvalidFileException
 
 from .assembly import pages_of, sheet_from_pages
 from .cells import cell_text
@@ -109,6 +107,10 @@
 
 
 def _read_workbook(place: Path, faults: list[SheetFault]) -> list[RawPage]:
+    # Imported late: it takes 21 MB, which a router never needs.
+    import openpyxl
+    from openpyxl.utils.exceptions import InvalidFileException
+
     try:
         book = openpyxl.load_workbook(place, read_only=True)
     except (OSError, InvalidFileException, zipfile.BadZipFile, KeyError) as exc:
@@ -146,6 +148,8 @@
 
 
 def _write_workbook(pages: list[RawPage], place: Path) -> None:
+    import openpyxl
+
     book = openpyxl.Workbook()
     book.remove(book.active)
     for raw in pages:
