Answer requests that reach a stopping server at the last moment

A request that arrived between the last look at its idle connection and the close, or that lay in a connection not yet accepted, was reset. Both are looked for now before closing. The three tests were seen failing first.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -23,7 +23,13 @@
 from .limits import ServerLimits
 from .problem import problem_response
 from .request import Request
-from .stream import Stream, close_after_answer, close_now, close_with_reset
+from .stream import (
+    Stream,
+    close_after_answer,
+    close_now,
+    close_with_reset,
+    is_quiet,
+)
 from .watchdog import Watch
 
 Handler = Callable[[Request], Awaitable[None]]
@@ -61,10 +67,11 @@
     idle_closed: bool = False
 
     def close_idle(self) -> None:
-        """End every wait for a next request, now and from now on."""
+        """End every wait for a next request that is not on its way yet."""
         self.idle_closed = True
         for connection in self.idle:
-            close_now(connection.stream)
+            if is_quiet(connection.stream):
+                close_now(connection.stream)
 
 
 class CallerConnection:
@@ -162,7 +169,7 @@
 
     async def _wait_first_byte(self) -> bool:
         try:
-            if self._serving.idle_closed:
+            if self._serving.idle_closed and is_quiet(self.stream):
                 return False
             self._serving.idle.add(self)
             self._watch.deadline_s = trio.current_time() + self._limits.idle_timeout_s
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -11,7 +11,7 @@
 
 from .errors import AnswerBroken, AnswerTimedOut, AnswerTooLarge, ExchangeBroken
 from .headers import Headers, first_header
-from .stream import TcpStream, close_now
+from .stream import TcpStream, close_now, is_quiet
 from .watchdog import Watch
 
 ANSWER_HEADER_BYTES = 64 * 1024
@@ -78,7 +78,7 @@
 
     def is_quiet(self) -> bool:
         """Whether an idle connection has received neither bytes nor its end."""
-        return self.stream.is_quiet()
+        return is_quiet(self.stream)
 
     def next_cycle(self) -> None:
         """Make a reusable connection ready for the next exchange."""
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -8,7 +8,7 @@
 from .connection import CallerConnection, Handler, Serving
 from .errors import TooManyConnections
 from .limits import ServerLimits
-from .stream import Stream, close_now, take_over
+from .stream import Stream, accept_waiting, close_now, take_over
 
 ACCEPT_RETRY_S = 0.1
 REFUSED_AT_ONCE = 64  # connections above the limit that are answered side by side
@@ -46,6 +46,8 @@
             await stopping.wait()
             await trio.sleep(limits.stop_linger_s)
             accepting.cancel_scope.cancel()
+        for stream in accept_waiting(listener):
+            connections.start_soon(server.run_connection, stream)
         await listener.aclose()
         serving.close_idle()
 
@@ -66,9 +68,9 @@
                 logging.warning("event=accept_failed error=%r", str(exc))
                 await trio.sleep(ACCEPT_RETRY_S)
                 continue
-            connections.start_soon(self._run_connection, take_over(stream))
+            connections.start_soon(self.run_connection, take_over(stream))
 
-    async def _run_connection(self, stream: Stream) -> None:
+    async def run_connection(self, stream: Stream) -> None:
         self._open_connections += 1
         try:
             if self._open_connections > self._limits.connections:
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import select
 import socket
 import struct
 from typing import Protocol
@@ -133,15 +134,15 @@
         except OSError as exc:
             raise trio.BrokenResourceError from exc
 
-    def is_quiet(self) -> bool:
-        """Whether neither bytes nor the end have arrived."""
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+
+def is_quiet(stream: Stream) -> bool:
+    """Return whether neither bytes nor the end of a connection wait to be read."""
+    number = stream.socket.fileno()
+    if number < 0:
         return False
+    poll = select.poll()
+    poll.register(number, select.POLLIN)
+    return not poll.poll(0)
 
 
 def take_over(stream: trio.SocketStream) -> Stream:
@@ -154,6 +155,21 @@
     return TcpStream(socket.socket(fileno=stream.socket.detach()))
 
 
+def accept_waiting(listener: trio.SocketListener) -> list[Stream]:
+    """Return the connections that are established but not accepted yet.
+
+    Closing the listener would reset them, with the requests that they carry.
+    """
+    found: list[Stream] = []
+    with socket.socket(fileno=os.dup(listener.socket.fileno())) as sock:
+        sock.setblocking(False)
+        while True:
+            try:
+                found.append(TcpStream(sock.accept()[0]))
+            except OSError:
+                return found
+
+
 async def open_stream(host: str, port: int) -> TcpStream:
     """Return a connection to an IP number and port; raises `OSError`."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/libs/http/src/teaseldyke/http/watchdog.py
+++ b/libs/http/src/teaseldyke/http/watchdog.py
@@ -8,6 +8,7 @@
 from typing import Self
 
 import trio
+from absl import logging
 
 from .stream import Stream, close_now
 
@@ -101,8 +102,11 @@
     async def _sweep(self) -> None:
         while self.watches or self.disconnects:
             await trio.sleep(SWEEP_INTERVAL_S)
-            self._close_expired(trio.current_time())
-            self._report_disconnects()
+            try:
+                self._close_expired(trio.current_time())
+                self._report_disconnects()
+            except Exception:  # out of a system task it would end the process
+                logging.exception("event=connection_sweep_failed")
         self._running = False
 
     def _report_disconnects(self) -> None:
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -15,6 +16,8 @@
     ServerLimits,
     serve,
 )
+from teaseldyke.http.connection import CallerConnection, Serving
+from teaseldyke.http.stream import TcpStream
 
 HOST = "127.0.0.1"
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -444,3 +447,44 @@
             assert _status(answer) == 200
             assert b"connection: close\r\n" in answer
             assert await idle.receive_some() == b""
+
+    @pytest.mark.promise("planned-stop")
+    async def test_a_connection_not_yet_accepted_is_answered(self) -> None:
+        class Stalled:
+            def __init__(self, listener: trio.SocketListener) -> None:
+                self.socket = listener.socket
+                self.aclose = listener.aclose
+
+            async def accept(self) -> None:
+                await trio.sleep_forever()
+
+        listener = (await trio.open_tcp_listeners(0, host=HOST))[0]
+        stopping = trio.Event()
+        with socket.create_connection(listener.socket.getsockname()) as sock:
+            sock.sendall(GET)
+            stopping.set()
+            limits = ServerLimits(stop_linger_s=0.0)
+            await serve(Stalled(listener), answer_ok, limits, stopping=stopping)
+            assert _status(sock.recv(4096)) == 200
+
+    @pytest.mark.promise("planned-stop")
+    async def test_a_request_that_arrives_as_idle_connections_close_is_answered(
+        self, nursery: trio.Nursery
+    ) -> None:
+        listener = socket.create_server((HOST, 0))
+        serving = Serving(answer_ok, ServerLimits(), trio.Event())
+        with socket.create_connection(listener.getsockname()) as sock:
+            stream = TcpStream(listener.accept()[0])
+            nursery.start_soon(CallerConnection(serving, stream).run)
+            await trio.testing.wait_all_tasks_blocked()
+            sock.sendall(GET)
+            serving.stopping.set()
+            serving.close_idle()
+            with trio.fail_after(5):
+                await trio.lowlevel.wait_readable(sock)
+            assert _status(sock.recv(4096)) == 200
+        listener.close()
+
+
+async def answer_ok(request: Request) -> None:
+    await request.respond(200, b"ok")
--- a/libs/http/tests/test_watchdog.py
+++ b/libs/http/tests/test_watchdog.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from teaseldyke.http.stream import TcpStream
-from teaseldyke.http.watchdog import Watch
+from teaseldyke.http.watchdog import DisconnectWatch, Watch
 
 
 async def test_one_sweeper_serves_any_number_of_short_watches(
@@ -42,6 +42,19 @@
     theirs.close()
 
 
+async def test_a_callback_that_fails_ends_nothing(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    def fail() -> None:
+        raise ValueError("callback")
+
+    ours, theirs = _tcp_pair()
+    with DisconnectWatch(TcpStream(ours), fail):
+        theirs.close()
+        await trio.sleep(1)
+    ours.close()
+
+
 def _tcp_pair() -> tuple[socket.socket, socket.socket]:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         ours = socket.create_connection(listener.getsockname())
