--- a/libs/outcomes/src/teaseldyke/outcomes/batcher.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/batcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Sequence
 
@@ -152,22 +153,25 @@
         """Wait until a write is due and the store may be asked."""
         while True:
             self._arrived = trio.Event()
-            heads = [
-                queue[0].due_at_s for queue in (self._urgent, self._patient) if queue
-            ]
-            if not heads:
-                await self._arrived.wait()
-                continue
-            now_s = trio.current_time()
-            wait_s = max(min(heads) - now_s, self._bucket.wait_s(), self._pause_s())
+            wait_s = min(self._urgent_wait_s(), self._patient_wait_s())
             if wait_s <= 0:
                 return
             with trio.move_on_after(wait_s):
                 await self._arrived.wait()
 
-    def _pause_s(self) -> float:
-        # A waiting request is the trial that ends the pause.
-        return 0.0 if self._urgent else self.health.pause_s()
+    def _urgent_wait_s(self) -> float:
+        # Not held back by the pause of the store: a request is the trial that ends it.
+        if not self._urgent:
+            return math.inf
+        due_in_s = self._urgent[0].due_at_s - trio.current_time()
+        return max(due_in_s, self._bucket.wait_s())
+
+    def _patient_wait_s(self) -> float:
+        # Leaves a token to the next request, with whose row these may go too.
+        if not self._patient:
+            return math.inf
+        due_in_s = self._patient[0].due_at_s - trio.current_time()
+        return max(due_in_s, self._bucket.wait_s(2.0), self.health.pause_s())
 
     def _take(self) -> list[_Waiting]:
         """Remove the writes of the next transaction from the queues."""
--- a/libs/outcomes/src/teaseldyke/outcomes/token_bucket.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/token_bucket.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-ONE_TOKEN = 1.0 - 1e-9  # leaves room for rounding of the clock
+ROUNDING = 1e-9  # tokens that the clock's rounding may cost
 
 
 @attrs.define
@@ -37,7 +37,7 @@
     def try_take(self) -> bool:
         """Take one token if there is one."""
         self._refill()
-        if self._tokens < ONE_TOKEN:
+        if self._tokens < 1.0 - ROUNDING:
             return False
         self._tokens = max(0.0, self._tokens - 1.0)
         return True
@@ -54,12 +54,13 @@
         self.burst = burst
         self._tokens = min(self._tokens, burst)
 
-    def wait_s(self) -> float:
-        """Return the seconds until one token is there."""
+    def wait_s(self, tokens: float = 1.0) -> float:
+        """Return the seconds until this many tokens are there."""
         self._refill()
-        if self._tokens >= ONE_TOKEN:
+        missing = tokens - self._tokens
+        if missing <= ROUNDING:
             return 0.0
-        return (1.0 - self._tokens) / self.rate_per_s
+        return missing / self.rate_per_s
 
     def _refill(self) -> None:
         now_s = trio.current_time()
--- a/libs/outcomes/tests/test_batcher.py
+++ b/libs/outcomes/tests/test_batcher.py
@@ -171,3 +171,23 @@
             writers.start_soon(one)
             await trio.sleep(0.01)
     assert batcher.transactions <= 40.0 / routers * trio.current_time() + 3
+
+
+async def test_ends_go_with_the_next_request_when_the_rate_is_low(
+    autojump_clock: MockClock, nursery: trio.Nursery
+) -> None:
+    limits = RecordLimits(transactions_per_s=1.0, routers=1)
+    batcher = batcher_for(MemoryTableService(), limits)
+    await nursery.start(batcher.run)
+    waits_s = []
+    requests = 30
+    async with trio.open_nursery() as writers:
+        for i in range(requests):
+            from_s = trio.current_time()
+            await batcher.write(write(str(i), "begun"), urgent=True)
+            waits_s.append(trio.current_time() - from_s)
+            end = partial(batcher.write, write(str(i), "ended", 1), urgent=False)
+            writers.start_soon(end)
+            await trio.sleep_until(from_s + 1.2)
+    assert max(waits_s) < 0.01
+    assert batcher.transactions <= 1.2 * requests + 2
