Keep accounts only for organisations that were heard of

Cause: each dispatcher made an account for every organisation of the sheet and looked at all of them at each tick and each grant. Ruled out: the split into shards, which took little of the time. The order of grants keeps a heap within one round instead of sorting for each grant. Holds also the authority work under way: take-over waits by delegated parts.

--- a/libs/capacity/src/teaseldyke/capacity/__init__.py
+++ b/libs/capacity/src/teaseldyke/capacity/__init__.py
@@ -11,13 +11,14 @@
     granted_limit,
 )
 from .ejection import Ejection
-from .foreign import ForeignWork
+from .foreign import EVIDENCE_S, ForeignWork
 from .load import LoadReport, LoadSource
 from .promise import Promise
 from .ramp import Ramp
 from .rendezvous import rank
 
 __all__ = [
+    "EVIDENCE_S",
     "Delegation",
     "Delegations",
     "Ejection",
--- a/libs/capacity/src/teaseldyke/capacity/delegations.py
+++ b/libs/capacity/src/teaseldyke/capacity/delegations.py
@@ -25,12 +25,15 @@
         Older promises of the router bind the part until then.
     predecessors_gone : bool
         Whether every dispatcher with an older promise is proven gone.
+    promise : tuple of int
+        Incarnation of the router and number of its promise.
     """
 
     members: int
     expires_at_s: float
     usable_at_s: float
     predecessors_gone: bool
+    promise: tuple[int, int] = (0, 0)
 
 
 @attrs.frozen
@@ -101,8 +104,23 @@
             found.append(name)
         return sorted(found)
 
+    def parts(self, now_s: float) -> set[tuple[object, ...]]:
+        """Return the parts that count now, each named by its promise."""
+        complete = self.is_complete(now_s)
+        parts: set[tuple[object, ...]] = set()
+        for name, delegation in self.by_router.items():
+            if delegation.expires_at_s <= now_s:
+                continue
+            if delegation.usable_at_s <= now_s or complete:
+                parts.add((name, delegation.promise))
+        if complete and parts:
+            parts |= {(name,) for name in self.members() if self.is_gone(name)}
+        return parts
+
     def levels(self, now_s: float) -> list[Level]:
         """Return the delegated fractions, the one that lasts longest first."""
+        if not self.by_router:
+            return []
         complete = self.is_complete(now_s)
         members = self.members()
         counted = []
--- a/libs/capacity/src/teaseldyke/capacity/foreign.py
+++ b/libs/capacity/src/teaseldyke/capacity/foreign.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-EVIDENCE_S = 2.0  # foreign work is believed this long without clear evidence
+EVIDENCE_S = 5.0  # without load reports, foreign work is believed this long
 
 
 @attrs.define(eq=False)
@@ -23,7 +23,7 @@
     --------
     >>> foreign = ForeignWork(lag_s=0.5)
     >>> foreign.note_own(0.0, 2)
-    >>> foreign.reopen(0.0)
+    >>> foreign.reopen(1.0)
     >>> foreign.note_report(polled_at_s=1.0, now_s=1.0, running=5)
     >>> foreign.count
     3
@@ -33,11 +33,14 @@
     reported_at_s: float = -math.inf
     _count: int = 0
     _reopened_at_s: float = -math.inf
-    _own: deque[tuple[float, int]] = attrs.field(factory=deque)
+    _added_at_s: float = -math.inf
+    _own: deque[tuple[float, int]] = attrs.field(
+        factory=lambda: deque([(-math.inf, 0)])
+    )
 
     def note_own(self, now_s: float, count: int) -> None:
-        """Remember how many requests the dispatcher itself has at the server."""
-        if self._own and self._own[-1][1] == count:
+        """Remember how many of the dispatcher's own requests surely run there."""
+        if self._own[-1][1] == count:
             return
         self._own.append((now_s, count))
 
@@ -45,18 +48,30 @@
         """Expect foreign work, because some router's work is not known."""
         self._reopened_at_s = now_s
 
-    def add(self, count: int) -> None:
-        """Count requests of a router that is gone until a report settles them."""
+    def settle(self) -> None:
+        """Expect none, because every router's work is known."""
+        self._count = 0
+        self._reopened_at_s = -math.inf
+
+    def add(self, count: int, now_s: float) -> None:
+        """Count requests of a lost router until a report settles them."""
         self._count += count
+        self._added_at_s = now_s
 
     def note_report(self, polled_at_s: float, now_s: float, running: int) -> None:
         """Take in a load report that was asked for at ``polled_at_s``."""
-        window = self._window(polled_at_s - self.lag_s)
+        start_s = polled_at_s - self.lag_s
+        window = self._window(start_s)
         self.reported_at_s = polled_at_s
-        if now_s - self._reopened_at_s <= EVIDENCE_S:
-            self._count = max(0, running - min(window))
-            return
-        self._count = min(self._count, max(0, running - max(window)))
+        estimate = max(0, running - min(window))
+        if start_s < self._added_at_s:
+            # The report may show the server before the router was lost.
+            self._count = max(self._count, estimate)
+        elif self._reopened_at_s >= polled_at_s - self.lag_s:
+            self._count = estimate
+        else:
+            # Work that others began before only ends.
+            self._count = min(self._count, estimate)
 
     @property
     def count(self) -> int:
@@ -66,4 +81,4 @@
     def _window(self, start_s: float) -> list[int]:
         while len(self._own) > 1 and self._own[1][0] <= start_s:
             self._own.popleft()
-        return [count for _, count in self._own] or [0]
+        return [count for _, count in self._own]
--- a/libs/capacity/src/teaseldyke/capacity/promise.py
+++ b/libs/capacity/src/teaseldyke/capacity/promise.py
@@ -38,6 +38,7 @@
     dispatcher: str | None = None
     incarnation: int = 0
     until_s: float = -math.inf
+    changes: int = 0
     older: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def point_to(self, dispatcher: str | None) -> None:
@@ -45,6 +46,7 @@
         if dispatcher == self.dispatcher:
             return
         self._retire()
+        self.changes += 1
         self.dispatcher = dispatcher
         self.incarnation = 0
         self.until_s = -math.inf
@@ -53,6 +55,7 @@
         """Promise the part anew on a message of the current dispatcher."""
         if incarnation != self.incarnation:
             self._retire()
+            self.changes += 1
             self.incarnation = incarnation
         if self.dispatcher is not None:
             self.older.pop((self.dispatcher, incarnation), None)
--- /dev/null
+++ b/libs/capacity/tests/test_foreign.py
@@ -0,0 +1,22 @@
+from __future__ import annotations
+
+from teaseldyke.capacity import ForeignWork
+
+
+def test_report_from_before_the_first_grant_shows_foreign_work() -> None:
+    foreign = ForeignWork(lag_s=0.5)
+    foreign.reopen(10.0)
+    foreign.note_own(10.0, 1)
+    foreign.note_report(polled_at_s=10.2, now_s=10.2, running=1)
+    assert foreign.count == 1
+
+
+def test_work_of_a_lost_router_stays_counted() -> None:
+    foreign = ForeignWork(lag_s=0.5)
+    foreign.note_own(9.0, 4)
+    foreign.add(2, 10.0)
+    foreign.note_own(10.0, 2)
+    foreign.note_report(polled_at_s=10.1, now_s=10.1, running=4)
+    assert foreign.count == 2
+    foreign.note_report(polled_at_s=11.0, now_s=11.0, running=2)
+    assert foreign.count == 0
--- a/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
@@ -10,7 +10,7 @@
 
 from teaseldyke.capacity import Delegation, Delegations, LoadReport
 from teaseldyke.fairness import Accounts
-from teaseldyke.types import Configuration
+from teaseldyke.types import Configuration, Organisation
 
 from .candidates import Candidates
 from .grants import GrantBook
@@ -57,21 +57,24 @@
     clock: Callable[[], float]
     send: Send
     polls_load: bool = False
-    accounts: Accounts = attrs.field(factory=Accounts, init=False)
+    accounts: Accounts = attrs.field(init=False)
     slots: dict[str, ServerSlots] = attrs.field(factory=dict, init=False)
     routers: dict[str, RouterRecord] = attrs.field(factory=dict, init=False)
     delegations: Delegations = attrs.field(init=False)
     book: GrantBook = attrs.field(init=False)
     term: int = attrs.field(default=0, init=False)
-    handover_at_s: float = attrs.field(default=-math.inf, init=False)
+    gained_at_s: float = attrs.field(default=-math.inf, init=False)
     retiring: bool = attrs.field(default=False, init=False)
     draining: bool = attrs.field(default=False, init=False)
+    _shares: dict[str, Organisation] = attrs.field(factory=dict, init=False)
     _seqs: count[int] = attrs.field(factory=lambda: count(1), init=False)
     _lost_at_s: float = attrs.field(default=-math.inf, init=False)
     _solicited_at_s: float = attrs.field(default=-math.inf, init=False)
     _acting: bool = attrs.field(default=False, init=False)
+    _parts: set[tuple[object, ...]] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.accounts = Accounts(self._share_of)
         self.delegations = Delegations(
             lambda: self.candidates.membership.members, self.candidates.is_gone
         )
@@ -99,8 +102,8 @@
         for name, slots in self.slots.items():
             if name not in shard.servers:
                 slots.is_out = True
-        for organisation in configuration.organisations.values():
-            self.accounts.set_share(organisation.name, organisation.share)
+        self._shares = configuration.organisations
+        self.accounts.refresh_shares()
 
     def take_report(self, sender: str, report: Report) -> None:
         """Take in a router's report, give out grants and answer."""
@@ -145,6 +148,19 @@
             slots.ramp.fall()
             self._revoke_unused(server)
 
+    def take_failed_poll(self, server: str, polled_at_s: float) -> None:
+        """Take in that a poll was not answered."""
+        self.slots[server].poll_failed_at_s = polled_at_s
+
+    def is_waiting_for_load(self, server: str) -> bool:
+        """Return whether no grant can be given before the next load report."""
+        if not self._acting:
+            return False
+        complete = self.delegations.is_complete(self.clock())
+        return not self.slots[server].may_grant(
+            self.gained_at_s, complete, self.clock()
+        )
+
     def tick(self) -> None:
         """Do what the passing of time asks for."""
         now_s = self.clock()
@@ -195,6 +211,10 @@
                     return True
         return False
 
+    def _share_of(self, organisation: str) -> float:
+        known = self._shares.get(organisation)
+        return 1.0 if known is None else known.share
+
     def _is_mine(self, report: Report) -> bool:
         return report.echo_incarnation == self.incarnation
 
@@ -211,6 +231,7 @@
             expires_at_s=report.echo_sent_at_s + self.options.lease_s,
             usable_at_s=now_s + report.held_for_s,
             predecessors_gone=report.predecessors_gone,
+            promise=(report.incarnation, report.promise_changes),
         )
         self.delegations.record(sender, delegation)
         return knew_part
@@ -255,8 +276,11 @@
             )
 
     def _note_role(self, acting: bool, now_s: float) -> None:
+        parts = self.delegations.parts(now_s)
+        if not parts <= self._parts:
+            self.gained_at_s = now_s
+            self._parts = parts
         if acting and not self._acting:
-            self.handover_at_s = now_s
             self.term += 1
         self._acting = acting
 
@@ -268,8 +292,7 @@
             for organisation, record in router.demand.items():
                 if record.remaining:
                     waiting.add(organisation)
-        for organisation, _ in self.accounts.items():
-            self.accounts.note_backlog(organisation, organisation in waiting, now_s)
+        self.accounts.note_waiting(waiting, now_s)
         return bool(waiting)
 
     def _usable_slots(self, now_s: float) -> list[ServerSlots]:
@@ -277,13 +300,16 @@
         members = self.candidates.membership.members
         unsure = now_s - self._lost_at_s < RESTART_MEMORY_S
         unsure = unsure or any(self.candidates.is_gone(name) for name in members)
-        wait_s = self.options.takeover_wait_s if unsure else 0.0
         usable = []
         for slots in self.slots.values():
-            if not complete or (unsure and now_s - self.handover_at_s <= wait_s):
+            known = slots.may_grant(self.gained_at_s, complete, now_s)
+            if complete and not unsure:
+                slots.foreign.settle()
+                usable.append(slots)
+                continue
+            if not known:
                 slots.foreign.reopen(now_s)
-            wait_until_s = self.handover_at_s + wait_s
-            if slots.may_grant(self.handover_at_s, complete, wait_until_s, now_s):
+            if known:
                 usable.append(slots)
         return usable
 
@@ -333,11 +359,14 @@
             return 0
         if self.candidates.membership.is_confirmed():
             return len(members)
+        seen = [len(members)]
         heard = 0
         for record in self.routers.values():
             recent = now_s - record.received_at_s < self.options.lease_s
-            heard += recent and record.name in members
-        return len(members) if 2 * heard > len(members) else 0
+            if recent and record.name in members:
+                heard += 1
+                seen.append(record.members)
+        return max(seen) if 2 * heard > len(members) else 0
 
     def _revoke_unused(self, server: str) -> None:
         now_s = self.clock()
@@ -364,7 +393,7 @@
         for grant in self.book.end_router(router, now_s, has_ended=has_ended):
             slots = self.slots.get(grant.server)
             if slots is not None and slots.reports_load:
-                slots.foreign.add(1)
+                slots.foreign.add(1, now_s)
         for _, account in self.accounts.items():
             account.elsewhere_cost.pop(router.name, None)
 
--- a/libs/dispatch/src/teaseldyke/dispatch/grants.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/grants.py
@@ -69,7 +69,7 @@
         router.pending.append(grant)
         router.grants[grant.grant_id] = live
         self.grants[grant.grant_id] = live
-        slots.change_granted(1, now_s)
+        slots.granted += 1
 
     def take_holdings(
         self,
@@ -90,7 +90,9 @@
             live = router.grants.get(holding.grant_id)
             if live is None:
                 live = self._adopt(router, holding, now_s)
-            live.running = live.running or holding.running
+            if holding.running and not live.running:
+                live.running = True
+                self._change_running(live, 1, now_s)
         for live in list(router.grants.values()):
             if live.grant_id not in listed and live.seq <= seen_seq:
                 self._drop(router, live, now_s)
@@ -114,13 +116,12 @@
             estimate_cost=holding.estimate_cost,
             seq=0,
             expires_at_s=now_s,
-            running=holding.running,
         )
         router.grants[live.grant_id] = live
         self.grants[live.grant_id] = live
         self.accounts[live.organisation].outstanding_cost += live.estimate_cost
         if live.server in self.slots:
-            self.slots[live.server].change_granted(1, now_s)
+            self.slots[live.server].granted += 1
         return live
 
     def _drop(self, router: RouterRecord, live: LiveGrant, now_s: float) -> None:
@@ -128,4 +129,10 @@
         del self.grants[live.grant_id]
         self.accounts.end_grant(live.organisation, live.estimate_cost)
         if live.server in self.slots:
-            self.slots[live.server].change_granted(-1, now_s)
+            self.slots[live.server].granted -= 1
+        if live.running:
+            self._change_running(live, -1, now_s)
+
+    def _change_running(self, live: LiveGrant, change: int, now_s: float) -> None:
+        if live.server in self.slots:
+            self.slots[live.server].change_running(change, now_s)
--- a/libs/dispatch/src/teaseldyke/dispatch/messages.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/messages.py
@@ -91,6 +91,8 @@
         Last message of that dispatcher that the router took in.
     members : int
         Members that the router sees; 0 when its part may not be counted.
+    promise_changes : int
+        Grows when the router promises its part to another dispatcher.
     held_for_s : float
         Older promises bind the router's part for so long.
     predecessors_gone : bool
@@ -112,6 +114,7 @@
     echo_sent_at_s: float
     seen_seq: int
     members: int
+    promise_changes: int
     held_for_s: float
     predecessors_gone: bool
     joined: bool
--- a/libs/dispatch/src/teaseldyke/dispatch/options.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/options.py
@@ -24,8 +24,6 @@
         Between two polls of a backend server's load.
     load_lag_s : float
         Oldest state that a load report shows.
-    takeover_wait_s : float
-        Longest wait of a new dispatcher for the first load report.
     """
 
     lease_s: float = 1.0
@@ -34,7 +32,6 @@
     silence_s: float = 0.5
     load_interval_s: float = 0.5
     load_lag_s: float = 0.5
-    takeover_wait_s: float = 0.3
 
     @property
     def renewal_s(self) -> float:
--- a/libs/dispatch/src/teaseldyke/dispatch/order.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from heapq import heapify, heappop, heapreplace
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,9 +18,8 @@
 
 @attrs.frozen
 class Choice:
-    """The next grant."""
+    """Where the next grant of an organisation goes."""
 
-    organisation: str
     router: RouterRecord
     slots: ServerSlots
 
@@ -33,31 +33,34 @@
     """Grant until no slot is free or nothing waits."""
     free = {slots.server: slots.free(levels, now_s) for slots in usable}
     open_slots = [slots for slots in usable if free[slots.server] > 0]
-    while open_slots:
-        choice = _next_choice(dispatcher, open_slots, free)
+    accounts = dispatcher.accounts
+    order = [(account.start_tag, name) for name, account in accounts.backlogged.items()]
+    heapify(order)
+    while open_slots and order:
+        _, organisation = order[0]
+        choice = _choose(dispatcher, organisation, open_slots, free)
         if choice is None:
-            return
+            heappop(order)
+            continue
         slots = choice.slots
         until_s = slots.next_until_s(levels, now_s)
-        dispatcher.book.give(choice.router, choice.organisation, slots, until_s, now_s)
+        dispatcher.book.give(choice.router, organisation, slots, until_s, now_s)
+        heapreplace(order, (accounts[organisation].start_tag, organisation))
         free[slots.server] -= 1
         if free[slots.server] <= 0:
             open_slots.remove(slots)
 
 
-def _next_choice(
-    dispatcher: Dispatcher, open_slots: list[ServerSlots], free: dict[str, int]
+def _choose(
+    dispatcher: Dispatcher,
+    organisation: str,
+    open_slots: list[ServerSlots],
+    free: dict[str, int],
 ) -> Choice | None:
-    tags = []
-    for organisation, account in dispatcher.accounts.items():
-        if account.backlogged:
-            tags.append((account.start_tag, organisation))
-    tags.sort()
-    for _, organisation in tags:
-        for router in _by_age(dispatcher, organisation):
-            slots = _freest(router, organisation, open_slots, free)
-            if slots is not None:
-                return Choice(organisation, router, slots)
+    for router in _by_age(dispatcher, organisation):
+        slots = _freest(router, organisation, open_slots, free)
+        if slots is not None:
+            return Choice(router, slots)
     return None
 
 
--- a/libs/dispatch/src/teaseldyke/dispatch/polls.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/polls.py
@@ -56,7 +56,7 @@
             while True:
                 await self._poll_once(shard, server)
                 jitter = 1 + JITTER * (2 * self.random.random() - 1)
-                await trio.sleep(self.options.load_interval_s * jitter)
+                await trio.sleep(self._interval_s(shard, server) * jitter)
 
     async def _poll_once(self, shard: str, server: str) -> None:
         dispatcher = self.dispatcher_of(shard)
@@ -69,10 +69,20 @@
         except TeaseldykeError as exc:
             if exc.executed == "no":
                 dispatcher.take_no_load(server, refused=True)
+            dispatcher.take_failed_poll(server, polled_at_s)
             return
         if timeout.cancelled_caught:
+            dispatcher.take_failed_poll(server, polled_at_s)
             return
         if report is None:
             dispatcher.take_no_load(server, refused=False)
             return
         dispatcher.take_load(server, report, polled_at_s)
+
+    def _interval_s(self, shard: str, server: str) -> float:
+        dispatcher = self.dispatcher_of(shard)
+        if dispatcher is None or server not in dispatcher.slots:
+            return self.options.load_interval_s
+        if dispatcher.is_waiting_for_load(server):
+            return self.options.load_interval_s / 5
+        return self.options.load_interval_s
--- a/libs/dispatch/src/teaseldyke/dispatch/records.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/records.py
@@ -62,6 +62,7 @@
     sent_at_s: float = 0.0
     received_at_s: float = -math.inf
     joined: bool = False
+    members: int = 0
     demand: dict[str, DemandRecord] = attrs.field(factory=dict)
     counts: dict[str, ServerCounts] = attrs.field(factory=dict)
     grants: dict[int, LiveGrant] = attrs.field(factory=dict)
@@ -84,6 +85,7 @@
         self.sent_at_s = report.sent_at_s
         self.received_at_s = now_s
         self.joined = report.joined
+        self.members = report.members
 
     def restart(self, *, has_ended: bool) -> list[LiveGrant]:
         """Forget the incarnation; return the grants that it held.
--- a/libs/dispatch/src/teaseldyke/dispatch/shard_client.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/shard_client.py
@@ -333,6 +333,7 @@
             echo_sent_at_s=self._echo_sent_at_s,
             seen_seq=self._seen_seqs.get(key, 0),
             members=self._members_for_part(now_s),
+            promise_changes=promise.changes,
             held_for_s=promise.hold_s(now_s),
             predecessors_gone=gone and not starting,
             joined=not starting,
--- a/libs/dispatch/src/teaseldyke/dispatch/slots.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/slots.py
@@ -7,6 +7,7 @@
 import attrs
 
 from teaseldyke.capacity import (
+    EVIDENCE_S,
     Ejection,
     ForeignWork,
     Level,
@@ -38,19 +39,21 @@
     foreign: ForeignWork
     ejection: Ejection = attrs.field(factory=Ejection)
     granted: int = 0
+    running: int = 0
     is_out: bool = False
     reports_load: bool = False
     is_unreachable: bool = False
+    poll_failed_at_s: float = -math.inf
 
     @property
     def in_flight(self) -> int:
         """Return the requests that count against the limit."""
         return self.granted + self.foreign.count
 
-    def change_granted(self, change: int, now_s: float) -> None:
-        """Count grants that were given out or came back."""
-        self.granted += change
-        self.foreign.note_own(now_s, self.granted)
+    def change_running(self, change: int, now_s: float) -> None:
+        """Count grants that routers report to be in use, or not any more."""
+        self.running += change
+        self.foreign.note_own(now_s, self.running)
 
     def limit(self, now_s: float) -> int:
         """Return the limit in force."""
@@ -99,29 +102,27 @@
         """Return the message part that tells how far the ramp has come."""
         return RampState(self.server, self.ramp.epoch, self.ramp.completed)
 
-    def may_grant(
-        self, handover_at_s: float, settled: bool, wait_until_s: float, now_s: float
-    ) -> bool:
-        """Return whether enough is known of the work at the server.
+    def may_grant(self, gained_at_s: float, complete: bool, now_s: float) -> bool:
+        """Return whether enough is known of the work that others have sent.
 
         Parameters
         ----------
-        handover_at_s : float
-            When this dispatcher took the role.
-        settled : bool
-            Whether every router reports its work to this dispatcher.
-        wait_until_s : float
-            When settled, no report is waited for after that.
+        gained_at_s : float
+            When a router last promised its part to this dispatcher anew.
+        complete : bool
+            Whether every living router reports its work to this dispatcher.
         now_s : float
             Time of the dispatcher.
         """
         if not self.reports_load:
             return True
-        if not settled:
-            return self.foreign.reported_at_s >= handover_at_s + self.foreign.lag_s
-        if now_s >= wait_until_s:
+        # An older report may not show what was begun right before that.
+        needed_at_s = gained_at_s + self.foreign.lag_s
+        if self.foreign.reported_at_s >= needed_at_s:
             return True
-        return self.foreign.reported_at_s >= handover_at_s
+        if self.poll_failed_at_s < needed_at_s:
+            return False
+        return complete or now_s >= needed_at_s + EVIDENCE_S
 
 
 def new_slots(
--- a/libs/dispatch/tests/conftest.py
+++ b/libs/dispatch/tests/conftest.py
@@ -47,7 +47,7 @@
         return LoadReport(fake.started_at_s, fake.running, 0, fake.completed)
 
     async def start(self, name: str, names: list[str]) -> Dispatching:
-        peers = {n: PeerAddress("127.0.0.1", 1) for n in names if n != name}
+        peers = {n: PeerAddress("127.0.0.1", 1) for n in names}
         links = self.network.join(name)
         router = Dispatching(
             name, links, Membership(name, peers), self, options=self.options
--- a/libs/dispatch/tests/test_records.py
+++ b/libs/dispatch/tests/test_records.py
@@ -17,6 +17,7 @@
         echo_sent_at_s=0.0,
         seen_seq=0,
         members=2,
+        promise_changes=1,
         held_for_s=0.0,
         predecessors_gone=False,
         joined=True,
--- a/libs/fairness/src/teaseldyke/fairness/accounts.py
+++ b/libs/fairness/src/teaseldyke/fairness/accounts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Collection
+
 import attrs
 
 IDLE_AFTER_S = 0.1  # a shorter gap in the demand does not count as idle
@@ -49,11 +51,17 @@
     ----------
     P. Goyal, H. M. Vin, H. Cheng, "Start-time fair queuing", SIGCOMM 1996.
 
+    Only organisations that were heard of have an account, and what is done often
+    looks at the backlogged ones alone.
+
+    Parameters
+    ----------
+    share_of : callable
+        Returns the share of an organisation.
+
     Examples
     --------
-    >>> accounts = Accounts()
-    >>> accounts.set_share("small", 1.0)
-    >>> accounts.set_share("large", 2.0)
+    >>> accounts = Accounts({"small": 1.0, "large": 2.0}.__getitem__)
     >>> for served in (0.0, 6.0, 6.0):
     ...     accounts.note_served("large", ("router-1", 7), served)
     >>> accounts.note_backlog("large", True, now_s=0.0)
@@ -64,13 +72,16 @@
     3.0
     """
 
-    _accounts: dict[str, Account] = attrs.field(factory=dict)
-    _system_time: float = 0.0
+    share_of: Callable[[str], float] = lambda organisation: 1.0
+    backlogged: dict[str, Account] = attrs.field(factory=dict, init=False)
+    _accounts: dict[str, Account] = attrs.field(factory=dict, init=False)
+    _system_time: float = attrs.field(default=0.0, init=False)
 
     def __getitem__(self, organisation: str) -> Account:
         account = self._accounts.get(organisation)
         if account is None:
-            account = Account(share=1.0, virtual_time=self._system_time)
+            share = self.share_of(organisation)
+            account = Account(share, virtual_time=self._system_time)
             self._accounts[organisation] = account
         return account
 
@@ -78,9 +89,10 @@
         """Return every account with its organisation."""
         return list(self._accounts.items())
 
-    def set_share(self, organisation: str, share: float) -> None:
-        """Set the weight of an organisation."""
-        self[organisation].share = share
+    def refresh_shares(self) -> None:
+        """Ask for the share of every known organisation again."""
+        for organisation, account in self._accounts.items():
+            account.share = self.share_of(organisation)
 
     def note_served(
         self, organisation: str, source: tuple[str, int], served_cost: float
@@ -101,6 +113,14 @@
         account = self[organisation]
         account.virtual_time = max(account.virtual_time, virtual_time)
 
+    def note_waiting(self, organisations: Collection[str], now_s: float) -> None:
+        """Tell which organisations wait now; all others do not."""
+        for organisation in list(self.backlogged):
+            if organisation not in organisations:
+                self.note_backlog(organisation, False, now_s)
+        for organisation in organisations:
+            self.note_backlog(organisation, True, now_s)
+
     def note_backlog(self, organisation: str, backlogged: bool, now_s: float) -> None:
         """Tell whether an organisation waits; lift it when it returns from idle."""
         account = self[organisation]
@@ -108,15 +128,14 @@
             return
         account.backlogged = backlogged
         if not backlogged:
+            del self.backlogged[organisation]
             account.idle_since_s = now_s
             return
+        others = list(self.backlogged.values())
+        self.backlogged[organisation] = account
         if account.virtual_time > 0.0 and now_s - account.idle_since_s < IDLE_AFTER_S:
             return
-        tags = [
-            other.start_tag
-            for other in self._accounts.values()
-            if other.backlogged and other is not account
-        ]
+        tags = [other.start_tag for other in others]
         lift = min(tags, default=self._system_time) - account.start_tag
         account.virtual_time += max(0.0, lift)
 
--- a/libs/peers/src/teaseldyke/peers/membership.py
+++ b/libs/peers/src/teaseldyke/peers/membership.py
@@ -36,7 +36,8 @@
     name : str
         Name of this router.
     static_peers : dict of str to PeerAddress
-        Routers known from the settings.
+        Routers known from the settings, this one as well if there is no list. When
+        empty, this router takes no part before the list names it.
     drop_delay_s : float
         Seconds that a router stays after the list has dropped it.
     fresh_s : float
@@ -58,10 +59,11 @@
     _listed: dict[str, PeerAddress] = attrs.field(factory=dict, init=False)
     _listed_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _read_at_s: float | None = attrs.field(default=None, init=False)
+    _members: frozenset[str] | None = attrs.field(default=None, init=False)
     _self_listed_at_s: float = attrs.field(default=-math.inf, init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.joined_at_s = self.clock()
+        self.joined_at_s = self.clock() if self.static_peers else math.inf
 
     @property
     def addresses(self) -> dict[str, PeerAddress]:
@@ -73,16 +75,16 @@
     @property
     def members(self) -> frozenset[str]:
         """Return the names of all members, this router included."""
-        return frozenset(self._known()) | {self.name}
+        if self._members is None:
+            self._members = frozenset(self._known()) | {self.name}
+        return self._members
 
     def update(self, instances: Iterable[Instance]) -> None:
         """Take in a list that the platform has answered."""
         now_s = self.clock()
         if self._read_at_s is None:
             self._listed = dict(self.static_peers)
-            self._listed_at_s = dict.fromkeys(self.static_peers, now_s)
-            if not self.static_peers:
-                self.joined_at_s = math.inf
+            self._listed_at_s = dict.fromkeys(self._listed, now_s)
         self._read_at_s = now_s
         leaving_routers = set()
         leaving_servers = set()
@@ -103,11 +105,12 @@
         self.leaving_routers = frozenset(leaving_routers)
         self.leaving_servers = frozenset(leaving_servers)
         self._drop_missing(now_s)
+        self._members = None
 
     def is_confirmed(self) -> bool:
         """Return whether the list shows that all others count this router."""
         if self._read_at_s is None:
-            return True
+            return bool(self.static_peers)
         now_s = self.clock()
         if now_s - self._read_at_s > self.fresh_s:
             return False
