--- a/libs/standins/src/teaseldyke/standins/main.py
+++ b/libs/standins/src/teaseldyke/standins/main.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import fire
 import trio
 
@@ -9,6 +11,7 @@
 from teaseldyke.platform import Faults
 from teaseldyke.settings import settings_or_exit
 
+from .budget import CallBudget
 from .engine import Engine
 from .platform import Platform, View
 from .process import (
@@ -81,7 +84,11 @@
 
 
 async def _run_platform(settings: PlatformSettings) -> None:
-    platform = Platform(Faults(lag_s=settings.list_lag_s))
+    platform = Platform(
+        Faults(lag_s=settings.list_lag_s),
+        CallBudget("reads", settings.reads_per_s or math.inf),
+        CallBudget("written rows", settings.writes_per_s or math.inf),
+    )
     main_view = View(platform, settings.aliases)
     listener = await open_listener(settings.listen)
     async with trio.open_nursery() as nursery:
--- a/libs/standins/src/teaseldyke/standins/platform.py
+++ b/libs/standins/src/teaseldyke/standins/platform.py
@@ -20,6 +20,7 @@
 from teaseldyke.settings import Address
 from teaseldyke.types import AnswerLost
 
+from .budget import CallBudget
 from .orders import BadOrder, read_order, split_path, unknown_path
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
@@ -85,13 +86,22 @@
     ----------
     faults : Faults
         What is wrong at the start.
+    reads, writes : CallBudget, optional
+        Bounds of the table service.
 
     See Also
     --------
     teaseldyke.platform.HttpTableService : The other side of this protocol.
     """
 
-    def __init__(self, faults: Faults) -> None:
+    def __init__(
+        self,
+        faults: Faults,
+        reads: CallBudget | None = None,
+        writes: CallBudget | None = None,
+    ) -> None:
+        self.reads = reads or CallBudget("reads")
+        self.writes = writes or CallBudget("written rows")
         self.tables = MemoryTableService()
         self.objects = MemoryObjectStore()
         self.instances = MemoryInstanceList()
@@ -121,12 +131,14 @@
     async def _handle_tables(self, request: Request, segments: list[str]) -> None:
         match request.method, segments:
             case "GET", ["tables", table, "rows", key]:
+                self.reads.take(1)
                 row = await self.tables.get(table, key)
                 if row is None:
                     await request.respond(404)
                     return
                 await _respond(request, row)
             case "GET", ["tables", table, "rows"]:
+                self.reads.take(1)
                 query = request.query
                 prefix, after = query.get("prefix", ""), query.get("after", "")
                 limit = min(_number(query.get("limit", "1000")), SCAN_LIMIT_MAX)
@@ -134,7 +146,9 @@
                 await _respond(request, rows)
             case "POST", ["transactions"]:
                 body = await request.read_body(BODY_LIMIT_BYTES)
-                versions = await self.tables.transact(_decode(body, list[Write]))
+                writes = _decode(body, list[Write])
+                self.writes.take(len(writes))
+                versions = await self.tables.transact(writes)
                 await _respond(request, {"versions": versions})
             case _:
                 raise unknown_path(request)
@@ -189,6 +203,7 @@
             "tables": self.tables.counts,
             "objects": self.objects.counts,
             "instances": self.instances.counts,
+            "refused": CallCounts(self.reads.refused, self.writes.refused),
         }
 
 
--- a/libs/standins/src/teaseldyke/standins/settings.py
+++ b/libs/standins/src/teaseldyke/standins/settings.py
@@ -35,6 +35,14 @@
         default=0.0,
         metadata=spec("Age of what the instance list shows.", low=0, high=60),
     )
+    reads_per_s: float | None = attrs.field(
+        default=None,
+        metadata=spec("Reads of tables above which calls are refused.", low=1),
+    )
+    writes_per_s: float | None = attrs.field(
+        default=None,
+        metadata=spec("Rows written above which calls are refused.", low=1),
+    )
     connections: int = attrs.field(
         default=4096, metadata=spec("Most open connections.", low=1, high=1000000)
     )
--- a/libs/standins/tests/test_platform.py
+++ b/libs/standins/tests/test_platform.py
@@ -16,6 +16,7 @@
 )
 from teaseldyke.settings import Address
 from teaseldyke.standins import Platform, View
+from teaseldyke.standins.budget import CallBudget
 from teaseldyke.types import AnswerLost, PlatformUnavailable, WriteConflict
 
 Start = Callable[..., Awaitable[Any]]
@@ -70,6 +71,22 @@
     assert await tables.get("t", "k") is not None
 
 
+async def test_calls_above_the_budget_have_no_effect(start: Start) -> None:
+    platform = Platform(Faults(), CallBudget("reads", 2), CallBudget("writes", 2))
+    served = await start(platform.handle)
+    tables = HttpTableService(served.client, "127.0.0.1", served.port)
+    writes = [Write("t", key, b"") for key in "abc"]
+    with pytest.raises(PlatformUnavailable):
+        await tables.transact(writes)
+    await tables.transact(writes[:2])
+    assert len(await tables.scan("t")) == 2
+    await tables.get("t", "a")
+    with pytest.raises(PlatformUnavailable):
+        await tables.get("t", "a")
+    counts = (await served.call("GET", "/counts")).json()
+    assert counts["refused"] == {"reads": 1, "writes": 3}
+
+
 @pytest.mark.parametrize(
     ("method", "target", "body", "status"),
     [
