--- a/benchmarks/outcome_load.py
+++ b/benchmarks/outcome_load.py
@@ -45,6 +45,8 @@
         Callers that never got any answer.
     unanswered : dict of str to int
         Last code of the requests without a successful answer.
+    unexecuted : int
+        Those of them that were not executed either.
     """
 
     requests: int
@@ -55,6 +57,7 @@
     lost: int
     unsettled: int
     unanswered: dict[str, int] = attrs.field(factory=dict)
+    unexecuted: int = 0
 
     @property
     def total(self) -> int:
@@ -163,13 +166,14 @@
     for result in results:
         calls[result.arrival.idempotency_key].append(result)
     doubled = sum(count > 1 for count in by_key.values())
-    answered = false_refusals = crossed = lost = 0
+    answered = false_refusals = crossed = lost = unexecuted = 0
     unanswered: Counter[str] = Counter()
     for key, of_key in calls.items():
         succeeded = [result for result in of_key if result.answered]
         answered += bool(succeeded)
         if not succeeded:
             unanswered[of_key[-1].final.code] += 1
+            unexecuted += by_key[key] == 0
         lost += bool(succeeded) and by_key[key] == 0
         crossed += sum(not result.own_answer for result in succeeded)
         false_refusals += _count_false_refusals(of_key, by_id, by_key[key])
@@ -182,6 +186,7 @@
         lost,
         unsettled,
         dict(unanswered),
+        unexecuted,
     )
 
 
