--- a/benchmarks/measure_configuration.py
+++ b/benchmarks/measure_configuration.py
@@ -22,6 +22,7 @@
 from absl import logging
 
 from benchmarks.configuration_fleet import FleetFigures, FleetMeasurement
+from benchmarks.configuration_large import LargeSheetMeasurement
 from benchmarks.configuration_races import run_races
 from benchmarks.configuration_size import measure_files, write_rows
 from benchmarks.large_sheet import large_sheet
@@ -137,6 +138,21 @@
     return rows
 
 
+async def measure_large() -> list[Row]:
+    """Measure three router processes to which 18,000 organisations are applied."""
+    plan = FleetPlan(routers=3, engines=1, services=1)
+    with tempfile.TemporaryDirectory() as directory:
+        async with running_fleet(Path(directory), plan) as fleet:
+            measurement = LargeSheetMeasurement(fleet)
+            await measurement.run()
+    delay_ms = max(measurement.delays_ms)
+    in_force_s = max(measurement.in_force_s)
+    return [
+        Row("apply_request_delay_ms", "ms", 20, delay_ms, None, SEED),
+        Row("large_sheet_in_force_s", "s", 4, in_force_s, None, SEED),
+    ]
+
+
 def merge(rows: list[Row], path: Path) -> None:
     """Replace the entries of the same names in a file of measures."""
     entries: list[dict[str, Any]] = []
@@ -156,13 +172,14 @@
     ----------
     routers : int
         Router processes of the fleet.
-    only : {"", "races", "size", "fleet"}
+    only : {"", "races", "size", "large", "fleet"}
         Which part to measure; all by default.
     """
     logging.set_verbosity(logging.ERROR)
     parts: dict[str, Callable[[], list[Row]]] = {
         "races": measure_races,
         "size": measure_size,
+        "large": partial(trio.run, measure_large),
         "fleet": partial(trio.run, measure_fleet, routers),
     }
     rows: list[Row] = []
