Write refused uses as one row each ten seconds

Every refused use was a row of its own, up to 64 a second from each router: with all routers flooded by strangers that is far beyond what the store writes. Each row now holds up to 64 of them. The routes, queries and problem answers of the API are a module of their own.

--- a/libs/router/src/teaseldyke/router/administration.py
+++ b/libs/router/src/teaseldyke/router/administration.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -13,18 +12,15 @@
 from teaseldyke.configuration import (
     ApplySheet,
     Change,
-    ChangeConflict,
     ConfigurationNotReady,
     ConfigurationReader,
     CreateOrganisation,
     ReplaceKey,
     SetSwitch,
-    SheetInvalid,
     check,
     run_off_loop,
 )
-from teaseldyke.http import Request, problem_response
-from teaseldyke.settings import OperatorRole
+from teaseldyke.http import Request
 from teaseldyke.telemetry import log_fault, render_metrics
 from teaseldyke.timers import Timers
 from teaseldyke.types import Organisation, TeaseldykeError
@@ -48,6 +44,13 @@
     decode_sheet_body,
     encode_answer,
 )
+from .administration_requests import (
+    Route,
+    Use,
+    find_route,
+    problem_of,
+    query_number,
+)
 from .administration_views import (
     configuration_view,
     publish_metrics,
@@ -65,36 +68,6 @@
 _DENIALS = (TokenMissing, TokenUnknown, TokenExpired, RoleMissing)
 
 
-class RouteUnknown(TeaseldykeError):
-    """The administration API has no such path, or not with this method."""
-
-    code = "route_unknown"
-    status = 404
-    executed = "no"
-
-
-@attrs.frozen
-class Use:
-    """One authenticated request.
-
-    Parameters
-    ----------
-    request : Request
-        The request.
-    operator : str
-        Name of the operator; empty on paths that need no token.
-    role : str
-        Role of the operator.
-    name : str
-        What stands for ``{name}`` in the path.
-    """
-
-    request: Request
-    operator: str = ""
-    role: OperatorRole = "read"
-    name: str = ""
-
-
 @attrs.define(eq=False)
 class Administration:
     """Answers the administration port.
@@ -139,11 +112,11 @@
         except TeaseldykeError as exc:
             if request.response_started:
                 raise
-            status, headers, body = _problem(exc, request.id)
+            status, headers, body = problem_of(exc, request.id)
             await request.respond(status, body, headers)
 
     async def _dispatch(self, request: Request) -> None:
-        route, name = _find_route(request)
+        route, name = find_route(ROUTES, request)
         if route.role is None:
             await route.answer(self, Use(request))
             return
@@ -201,14 +174,15 @@
 
     async def get_history(self, use: Use) -> None:
         """Return accepted changes after a version, oldest first."""
-        after_version = _number(use, "after", 0)
-        limit = min(_number(use, "limit", 100), HISTORY_LIMIT)
+        after_version = query_number(use.request, "after", 0)
+        limit = min(query_number(use.request, "limit", 100), HISTORY_LIMIT)
         await _answer(use, await self.reader.store.history(after_version, limit))
 
     async def get_audit(self, use: Use) -> None:
-        """Return refused uses of the administration API."""
-        limit = min(_number(use, "limit", 100), HISTORY_LIMIT)
-        await _answer(use, await self.audit.read(limit))
+        """Return refused uses of the administration API from a Unix time on."""
+        after_s = query_number(use.request, "after", 0)
+        limit = min(query_number(use.request, "limit", 100), HISTORY_LIMIT)
+        await _answer(use, await self.audit.read(after_s, limit))
 
     async def put_sheet(self, use: Use) -> None:
         """Replace the sheet."""
@@ -261,26 +235,6 @@
             log_fault("configuration_not_archived", detail=exc.detail)
 
 
-@attrs.frozen
-class Route:
-    """One method on one path.
-
-    Parameters
-    ----------
-    method, path : str
-        ``{name}`` in the path stands for any one segment.
-    role : str or None
-        Role that is needed; ``None`` for paths without a token.
-    answer : callable
-        Method of `Administration`.
-    """
-
-    method: str
-    path: str
-    role: OperatorRole | None
-    answer: Callable[[Administration, Use], Awaitable[None]]
-
-
 ROUTES = (
     Route("GET", "/healthz", None, Administration.get_health),
     Route("GET", "/readyz", None, Administration.get_readiness),
@@ -301,56 +255,9 @@
 _JSON = [(b"content-type", b"application/json")]
 
 
-def _find_route(request: Request) -> tuple[Route, str]:
-    segments = request.path.split("/")
-    for route in ROUTES:
-        if route.method != request.method:
-            continue
-        name = _match(route.path.split("/"), segments)
-        if name is not None:
-            return route, name
-    raise RouteUnknown(f"{request.method} {request.path} is not in docs/openapi.json")
-
-
-def _match(template: list[str], segments: list[str]) -> str | None:
-    """Return what stands for ``{name}``, or ``None`` when the paths differ."""
-    if len(template) != len(segments):
-        return None
-    name = ""
-    for expected, found in zip(template, segments, strict=True):
-        if expected == "{name}" and found:
-            name = found
-            continue
-        if expected != found:
-            return None
-    return name
-
-
 async def _read(use: Use, cls: type[Any]) -> Any:
     return decode_body(await use.request.read_body(BODY_LIMIT_BYTES), cls)
 
 
 async def _answer(use: Use, value: object) -> None:
     await use.request.respond(200, encode_answer(value), _JSON)
-
-
-def _number(use: Use, name: str, default: int) -> int:
-    text = use.request.query.get(name, str(default))
-    if not (text.isascii() and text.isdigit() and len(text) <= 15):
-        raise BodyInvalid(f"query {name}={text!r} is not a whole number")
-    return int(text)
-
-
-def _problem(
-    error: TeaseldykeError, request_id: str
-) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
-    """Return a problem answer, with the winner of a conflict or a sheet's faults."""
-    status, headers, body = problem_response(error, request_id)
-    if status == 401:
-        headers.append((b"www-authenticate", b"Bearer"))
-    extra: dict[str, Any] = {}
-    if isinstance(error, ChangeConflict) and error.winner is not None:
-        extra["winner"] = attrs.asdict(error.winner)
-    if isinstance(error, SheetInvalid):
-        extra["faults"] = [attrs.asdict(fault) for fault in error.faults]
-    return status, headers, json.dumps({**json.loads(body), **extra}).encode()
--- a/libs/router/src/teaseldyke/router/administration_access.py
+++ b/libs/router/src/teaseldyke/router/administration_access.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import time
-from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import UTC, datetime
 
@@ -18,8 +17,8 @@
 from teaseldyke.types import TeaseldykeError
 
 AUDIT_TABLE = "administration_audit"
-AUDIT_INTERVAL_S = 1.0  # between two writes of refused uses
-AUDIT_WAITING = 64  # refused uses that wait to be written; more are only counted
+AUDIT_INTERVAL_S = 10.0  # between two rows of refused uses
+AUDIT_WAITING = 64  # refused uses in one row; more are only counted
 REQUESTS_PER_S = 20.0  # of one operator, and of all refused ones together
 BURST_REQUESTS = 100.0
 
@@ -189,7 +188,7 @@
 
 @attrs.define
 class AuditTrail:
-    """Writes refused uses to the store, at most one transaction a second.
+    """Writes refused uses to the store, one row each interval at most.
 
     Parameters
     ----------
@@ -204,7 +203,7 @@
     table: TableService
     router: str
     clock: Callable[[], float] = time.time
-    _waiting: deque[Denial] = attrs.field(factory=deque, init=False)
+    _waiting: list[Denial] = attrs.field(factory=list, init=False)
     _suppressed: int = attrs.field(default=0, init=False)
 
     def note(self, operator: str, method: str, path: str, code: str) -> None:
@@ -220,27 +219,34 @@
         self._waiting.append(denial)
 
     async def write_waiting(self) -> None:
-        """Write what waits; keep it when the store does not confirm."""
+        """Write what waits as one row; keep it when the store does not confirm."""
         if not self._waiting:
             return
         batch = list(self._waiting)
-        writes = [Write(AUDIT_TABLE, self._key(d), _encode(d)) for d in batch]
+        key = f"{_time_key(batch[0].at_s)}/{self.router}"
+        row = Write(AUDIT_TABLE, key, msgspec.json.encode(batch))
         try:
-            await self.table.transact(writes)
+            await self.table.transact([row])
         except TeaseldykeError:
-            return  # rows have keys of their own, so writing them again is harmless
-        for _ in batch:
-            self._waiting.popleft()
-
-    async def read(self, limit: int) -> list[Denial]:
-        """Return the oldest refused uses that are kept."""
-        rows = await self.table.scan(AUDIT_TABLE, limit=limit)
-        return [msgspec.json.decode(row.value, type=Denial) for row in rows]
-
-    def _key(self, denial: Denial) -> str:
-        digest = hashlib.sha256(_encode(denial)).hexdigest()[:8]
-        return f"{int(denial.at_s * 1000):015d}/{self.router}/{digest}"
+            return  # writing the same row again is harmless
+        del self._waiting[: len(batch)]
+
+    async def read(self, after_s: float, limit: int) -> list[Denial]:
+        """Return refused uses from a Unix time on, oldest first.
+
+        Parameters
+        ----------
+        after_s : float
+            Unix time.
+        limit : int
+            Most rows to read; each holds up to `AUDIT_WAITING` refused uses.
+        """
+        rows = await self.table.scan(AUDIT_TABLE, after=_time_key(after_s), limit=limit)
+        denials: list[Denial] = []
+        for row in rows:
+            denials.extend(msgspec.json.decode(row.value, type=list[Denial]))
+        return denials
 
 
-def _encode(denial: Denial) -> bytes:
-    return msgspec.json.encode(denial)
+def _time_key(at_s: float) -> str:
+    return f"{int(at_s * 1000):015d}"
--- a/libs/router/tests/test_administration.py
+++ b/libs/router/tests/test_administration.py
@@ -127,8 +127,10 @@
         assert statuses == {401, 429}
         assert (await bench.ask("GET", "/v1/status")).status == 200
         await bench.administration.audit.write_waiting()
-        rows = await bench.table.scan(AUDIT_TABLE)
-        assert len(rows) <= 2 * AUDIT_WAITING
+        assert len(await bench.table.scan(AUDIT_TABLE)) == 1
+        denials = (await bench.ask("GET", "/v1/audit")).json()
+        assert len(denials) == AUDIT_WAITING
+        assert (await bench.ask("GET", "/v1/audit?after=1001")).json() == []
 
     @pytest.mark.parametrize("path", ["/healthz", "/metrics"])
     async def test_probes_need_no_token(self, bench: Bench, path: str) -> None:
