--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -35,6 +35,7 @@
         echo_sent_at_s=123_456.523456,
         seen_seq=123_455,
         members=420,
+        promise_changes=3,
         held_for_s=0.0,
         predecessors_gone=True,
         joined=True,
--- a/benchmarks/process_slopes.py
+++ b/benchmarks/process_slopes.py
@@ -24,7 +24,7 @@
 
 ROUTERS = (1, 4, 8, 16)
 SETTLE_S = 6.0  # membership and the first reports
-IDLE_S = 10.0
+IDLE_S = 12.0
 STREAMS = (50, 200, 500)
 QUEUED = (50, 200, 500)
 MEMORY_SETTLE_S = 4.0
@@ -38,12 +38,12 @@
 
 @attrs.frozen
 class NodeUse:
-    """What one router has used and sent, and the platform has served, so far.
+    """What a router has used and sent, and the platform has served, so far.
 
     Parameters
     ----------
     cpu_s : float
-        Processor time of the router.
+        Processor time of a router.
     control_bytes, control_frames : float
         Sent and received on the links between routers.
     platform_reads : float
@@ -66,15 +66,19 @@
 
 
 async def node_use(fleet: Fleet) -> NodeUse:
-    """Return what the first router has used so far."""
-    router = fleet.routers[0]
-    status = await fleet.status(router)
-    links = status["parts"]["links"]
+    """Return what the routers have used so far, on average."""
+    count = len(fleet.routers)
+    used_s = sum(cpu_s(router.process.pid) for router in fleet.routers)
+    sent_bytes = frames = 0
+    for router in fleet.routers:
+        links = (await fleet.status(router))["parts"]["links"]
+        sent_bytes += links["bytes_sent"] + links["bytes_received"]
+        frames += links["frames_sent"] + links["frames_received"]
     counts = await fleet.call(fleet.processes["platform"], "GET", "/counts")
     return NodeUse(
-        cpu_s(router.process.pid),
-        links["bytes_sent"] + links["bytes_received"],
-        links["frames_sent"] + links["frames_received"],
+        used_s / count,
+        sent_bytes / count,
+        frames / count,
         counts["tables"]["reads"],
     )
 
@@ -91,13 +95,17 @@
         latencies_s([target], LOADED_RATE_PER_S, 2.0)
         before = await node_use(fleet)
         latencies_s([target], LOADED_RATE_PER_S, LOADED_S)
-        use = (await node_use(fleet)).rate_since(before, LOADED_RATE_PER_S * LOADED_S)
-    suffix = f"a request, {LOADED_ROUTERS} routers, {LOADED_RATE_PER_S}/s at one"
+        use = (await node_use(fleet)).rate_since(
+            before, LOADED_RATE_PER_S * LOADED_S / LOADED_ROUTERS
+        )
+    suffix = (
+        f"a request at {LOADED_RATE_PER_S}/s, all {LOADED_ROUTERS} routers, idle too"
+    )
     return [
         *slopes,
-        Slope("loaded_request_cpu", f"us {suffix}", use.cpu_s * US_PER_S),
-        Slope("loaded_request_control", f"bytes {suffix}", use.control_bytes),
-        Slope("loaded_request_frames", f"frames {suffix}", use.control_frames),
+        Slope("fleet_request_cpu", f"us {suffix}", use.cpu_s * US_PER_S),
+        Slope("fleet_request_control", f"bytes {suffix}", use.control_bytes),
+        Slope("fleet_request_frames", f"frames {suffix}", use.control_frames),
     ]
 
 
@@ -136,7 +144,9 @@
             before = await node_use(fleet)
             await trio.sleep(IDLE_S)
             uses.append((count, (await node_use(fleet)).rate_since(before, IDLE_S)))
-            memory.append((count, resident_bytes(fleet.routers[0].process.pid)))
+            sizes = [resident_bytes(router.process.pid) for router in fleet.routers]
+            memory.append((count, sum(sizes) / count))
+            print(f"  {count} routers: {uses[-1][1]} {memory[-1][1]:.0f} bytes")
     cpu = fit([(n, use.cpu_s) for n, use in uses])
     bytes_s = fit([(n, use.control_bytes) for n, use in uses])
     frames_s = fit([(n, use.control_frames) for n, use in uses])
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+NS_PER_S = 1e9
 KIB = 1024
 
 
 def cpu_s(pid: int) -> float:
-    """Return the processor time that a process has used, user and system."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+    """Return the processor time that the threads of a process have used."""
+    used_ns = 0
+    for path in Path(f"/proc/{pid}/task").glob("*/schedstat"):
+        used_ns += int(path.read_text().split()[0])
+    return used_ns / NS_PER_S
 
 
 def resident_bytes(pid: int) -> int:
