--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -26,7 +26,7 @@
 LIMITS = ServerLimits(
     header_bytes=2048,
     header_timeout_s=5.0,
-    idle_timeout_s=20.0,
+    idle_timeout_s=6.0,
     body_bytes=4096,
     body_idle_timeout_s=3.0,
     body_timeout_s=9.0,
@@ -113,7 +113,7 @@
         [
             (b"GET / HT", 5.0, 408),
             (POST + b"Content-Length: 9\r\n\r\nabc", 3.0, 408),
-            (b"", 20.0, None),
+            (b"", 6.0, None),
         ],
         ids=["slow header", "half-open in the body", "half-open and silent"],
     )
