Keep every digit of a number in a workbook

A property test of sheets through files found it: a workbook keeps 15 significant digits, so an export applied again differed from the sheet in force. Such numbers are now written as text, which a sheet may hold.

--- a/libs/configuration/src/teaseldyke/configuration/files.py
+++ b/libs/configuration/src/teaseldyke/configuration/files.py
@@ -17,6 +17,8 @@
 from .rows import RawPage, parse_page
 from .sheet import Sheet
 
+WORKBOOK_DIGITS = 15  # significant digits of a number in a workbook
+
 _ALLOWED_FILE = "a directory of CSV files, or a workbook (.xlsx)"
 
 
@@ -162,6 +164,9 @@
 
 
 def _workbook_cell(cell: object) -> object:
-    if isinstance(cell, (int, float)) and not isinstance(cell, bool):
-        return cell
-    return cell_text(cell)
+    """Return a number that a workbook keeps exactly as such, all else as text."""
+    if isinstance(cell, bool) or not isinstance(cell, (int, float)):
+        return cell_text(cell)
+    if float(f"{cell:.{WORKBOOK_DIGITS}g}") != cell:
+        return cell_text(cell)
+    return cell
