--- /dev/null
+++ b/benchmarks/dispatch_load.py
@@ -0,0 +1,184 @@
+"""Organisations, requests and fake backend servers of the dispatch measures."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+from random import Random
+
+import attrs
+import trio
+
+from teaseldyke.capacity import LoadReport
+from teaseldyke.types import BackendServer, Configuration, Organisation, Service
+
+SERVICE = "language-model"
+COST_MIN_S = 0.2
+COST_MAX_S = 4.0  # a request's cost is the seconds that it holds a slot
+FAILURE_DOMAINS = ("zone-0", "zone-1", "zone-2")
+
+
+@attrs.frozen
+class Size:
+    """A fleet of the size of Khurdan's, unless said otherwise."""
+
+    routers: int = 7
+    servers: int = 5
+    limit: int = 8
+    organisations: int = 16
+    shards: int = 1
+    cold_limit: int = 8
+    warm_after_requests: int = 0
+
+    @property
+    def slots(self) -> int:
+        """Return the concurrent requests of the warm fleet."""
+        return self.servers * self.limit
+
+    def router_names(self) -> list[str]:
+        """Return the name of every router."""
+        return [f"router-{i}" for i in range(self.routers)]
+
+    def configuration(self) -> Configuration:
+        """Return the configuration of the fleet."""
+        names = [f"organisation-{i}" for i in range(self.organisations)]
+        servers = {}
+        for i in range(self.servers):
+            domain = FAILURE_DOMAINS[i % len(FAILURE_DOMAINS)]
+            name = f"engine-{i}"
+            servers[name] = BackendServer(name, SERVICE, "127.0.0.1", 9000 + i, domain)
+        service = Service(
+            SERVICE,
+            "engine",
+            self.limit,
+            cold_limit=self.cold_limit,
+            warm_after_requests=self.warm_after_requests,
+            queue_limit=1000,
+            queue_timeout_s=1e6,
+            shards=self.shards,
+        )
+        return Configuration(
+            version=1,
+            organisations={name: Organisation(name, 1.0) for name in names},
+            services={SERVICE: service},
+            backend_servers=servers,
+            failure_domains=FAILURE_DOMAINS,
+        )
+
+
+@attrs.frozen
+class Tenant:
+    """Callers of one organisation at one router that always have a next request."""
+
+    organisation: str
+    router: str
+    callers: int
+
+
+def costs(organisation: str, seed: int) -> Iterator[float]:
+    """Return the recorded costs of an organisation's requests, without end."""
+    random = Random(f"{organisation}/{seed}")
+    for _ in itertools.count():
+        cost_s = random.lognormvariate(-0.2, 0.8)
+        yield min(COST_MAX_S, max(COST_MIN_S, cost_s))
+
+
+def uneven_tenants(size: Size, seed: int, flood_callers: int = 200) -> list[Tenant]:
+    """Spread the organisations unevenly; the first one floods one router."""
+    random = Random(seed)
+    names = size.router_names()
+    tenants = [Tenant("organisation-0", names[0], flood_callers)]
+    for i in range(1, size.organisations):
+        router = names[min(int(random.expovariate(0.6)), size.routers - 1)]
+        tenants.append(Tenant(f"organisation-{i}", router, 20))
+    return tenants
+
+
+@attrs.define(eq=False)
+class FakeServer:
+    """A backend server that counts its requests, and those above what it bears."""
+
+    name: str
+    limit: int
+    cold_limit: int
+    warm_after_requests: int
+    running: int = 0
+    completed: int = 0
+    warmth: int = 0
+    starts: int = 1
+    is_down: bool = False
+    overruns: int = 0
+    published: LoadReport | None = None
+    costs_s: list[float] = attrs.field(factory=list)
+    died: trio.Event = attrs.field(factory=trio.Event)
+
+    @property
+    def bears(self) -> int:
+        """Return the concurrent requests that it bears now."""
+        warm = self.warmth >= self.warm_after_requests
+        return self.limit if warm else self.cold_limit
+
+    def begin(self) -> None:
+        """Take a request."""
+        self.running += 1
+        self.overruns += self.running > self.bears
+
+    def end(self, cost_s: float) -> None:
+        """Finish a request."""
+        self.costs_s.append(cost_s)
+        self.running -= 1
+        self.completed += 1
+        self.warmth += 1
+
+    def stop(self) -> None:
+        """Go down; running requests break."""
+        self.is_down = True
+        self.died.set()
+
+    def start(self) -> None:
+        """Come back, cold."""
+        self.is_down = False
+        self.died = trio.Event()
+        self.starts += 1
+        self.warmth = 0
+        self.published = None
+        self.costs_s.clear()
+
+    def report(self) -> LoadReport:
+        """Return its load."""
+        return LoadReport(float(self.starts), self.running, 0, self.completed)
+
+
+@attrs.define(eq=False)
+class ServiceLog:
+    """Service that each organisation got, and when work began."""
+
+    finished_s: dict[str, float] = attrs.field(factory=dict)
+    running: dict[int, tuple[str, float]] = attrs.field(factory=dict)
+    began: list[tuple[float, str, str]] = attrs.field(factory=list)
+    waits: list[tuple[float, str, float]] = attrs.field(factory=list)
+    failed: int = 0
+    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+
+    def begin(self, organisation: str, router: str, server: str, wait_s: float) -> int:
+        """Note that a request begins; return its number."""
+        now_s = trio.current_time()
+        number = next(self._numbers)
+        self.running[number] = (organisation, now_s)
+        self.began.append((now_s, router, server))
+        self.waits.append((now_s, organisation, wait_s))
+        return number
+
+    def end(self, number: int) -> None:
+        """Note that a request has ended."""
+        organisation, began_at_s = self.running.pop(number)
+        known = self.finished_s.get(organisation, 0.0)
+        self.finished_s[organisation] = known + trio.current_time() - began_at_s
+
+    def service_s(self) -> dict[str, float]:
+        """Return the service of each organisation until now."""
+        service = dict(self.finished_s)
+        now_s = trio.current_time()
+        for organisation, began_at_s in self.running.values():
+            service[organisation] = service.get(organisation, 0.0) + now_s - began_at_s
+        return service
--- /dev/null
+++ b/benchmarks/dispatch_runs.py
@@ -0,0 +1,132 @@
+"""Runs of the dispatch measures under trio's mock clock."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterator
+
+import attrs
+import trio
+from trio.testing import MockClock
+
+from benchmarks.dispatch_load import (
+    FakeServer,
+    ServiceLog,
+    Size,
+    Tenant,
+    costs,
+)
+from benchmarks.dispatch_ways import Alone, Grants, Way
+from teaseldyke.dispatch import Completion
+
+SAMPLE_S = 0.1
+RETRY_S = 0.1  # after a backend server has refused the connection
+
+
+@attrs.define(eq=False)
+class Run:
+    """One fleet under load, and what is seen of it."""
+
+    nursery: trio.Nursery
+    size: Size
+    way: Way
+    servers: dict[str, FakeServer]
+    log: ServiceLog
+    seed: int
+    grants: Grants | None
+    _costs: dict[str, Iterator[float]] = attrs.field(factory=dict)
+    _ended: set[str] = attrs.field(factory=set)
+
+    def add(self, tenant: Tenant) -> None:
+        """Start the callers of a tenant."""
+        for _ in range(tenant.callers):
+            self.nursery.start_soon(self._call, tenant)
+
+    def end_router(self, name: str) -> None:
+        """Let the callers of a router go away."""
+        self._ended.add(name)
+
+    async def request(self, router: str, organisation: str) -> None:
+        """Send one request and see it through."""
+        if organisation not in self._costs:
+            self._costs[organisation] = costs(organisation, self.seed)
+        cost_s = next(self._costs[organisation])
+        asked_at_s = trio.current_time()
+        name, token = await self.way.take(router, organisation)
+        server = self.servers[name]
+        if server.is_down:
+            self.way.give_back(token, 0.0, Completion.REFUSED)
+            await trio.sleep(RETRY_S)
+            return
+        wait_s = trio.current_time() - asked_at_s
+        number = self.log.begin(organisation, router, name, wait_s)
+        server.begin()
+        with trio.move_on_after(cost_s):
+            await server.died.wait()
+        self.log.end(number)
+        if server.is_down:
+            server.running -= 1
+            self.log.failed += 1
+            self.way.give_back(token, 0.0, Completion.FAILED)
+            return
+        server.end(cost_s)
+        self.way.give_back(token, cost_s, Completion.OK)
+
+    async def _call(self, tenant: Tenant) -> None:
+        while tenant.router not in self._ended:
+            await self.request(tenant.router, tenant.organisation)
+
+    async def gaps(
+        self, organisations: list[str], seconds: float
+    ) -> tuple[float, float]:
+        """Return the largest gap of service, and the part of the slots in use."""
+        lows: dict[tuple[str, str], float] = {}
+        highs: dict[tuple[str, str], float] = {}
+        busy = 0.0
+        samples = round(seconds / SAMPLE_S)
+        for _ in range(samples):
+            await trio.sleep(SAMPLE_S)
+            service = self.log.service_s()
+            busy += len(self.log.running) / self.size.slots / samples
+            for i, one in enumerate(organisations):
+                for other in organisations[:i]:
+                    gap = service.get(one, 0.0) - service.get(other, 0.0)
+                    key = (one, other)
+                    lows[key] = min(lows.get(key, gap), gap)
+                    highs[key] = max(highs.get(key, gap), gap)
+        return max(highs[key] - lows[key] for key in lows), busy
+
+
+def run_fleet(
+    size: Size,
+    way: str,
+    seed: int,
+    scenario: Callable[[Run], Awaitable[float | tuple[float, ...]]],
+    delay_s: float = 0.0015,
+) -> float | tuple[float, ...]:
+    """Run a scenario on a fresh fleet; ``way`` is "grants", "alone" or "exchange"."""
+
+    async def main() -> float | tuple[float, ...]:
+        servers = {}
+        for i in range(size.servers):
+            name = f"engine-{i}"
+            servers[name] = FakeServer(
+                name, size.limit, size.cold_limit, size.warm_after_requests
+            )
+        async with trio.open_nursery() as nursery:
+            grants = None
+            chosen: Way
+            if way == "grants":
+                grants = Grants(nursery, size, servers, delay_s)
+                await grants.start()
+                chosen = grants
+            else:
+                exchange_s = max(0.5, delay_s) if way == "exchange" else None
+                chosen = alone = Alone(size, exchange_s, delay_s)
+                if exchange_s is not None:
+                    nursery.start_soon(alone.exchange)
+            run = Run(nursery, size, chosen, servers, ServiceLog(), seed, grants)
+            result = await scenario(run)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
--- /dev/null
+++ b/benchmarks/dispatch_scenarios.py
@@ -0,0 +1,167 @@
+"""Scenarios of the dispatch measures; each returns one or two figures."""
+
+from __future__ import annotations
+
+import math
+from itertools import pairwise
+from random import Random
+
+import attrs
+import trio
+
+from benchmarks.dispatch_load import FAILURE_DOMAINS, FakeServer, Tenant, uneven_tenants
+from benchmarks.dispatch_runs import Run
+from teaseldyke.types import Switches
+
+SETTLE_S = 10.0
+WINDOW_S = 60.0
+APPLY_WITHIN_S = 1.0  # a configuration reaches each router at random within this
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Return the smallest value that ``part`` of all values do not exceed."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(part * len(ordered)) - 1)]
+
+
+async def fairness(run: Run) -> tuple[float, float]:
+    """Return the gap in seconds of service, and the part of the slots in use."""
+    tenants = uneven_tenants(run.size, run.seed)
+    for tenant in tenants:
+        run.add(tenant)
+    delay_s = run.grants.delay_s if run.grants is not None else 0.0
+    await trio.sleep(SETTLE_S + 12 * delay_s)
+    names = [tenant.organisation for tenant in tenants]
+    return await run.gaps(names, WINDOW_S + 24 * delay_s)
+
+
+async def one_router(run: Run) -> tuple[float, float]:
+    """As `fairness`, with every tenant on one router."""
+    for tenant in uneven_tenants(run.size, run.seed):
+        run.add(attrs.evolve(tenant, router="router-0"))
+    await trio.sleep(SETTLE_S)
+    return await run.gaps(["organisation-0", "organisation-1"], WINDOW_S)
+
+
+async def control_traffic(run: Run) -> tuple[float, float]:
+    """Return the control bytes each second of the busiest node and of the mean."""
+    assert run.grants is not None
+    for tenant in uneven_tenants(run.size, run.seed):
+        run.add(tenant)
+    await trio.sleep(SETTLE_S)
+    before = dict(run.grants.network.bytes_sent)
+    await trio.sleep(WINDOW_S)
+    after = run.grants.network.bytes_sent
+    rates = [(after[name] - before.get(name, 0)) / WINDOW_S for name in after]
+    return max(rates), sum(rates) / len(rates)
+
+
+async def cold_servers(run: Run) -> float:
+    """Return the requests above what cold servers bear, with restarts at random."""
+    random = Random(run.seed)
+    for tenant in uneven_tenants(run.size, run.seed):
+        run.add(tenant)
+    for _ in range(8):
+        await trio.sleep(random.uniform(2.0, 6.0))
+        server = run.servers[f"engine-{random.randrange(run.size.servers)}"]
+        server.stop()
+        await trio.sleep(random.uniform(1.0, 3.0))
+        server.start()
+    await trio.sleep(5.0)
+    return float(sum(server.overruns for server in run.servers.values()))
+
+
+async def dispatcher_loss(run: Run, *, frozen: bool) -> float:
+    """Return the longest time without a new request after a dispatcher's loss."""
+    assert run.grants is not None
+    for i, router in enumerate(run.size.router_names()):
+        run.add(Tenant(f"organisation-{i}", router, 30))
+    await trio.sleep(SETTLE_S + Random(run.seed).uniform(0.0, 1.0))
+    lost = run.grants.acting()
+    lost_at_s = trio.current_time()
+    run.end_router(lost)
+    if frozen:
+        run.grants.network.frozen.add(lost)
+    else:
+        run.grants.kill(lost)
+    await trio.sleep(6.0)
+    times = [lost_at_s]
+    for at_s, router, _ in run.log.began:
+        if at_s >= lost_at_s and router != lost:
+            times.append(at_s)
+    times.append(lost_at_s + 6.0)
+    return max(later - earlier for earlier, later in pairwise(times))
+
+
+async def domain_out_and_back(run: Run) -> tuple[float, float, float]:
+    """Return the time to the last new work, to 95 % of throughput, and failures.
+
+    The second is in units of the time that the ramps alone need.
+    """
+    assert run.grants is not None
+    for tenant in uneven_tenants(run.size, run.seed):
+        run.add(tenant)
+    await trio.sleep(2 * SETTLE_S)
+    lost = FAILURE_DOMAINS[0]
+    known = run.size.configuration()
+    out_servers = {s.name for s in known.backend_servers.values()}
+    out_servers &= {
+        s.name for s in known.backend_servers.values() if s.failure_domain == lost
+    }
+    switches = Switches(failure_domains_out=frozenset({lost}))
+    out_at_s = trio.current_time()
+    _apply_at_random(run, attrs.evolve(known, version=2, switches=switches))
+    await trio.sleep(SETTLE_S)
+    last_s = out_at_s
+    for at_s, _, server in run.log.began:
+        if server in out_servers and at_s > out_at_s:
+            last_s = at_s
+    for name in out_servers:
+        run.servers[name].stop()
+        run.servers[name].start()
+    await trio.sleep(2.0)
+    back_at_s = trio.current_time()
+    _apply_at_random(run, attrs.evolve(known, version=3))
+    target = 0.95 * run.size.slots
+    while len(run.log.running) < target:
+        await trio.sleep(0.05)
+    returned_s = trio.current_time() - back_at_s
+    alone_s = max(_ramp_alone_s(run.servers[name]) for name in out_servers)
+    return last_s - out_at_s, returned_s / alone_s, run.log.failed
+
+
+def _ramp_alone_s(server: FakeServer) -> float:
+    """Return the time that the ramp needs when a cold server always has work."""
+    return sum(server.costs_s[: server.warm_after_requests]) / server.cold_limit
+
+
+def _apply_at_random(run: Run, configuration: object) -> None:
+    random = Random(run.seed)
+
+    async def apply(router: str) -> None:
+        await trio.sleep(random.uniform(0.0, APPLY_WITHIN_S))
+        run.grants.apply(router, configuration)
+
+    for router in run.size.router_names():
+        run.nursery.start_soon(apply, router)
+
+
+async def small_waits(run: Run, *, flood: bool, busy: bool) -> float:
+    """Return the 99th percentile of the waits of a small organisation."""
+    small = f"organisation-{run.size.organisations - 1}"
+    if busy:
+        for tenant in uneven_tenants(run.size, run.seed)[1:-1]:
+            run.add(tenant)
+    if flood:
+        run.add(Tenant("organisation-0", "router-0", 200))
+    await trio.sleep(SETTLE_S)
+    random = Random(run.seed)
+    started_at_s = trio.current_time()
+    while trio.current_time() < started_at_s + 4 * WINDOW_S:
+        await trio.sleep(random.expovariate(1.0))
+        run.nursery.start_soon(run.request, "router-3", small)
+    waits = []
+    for at_s, organisation, wait_s in run.log.waits:
+        if organisation == small and at_s >= started_at_s:
+            waits.append(wait_s)
+    return percentile(waits, 0.99)
--- a/libs/capacity/src/teaseldyke/capacity/delegations.py
+++ b/libs/capacity/src/teaseldyke/capacity/delegations.py
@@ -17,8 +17,10 @@
 
     Parameters
     ----------
+    holders : int
+        Routers that hold a part, as the router sees them; its part is one of so many.
     members : int
-        Members that the router sees; its part is one of so many.
+        Members of the fleet that the router sees.
     expires_at_s : float
         The part counts until then.
     usable_at_s : float
@@ -29,6 +31,7 @@
         Incarnation of the router and number of its promise.
     """
 
+    holders: int
     members: int
     expires_at_s: float
     usable_at_s: float
@@ -50,22 +53,25 @@
 
     Parameters
     ----------
-    members : callable
-        Returns the names of all members.
+    holders : callable
+        Returns the names of the routers that hold a part.
+    fleet_size : callable
+        Returns the number of all members.
     is_gone : callable
         Returns whether a member's process is proven gone.
 
     Examples
     --------
-    >>> book = Delegations(lambda: frozenset("abc"), lambda name: False)
+    >>> book = Delegations(lambda: frozenset("abc"), lambda: 3, lambda name: False)
     >>> for name in "ab":
-    ...     book.record(name, Delegation(3, 10.0, 0.0, False))
+    ...     book.record(name, Delegation(3, 3, 10.0, 0.0, False))
     >>> levels = book.levels(now_s=1.0)
     >>> covered_until_s(levels, limit=1, count=1), covered_until_s(levels, 1, 2)
     (10.0, -inf)
     """
 
-    members: Callable[[], frozenset[str]]
+    holders: Callable[[], frozenset[str]]
+    fleet_size: Callable[[], int]
     is_gone: Callable[[str], bool]
     by_router: dict[str, Delegation] = attrs.field(factory=dict)
 
@@ -78,24 +84,24 @@
         self.by_router.pop(router, None)
 
     def is_complete(self, now_s: float) -> bool:
-        """Return whether every member that is not proven gone delegates its part."""
-        members = self.members()
-        for name in members:
+        """Return whether every holder that is not proven gone delegates its part."""
+        fleet_size = self.fleet_size()
+        for name in self.holders():
             delegation = self.by_router.get(name)
             if delegation is None or delegation.expires_at_s <= now_s:
                 if not self.is_gone(name):
                     return False
                 continue
-            if delegation.members > len(members):
-                return False
+            if delegation.members > fleet_size:
+                return False  # it knows of a router that this one does not
             if delegation.usable_at_s > now_s and not delegation.predecessors_gone:
                 return False
         return True
 
     def missing(self, until_s: float) -> list[str]:
-        """Return the members whose part does not count until a time."""
+        """Return the holders whose part does not count until a time."""
         found = []
-        for name in self.members():
+        for name in self.holders():
             delegation = self.by_router.get(name)
             if delegation is not None and delegation.expires_at_s > until_s:
                 continue
@@ -114,7 +120,7 @@
             if delegation.usable_at_s <= now_s or complete:
                 parts.add((name, delegation.promise))
         if complete and parts:
-            parts |= {(name,) for name in self.members() if self.is_gone(name)}
+            parts |= {(name,) for name in self.holders() if self.is_gone(name)}
         return parts
 
     def levels(self, now_s: float) -> list[Level]:
@@ -122,10 +128,10 @@
         if not self.by_router:
             return []
         complete = self.is_complete(now_s)
-        members = self.members()
+        holders = self.holders()
         counted = []
         for name, delegation in self.by_router.items():
-            if name not in members or delegation.expires_at_s <= now_s:
+            if name not in holders or delegation.expires_at_s <= now_s:
                 continue
             if delegation.usable_at_s > now_s and not complete:
                 continue
@@ -134,10 +140,10 @@
         levels = []
         counts: list[int] = []
         for delegation in counted:
-            counts.append(delegation.members)
+            counts.append(delegation.holders)
             levels.append(Level(delegation.expires_at_s, total_part(counts)))
         if complete and levels:
-            # Nobody else can use the parts of members whose process is gone.
+            # Nobody else can use the parts of holders whose process is gone.
             levels[-1] = Level(levels[-1].expires_at_s, Fraction(1))
         return levels
 
--- a/libs/dispatch/src/teaseldyke/dispatch/candidates.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/candidates.py
@@ -10,6 +10,7 @@
 from teaseldyke.peers import LinkState, Membership, PeerLinks
 
 from .messages import Probe
+from .options import HOLDERS_MAX
 
 
 @attrs.define(eq=False)
@@ -26,33 +27,55 @@
         State of the other processes.
     clock : callable
         Returns the time in seconds.
+    holders_max : int
+        Members that hold a part of a shard's backend servers.
     """
 
     name: str
     membership: Membership
     links: PeerLinks
     clock: Callable[[], float]
+    holders_max: int = HOLDERS_MAX
     instances_out: frozenset[str] = frozenset()
     draining: set[str] = attrs.field(factory=set)
     suspected_at_s: dict[str, float] = attrs.field(factory=dict)
     _ranks: dict[str, list[str]] = attrs.field(factory=dict, init=False)
+    _holders: dict[str, frozenset[str]] = attrs.field(factory=dict, init=False)
     _ranked: frozenset[str] = attrs.field(factory=frozenset, init=False)
 
     def preferred(self, shard: str) -> str:
         """Return the first usable member of a shard's order, or this router."""
+        order = self._order(shard)
+        for name in order:
+            if self.is_usable(name):
+                return name
+        return self.name
+
+    def holders(self, shard: str) -> frozenset[str]:
+        """Return the members that each hold an equal part of a shard's limits.
+
+        A part costs its holder a renewal and the dispatcher a message, so that their
+        number is bounded however many routers there are.
+        """
+        order = self._order(shard)
+        found = self._holders.get(shard)
+        if found is None:
+            found = frozenset(order[: self.holders_max])
+            self._holders[shard] = found
+        return found
+
+    def _order(self, shard: str) -> list[str]:
         members = self.membership.members
-        if members != self._ranked:
-            self._ranked = members
+        if members is not self._ranked and members != self._ranked:
             self._ranks.clear()
+            self._holders.clear()
             self.draining &= members
+        self._ranked = members
         order = self._ranks.get(shard)
         if order is None:
             order = rank(shard, members)
             self._ranks[shard] = order
-        for name in order:
-            if self.is_usable(name):
-                return name
-        return self.name
+        return order
 
     def is_usable(self, name: str) -> bool:
         """Return whether a member may be chosen as dispatcher."""
--- a/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import count
 
 import attrs
@@ -47,6 +47,8 @@
         Sends a message to a router.
     polls_load : bool
         Whether load reports are asked for.
+    grant_numbers : iterator of int
+        Shared by the dispatchers of this process.
     """
 
     shard: Shard
@@ -57,6 +59,7 @@
     clock: Callable[[], float]
     send: Send
     polls_load: bool = False
+    grant_numbers: Iterator[int] = attrs.field(factory=lambda: count(1))
     accounts: Accounts = attrs.field(init=False)
     slots: dict[str, ServerSlots] = attrs.field(factory=dict, init=False)
     routers: dict[str, RouterRecord] = attrs.field(factory=dict, init=False)
@@ -76,9 +79,13 @@
     def __attrs_post_init__(self) -> None:
         self.accounts = Accounts(self._share_of)
         self.delegations = Delegations(
-            lambda: self.candidates.membership.members, self.candidates.is_gone
+            lambda: self.candidates.holders(self.shard.name),
+            lambda: len(self.candidates.membership.members),
+            self.candidates.is_gone,
+        )
+        self.book = GrantBook(
+            self.incarnation, self.accounts, self.slots, self.grant_numbers
         )
-        self.book = GrantBook(self.incarnation, self.accounts, self.slots)
 
     @property
     def is_acting(self) -> bool:
@@ -121,13 +128,14 @@
         if is_first or not knew_part:
             self._adopt_ramps(report.ramps)
         seen_seq = report.seen_seq if self._is_mine(report) else 0
-        self.book.take_holdings(router, report.holdings, seen_seq, now_s)
+        running = report.running if self._is_mine(report) else ()
+        self.book.take_holdings(router, running, report.holdings, seen_seq, now_s)
         self._take_demand(router, report, seen_seq, now_s)
         if report.wants_release and not self.retiring:
             self.retire(draining=False)
         self.assign()
         answer_due = now_s - router.batch_at_s >= self.options.lease_s / 10
-        if answer_due or not self._is_mine(report):
+        if answer_due or router.list_all or not self._is_mine(report):
             self._send_batch(router)
 
     def take_load(self, server: str, report: LoadReport, polled_at_s: float) -> None:
@@ -156,7 +164,7 @@
         """Return whether no grant can be given before the next load report."""
         if not self._acting:
             return False
-        complete = self.delegations.is_complete(self.clock())
+        complete = self._hears_everyone(self.clock())
         return not self.slots[server].may_grant(
             self.gained_at_s, complete, self.clock()
         )
@@ -227,6 +235,7 @@
         if report.echo_sent_at_s <= self.routers[sender].released_at_s:
             return knew_part
         delegation = Delegation(
+            holders=min(report.members, self.candidates.holders_max),
             members=report.members,
             expires_at_s=report.echo_sent_at_s + self.options.lease_s,
             usable_at_s=now_s + report.held_for_s,
@@ -296,9 +305,9 @@
         return bool(waiting)
 
     def _usable_slots(self, now_s: float) -> list[ServerSlots]:
-        complete = self.delegations.is_complete(now_s)
-        members = self.candidates.membership.members
+        complete = self._hears_everyone(now_s)
         unsure = now_s - self._lost_at_s < RESTART_MEMORY_S
+        members = self.candidates.holders(self.shard.name)
         unsure = unsure or any(self.candidates.is_gone(name) for name in members)
         usable = []
         for slots in self.slots.values():
@@ -313,6 +322,16 @@
                 usable.append(slots)
         return usable
 
+    def _hears_everyone(self, now_s: float) -> bool:
+        """Return whether every living router reports its work here.
+
+        In a fleet with more routers than holders, some may report elsewhere unseen.
+        """
+        holders = self.candidates.holders(self.shard.name)
+        if len(holders) < len(self.candidates.membership.members):
+            return False
+        return self.delegations.is_complete(now_s)
+
     def _solicit(self, now_s: float) -> None:
         if now_s - self._solicited_at_s < self.options.lease_s / 6:
             return
@@ -343,6 +362,7 @@
             active=self.has_work(),
             released=released,
             draining=self.draining,
+            list_all=router.list_all,
             grants=tuple(router.pending),
             revoked=tuple(router.revoked),
             ramps=tuple(ramps),
@@ -354,19 +374,20 @@
 
     def _members_for(self, router: str, now_s: float) -> int:
         """Return how many members a router may believe in, or 0."""
-        members = self.candidates.membership.members
-        if router not in members:
+        holders = self.candidates.holders(self.shard.name)
+        members = len(self.candidates.membership.members)
+        if router not in holders:
             return 0
         if self.candidates.membership.is_confirmed():
-            return len(members)
-        seen = [len(members)]
+            return members
+        seen = [members]
         heard = 0
         for record in self.routers.values():
             recent = now_s - record.received_at_s < self.options.lease_s
-            if recent and record.name in members:
+            if recent and record.name in holders:
                 heard += 1
                 seen.append(record.members)
-        return max(seen) if 2 * heard > len(members) else 0
+        return max(seen) if 2 * heard > len(holders) else 0
 
     def _revoke_unused(self, server: str) -> None:
         now_s = self.clock()
--- a/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
@@ -4,6 +4,8 @@
 
 import math
 from collections import deque
+from collections.abc import Iterator
+from itertools import count
 from random import Random
 
 import attrs
@@ -71,13 +73,18 @@
     queues: dict[str, ServiceQueues] = attrs.field(factory=dict, init=False)
     configuration: Configuration | None = attrs.field(default=None, init=False)
     _local: deque[object] = attrs.field(factory=deque, init=False)
+    _grant_numbers: Iterator[int] = attrs.field(factory=lambda: count(1), init=False)
     _pumping: bool = attrs.field(default=False, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
     _polls: LoadPolls | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.candidates = Candidates(
-            self.name, self.membership, self.links, self.membership.clock
+            self.name,
+            self.membership,
+            self.links,
+            self.membership.clock,
+            self.options.holders_max,
         )
         self.links.subscribe(Report, self._on_message)
         self.links.subscribe(GrantBatch, self._on_message)
@@ -265,6 +272,7 @@
                 clock=self.membership.clock,
                 send=self._send,
                 polls_load=self.load_source is not None,
+                grant_numbers=self._grant_numbers,
             )
             self.dispatchers[shard.name] = dispatcher
         dispatcher.apply(shard, configuration)
--- a/libs/dispatch/src/teaseldyke/dispatch/grants.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/grants.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from itertools import count
+from collections.abc import Iterable, Iterator
 
 import attrs
 
 from teaseldyke.fairness import Accounts
 
-from .messages import Grant, Holding
+from .messages import Grant, Holding, grant_id_of
 from .records import LiveGrant, RouterRecord
 from .slots import ServerSlots
 
-COUNTER_BITS = 32
-
 
 @attrs.define(eq=False)
 class GrantBook:
@@ -28,13 +25,15 @@
         Charged with the estimates.
     slots : dict of str to ServerSlots
         Occupied by the grants.
+    numbers : iterator of int
+        Numbers that no other grant of this process has.
     """
 
     incarnation: int
     accounts: Accounts
     slots: dict[str, ServerSlots]
+    numbers: Iterator[int]
     grants: dict[int, LiveGrant] = attrs.field(factory=dict)
-    _numbers: count[int] = attrs.field(factory=lambda: count(1))
 
     def give(
         self,
@@ -49,7 +48,7 @@
         estimate_cost = record.entry.estimate_cost
         virtual_time = self.accounts.grant(organisation, estimate_cost)
         grant = Grant(
-            grant_id=(self.incarnation << COUNTER_BITS) | next(self._numbers),
+            grant_id=grant_id_of(self.incarnation, next(self.numbers)),
             organisation=organisation,
             server=slots.server,
             estimate_cost=estimate_cost,
@@ -74,6 +73,7 @@
     def take_holdings(
         self,
         router: RouterRecord,
+        running: Iterable[int],
         holdings: Iterable[Holding],
         seen_seq: int,
         now_s: float,
@@ -85,14 +85,22 @@
         by another dispatcher and counts as well.
         """
         listed = set()
+        router.list_all = False
+        for number in running:
+            grant_id = grant_id_of(self.incarnation, number)
+            listed.add(grant_id)
+            known = router.grants.get(grant_id)
+            if known is None:
+                router.list_all = True
+                continue
+            self._note_running(known, now_s)
         for holding in holdings:
             listed.add(holding.grant_id)
             live = router.grants.get(holding.grant_id)
             if live is None:
                 live = self._adopt(router, holding, now_s)
-            if holding.running and not live.running:
-                live.running = True
-                self._change_running(live, 1, now_s)
+            if holding.running:
+                self._note_running(live, now_s)
         for live in list(router.grants.values()):
             if live.grant_id not in listed and live.seq <= seen_seq:
                 self._drop(router, live, now_s)
@@ -133,6 +141,11 @@
         if live.running:
             self._change_running(live, -1, now_s)
 
+    def _note_running(self, live: LiveGrant, now_s: float) -> None:
+        if not live.running:
+            live.running = True
+            self._change_running(live, 1, now_s)
+
     def _change_running(self, live: LiveGrant, change: int, now_s: float) -> None:
         if live.server in self.slots:
             self.slots[live.server].change_running(change, now_s)
--- a/libs/dispatch/src/teaseldyke/dispatch/messages.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/messages.py
@@ -6,6 +6,8 @@
 
 from teaseldyke.peers import Codec
 
+GRANT_NUMBER_BITS = 32
+
 
 @attrs.frozen
 class Demand:
@@ -103,6 +105,10 @@
         Whether the router asks the dispatcher to hand its part back.
     term : int
         Largest term of a dispatcher that the router has seen.
+    running : tuple of int
+        Grants of the echoed dispatcher that are in use, by `grant_number`.
+    holdings : tuple of Holding
+        All other grants that the router has.
     """
 
     shard: str
@@ -121,6 +127,7 @@
     wants_release: bool
     term: int
     demand: tuple[Demand, ...] = ()
+    running: tuple[int, ...] = ()
     holdings: tuple[Holding, ...] = ()
     counts: tuple[ServerCounts, ...] = ()
     ramps: tuple[RampState, ...] = ()
@@ -176,6 +183,9 @@
         Whether the router's part is handed back.
     draining : bool
         Whether the dispatcher's process will stop.
+    list_all : bool
+        Whether the router should list its grants in full, because the dispatcher
+        does not know some of them.
     """
 
     shard: str
@@ -190,11 +200,22 @@
     active: bool
     released: bool = False
     draining: bool = False
+    list_all: bool = False
     grants: tuple[Grant, ...] = ()
     revoked: tuple[int, ...] = ()
     ramps: tuple[RampState, ...] = ()
 
 
+def grant_id_of(incarnation: int, number: int) -> int:
+    """Return the identifier of a dispatcher's grant."""
+    return (incarnation << GRANT_NUMBER_BITS) | number
+
+
+def grant_number(grant_id: int) -> int:
+    """Return the part of a grant's identifier that its dispatcher counts."""
+    return grant_id & ((1 << GRANT_NUMBER_BITS) - 1)
+
+
 @attrs.frozen
 class Probe:
     """Asks a silent peer for a sign of life, or answers."""
--- a/libs/dispatch/src/teaseldyke/dispatch/options.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/options.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+HOLDERS_MAX = 7  # routers that hold a part of the limits of one shard
+
 
 @attrs.frozen
 class DispatchOptions:
@@ -24,6 +26,8 @@
         Between two polls of a backend server's load.
     load_lag_s : float
         Oldest state that a load report shows.
+    holders_max : int
+        Routers that hold a part of the limits of one shard.
     """
 
     lease_s: float = 1.0
@@ -32,6 +36,7 @@
     silence_s: float = 0.5
     load_interval_s: float = 0.5
     load_lag_s: float = 0.5
+    holders_max: int = HOLDERS_MAX
 
     @property
     def renewal_s(self) -> float:
--- a/libs/dispatch/src/teaseldyke/dispatch/records.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/records.py
@@ -63,6 +63,7 @@
     received_at_s: float = -math.inf
     joined: bool = False
     members: int = 0
+    list_all: bool = False
     demand: dict[str, DemandRecord] = attrs.field(factory=dict)
     counts: dict[str, ServerCounts] = attrs.field(factory=dict)
     grants: dict[int, LiveGrant] = attrs.field(factory=dict)
--- a/libs/dispatch/src/teaseldyke/dispatch/reports.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/reports.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from .messages import Demand, Holding, ServerCounts
-from .permit import Completion
+from .messages import Demand, Holding, ServerCounts, grant_number
+from .permit import Completion, Permit
 
 if TYPE_CHECKING:
     from .shard_client import ShardClient
@@ -40,10 +40,28 @@
         )
 
 
+def running_of(client: ShardClient) -> tuple[int, ...]:
+    """Return the numbers of the current dispatcher's grants that are in use."""
+    numbers = []
+    for permit in client.permits.values():
+        if permit.is_sent and _is_known(client, permit):
+            numbers.append(grant_number(permit.grant_id))
+    return tuple(numbers)
+
+
+def _is_known(client: ShardClient, permit: Permit) -> bool:
+    if client.list_all:
+        return False
+    promise = client.promise
+    return permit.dispatcher == (promise.dispatcher, promise.incarnation)
+
+
 def holdings_of(client: ShardClient) -> tuple[Holding, ...]:
-    """Return the grants that a router holds or runs requests under."""
+    """Return the grants that a router holds unused, or has of other dispatchers."""
     holdings = []
     for permit in client.permits.values():
+        if permit.is_sent and _is_known(client, permit):
+            continue
         holdings.append(
             Holding(
                 permit.grant_id,
--- a/libs/dispatch/src/teaseldyke/dispatch/shard_client.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/shard_client.py
@@ -16,7 +16,7 @@
 from .options import DispatchOptions
 from .pacing import Pace
 from .permit import Completion, Permit
-from .reports import Counts, demand_of, holdings_of
+from .reports import Counts, demand_of, holdings_of, running_of
 from .service_queues import ServiceQueues
 from .shards import Shard
 
@@ -72,6 +72,7 @@
     flushed_at_s: float = -math.inf
     changed: bool = False
     pace: Pace = attrs.field(init=False)
+    list_all: bool = False
     _seq: int = 0
     _echo_seq: int = 0
     _echo_sent_at_s: float = 0.0
@@ -80,6 +81,8 @@
     _unanswered_at_s: float | None = None
     _stepped_at_s: float = -math.inf
     _resumed_at_s: float = -math.inf
+    _holder_since_s: float = math.inf
+    _holder_known: bool = True  # a start is covered by the promise's hold
     _told_members: int = 0
     _told_at_s: float = -math.inf
     _moving: bool = False
@@ -183,10 +186,11 @@
             self.ramps[state.server] = state
         for grant_id in batch.revoked:
             self._revoke(grant_id)
+        self.list_all = batch.list_all
         if batch.released:
             self._released()
         overdue = now_s - self.flushed_at_s > self.options.lease_s / 6
-        if is_new or stale or overdue or batch.revoked:
+        if is_new or stale or overdue or batch.revoked or batch.list_all:
             self.changed = True
             self._is_urgent = True  # the dispatcher waits for the answer
         if batch.echo_incarnation == self.membership.incarnation:
@@ -263,7 +267,13 @@
         self.promise.held_until_s = max(self.held_until_s, held_until_s)
 
     def _members_for_part(self, now_s: float) -> int:
-        """Return of how many members this router is sure to be one, or 0."""
+        """Return of how many members this router is sure to be one, or 0.
+
+        0 as well if it holds no part of this shard.
+        """
+        holders = self.candidates.holders(self.shard.name)
+        if not self._holds_part(holders, now_s):
+            return 0
         told = 0
         if now_s - self._told_at_s < self.membership.fresh_s:
             told = self._told_members
@@ -271,6 +281,23 @@
             return 0
         return max(told, len(self.membership.members))
 
+    def _holds_part(self, holders: frozenset[str], now_s: float) -> bool:
+        """Return whether this router holds a part that no other still counts on.
+
+        One that becomes a holder later waits until the list, still readable, must
+        have told all others.
+        """
+        if self.membership.name not in holders:
+            self._holder_since_s = math.inf
+            self._holder_known = False
+            return False
+        if self._holder_known:
+            return True
+        self._holder_since_s = min(self._holder_since_s, now_s)
+        if now_s - self._holder_since_s >= self.options.join_delay_s:
+            self._holder_known = self.membership.is_confirmed()
+        return self._holder_known
+
     def _point_to(self, dispatcher: str) -> None:
         self.promise.point_to(dispatcher)
         self._moving = False
@@ -340,6 +367,7 @@
             wants_release=self._moving,
             term=self.term,
             demand=demand_of(self, now_s),
+            running=running_of(self),
             holdings=holdings_of(self),
             counts=tuple(c.message(name) for name, c in self.counts.items()),
             ramps=tuple(self.ramps.values()),
--- a/libs/dispatch/tests/test_authority.py
+++ b/libs/dispatch/tests/test_authority.py
@@ -139,6 +139,7 @@
     """Processes, the network between them and one backend server."""
 
     random: Random
+    options: DispatchOptions = OPTIONS
     now_s: float = 1000.0
     processes: dict[str, Process] = attrs.field(factory=dict)
     cuts: set[frozenset[str]] = attrs.field(factory=set)
@@ -166,7 +167,9 @@
             clock=process.clock,
             incarnation=self.random.randrange(1, 2**31),
         )
-        process.router = Dispatching(name, process, membership, self, options=OPTIONS)
+        process.router = Dispatching(
+            name, process, membership, self, options=self.options
+        )
         process.router._polls = None
         process.router.apply_configuration(CONFIGURATION)
         self.processes[name] = process
@@ -244,9 +247,11 @@
 class Authority(RuleBasedStateMachine):
     """Faults at any moment, under a demand that never ends."""
 
+    options = OPTIONS
+
     @initialize(seed=st.integers(0, 2**32), routers=st.integers(2, 4))
     def begin(self, seed: int, routers: int) -> None:
-        self.world = World(Random(seed))
+        self.world = World(Random(seed), self.options)
         for name in NAMES[:routers]:
             self.world.start(name)
         self.advance(3.5)
@@ -328,11 +333,21 @@
         self.advance(0.3)
 
 
-TestAuthority = Authority.TestCase
-TestAuthority.settings = settings(
+class AuthorityOfFewHolders(Authority):
+    """The same in a fleet with more routers than holders of a part."""
+
+    options = attrs.evolve(OPTIONS, holders_max=3)
+
+
+SETTINGS = settings(
     derandomize=True,
     max_examples=15,
     stateful_step_count=12,
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
+
+TestAuthority = Authority.TestCase
+TestAuthority.settings = SETTINGS
+TestAuthorityOfFewHolders = AuthorityOfFewHolders.TestCase
+TestAuthorityOfFewHolders.settings = SETTINGS
--- a/libs/peers/src/teaseldyke/peers/codec.py
+++ b/libs/peers/src/teaseldyke/peers/codec.py
@@ -10,6 +10,8 @@
 
 from teaseldyke.types import TeaseldykeError
 
+from .rows import RowType
+
 
 class MessageInvalid(TeaseldykeError):
     """A frame from a peer does not decode; it is counted and dropped."""
@@ -21,7 +23,7 @@
 
 @attrs.define(eq=False)
 class Codec:
-    """Encodes attrs classes as one index byte and a msgpack body.
+    """Encodes attrs classes as one index byte and a msgpack array.
 
     Parameters
     ----------
@@ -39,19 +41,22 @@
     """
 
     message_types: Sequence[type]
+    _rows: list[RowType] = attrs.field(init=False)
     _indices: dict[type, int] = attrs.field(init=False)
     _decoders: list[msgspec.msgpack.Decoder[Any]] = attrs.field(init=False)
     _encoder: msgspec.msgpack.Encoder = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._indices = {cls: i for i, cls in enumerate(self.message_types)}
-        self._decoders = [msgspec.msgpack.Decoder(cls) for cls in self.message_types]
+        self._rows = [RowType(cls) for cls in self.message_types]
+        self._decoders = [msgspec.msgpack.Decoder(row.struct) for row in self._rows]
         self._encoder = msgspec.msgpack.Encoder()
 
     def encode(self, message: object) -> bytes:
         """Return the bytes of a message."""
         index = self._indices[type(message)]
-        return bytes((index,)) + self._encoder.encode(message)
+        row = self._rows[index].to_row(message)
+        return bytes((index,)) + self._encoder.encode(row)
 
     def decode(self, data: bytes) -> object:
         """Return the message that the bytes stand for.
@@ -64,6 +69,8 @@
         if not data or data[0] >= len(self._decoders):
             raise MessageInvalid(f"message index in {data[:1]!r} is unknown")
         try:
-            return self._decoders[data[0]].decode(memoryview(data)[1:])
+            struct = self._decoders[data[0]].decode(memoryview(data)[1:])
         except msgspec.MsgspecError as exc:
             raise MessageInvalid(f"message body is invalid: {exc}") from exc
+        message: object = self._rows[data[0]].from_struct(struct)
+        return message
--- /dev/null
+++ b/libs/peers/tests/test_rows.py
@@ -0,0 +1,33 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from teaseldyke.peers import Codec
+
+
+@attrs.frozen
+class Item:
+    name: str
+    cost: float = 1.0
+
+
+@attrs.frozen
+class Basket:
+    items: tuple[Item, ...]
+    labels: tuple[str, ...] = ()
+    note: str | None = None
+
+
+@pytest.mark.parametrize(
+    "message",
+    [Basket(()), Basket((Item("a"), Item("b", 2.5)), ("x",), "note")],
+    ids=["empty", "nested"],
+)
+def test_message_comes_back(message: Basket) -> None:
+    codec = Codec([Item, Basket])
+    assert codec.decode(codec.encode(message)) == message
+
+
+def test_names_of_fields_do_not_travel() -> None:
+    assert b"cost" not in Codec([Item]).encode(Item("a"))
