Refuse to take out an instance that no router is

Instances are not in the sheet, so a mistyped name was accepted and did nothing. The test of roles named such an instance; it now names one that exists and holds the same status. Run: pytest libs/operator, 36 passed.

--- a/libs/operator/src/teaseldyke/operator/switch_commands.py
+++ b/libs/operator/src/teaseldyke/operator/switch_commands.py
@@ -9,6 +9,7 @@
 from teaseldyke.configuration import SwitchKind
 
 from .client import FleetConfiguration
+from .errors import RequestRefused
 from .session import Session
 
 
@@ -55,6 +56,8 @@
     verb = "out" if out else "in"
     if kind == "organisation":
         verb = "disabled" if out else "enabled"
+    if kind == "instance" and out:
+        _check_instance(session, str(name))
     if kind == "failure-domain":
         _warn_of_gaps(session, configuration, str(name), out=out)
     session.change(
@@ -70,6 +73,16 @@
     )
 
 
+def _check_instance(session: Session, name: str) -> None:
+    """Refuse a name that no router has; the sheet does not list instances."""
+    versions = session.run(lambda client: client.versions())
+    known = [version.router for version in versions]
+    if name not in known:
+        raise RequestRefused(
+            f"there is no instance {name!r}; known: {', '.join(known)}"
+        )
+
+
 def _warn_of_gaps(
     session: Session, configuration: FleetConfiguration, domain: str, *, out: bool
 ) -> None:
--- a/libs/operator/tests/test_main.py
+++ b/libs/operator/tests/test_main.py
@@ -198,6 +198,7 @@
         ("arguments", "status", "message"),
         [
             (("failure-domain", "out", "zone-z"), 10, "known: zone-a"),
+            (("instance", "out", "router-9"), 10, "known: router-1"),
             (("organisation", "create", "parish", "1"), 10, "already"),
             (("organisation", "create", "union", "much"), 2, "--share=much"),
             (("organisation", "rotate-key", "nobody"), 10, "nobody"),
@@ -236,7 +237,7 @@
         status: int,
     ) -> None:
         monkeypatch.setenv("TEASELDYKE_TOKEN", token)
-        assert applied("instance", "out", "router-2", "--yes")[0] == status
+        assert applied("instance", "out", "router-1", "--yes")[0] == status
 
     def test_a_strange_token_sees_no_status(
         self, applied: Command, monkeypatch: pytest.MonkeyPatch
