Count a part as gained only when its router holds one

In a fleet with more routers than holders each report of another router looked like a gained part, and a dispatcher then waits for a fresh load report. The taking in of reports has a module of its own.

The measures compare ours and the naive version over the same window at every control delay; before, the naive one had the shorter window at long delays.

--- a/benchmarks/dispatch_runs.py
+++ b/benchmarks/dispatch_runs.py
@@ -33,6 +33,7 @@
     log: ServiceLog
     seed: int
     grants: Grants | None
+    delay_s: float
     _costs: dict[str, Iterator[float]] = attrs.field(factory=dict)
     _ended: set[str] = attrs.field(factory=set)
 
@@ -124,7 +125,9 @@
                 chosen = alone = Alone(size, exchange_s, delay_s)
                 if exchange_s is not None:
                     nursery.start_soon(alone.exchange)
-            run = Run(nursery, size, chosen, servers, ServiceLog(), seed, grants)
+            run = Run(
+                nursery, size, chosen, servers, ServiceLog(), seed, grants, delay_s
+            )
             result = await scenario(run)
             nursery.cancel_scope.cancel()
         return result
--- a/benchmarks/dispatch_scenarios.py
+++ b/benchmarks/dispatch_scenarios.py
@@ -29,10 +29,9 @@
     tenants = uneven_tenants(run.size, run.seed)
     for tenant in tenants:
         run.add(tenant)
-    delay_s = run.grants.delay_s if run.grants is not None else 0.0
-    await trio.sleep(SETTLE_S + 12 * delay_s)
+    await trio.sleep(SETTLE_S + 12 * run.delay_s)
     names = [tenant.organisation for tenant in tenants]
-    return await run.gaps(names, WINDOW_S + 24 * delay_s)
+    return await run.gaps(names, WINDOW_S + 24 * run.delay_s)
 
 
 async def one_router(run: Run) -> tuple[float, float]:
--- /dev/null
+++ b/benchmarks/measure.py
@@ -0,0 +1,29 @@
+"""Runs every measure, one after another, and prints ours beside the naive version.
+
+``python -m benchmarks.measure`` writes ``build/measures.json``.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+MEASURES = (
+    "benchmarks.measure_dispatch",
+    "benchmarks.measure_configuration",
+    "benchmarks.measure_outcomes",
+)
+
+
+def main() -> int:
+    """Run the measures; return how many of them did not come to their end."""
+    broken = 0
+    for module in MEASURES:
+        print(f"== {module}", flush=True)
+        finished = subprocess.run([sys.executable, "-m", module], check=False)
+        broken += finished.returncode != 0
+    return broken
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/libs/capacity/src/teaseldyke/capacity/delegations.py
+++ b/libs/capacity/src/teaseldyke/capacity/delegations.py
@@ -113,14 +113,15 @@
     def parts(self, now_s: float) -> set[tuple[object, ...]]:
         """Return the parts that count now, each named by its promise."""
         complete = self.is_complete(now_s)
+        holders = self.holders()
         parts: set[tuple[object, ...]] = set()
         for name, delegation in self.by_router.items():
-            if delegation.expires_at_s <= now_s:
+            if name not in holders or delegation.expires_at_s <= now_s:
                 continue
             if delegation.usable_at_s <= now_s or complete:
                 parts.add((name, delegation.promise))
         if complete and parts:
-            parts |= {(name,) for name in self.holders() if self.is_gone(name)}
+            parts |= {(name,) for name in holders if self.is_gone(name)}
         return parts
 
     def levels(self, now_s: float) -> list[Level]:
--- a/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
@@ -14,10 +14,11 @@
 
 from .candidates import Candidates
 from .grants import GrantBook
-from .messages import GrantBatch, RampState, Report
+from .intake import adopt_ramps, take_counts, take_demand
+from .messages import GrantBatch, Report
 from .options import DispatchOptions
 from .order import give_out
-from .records import DemandRecord, RouterRecord
+from .records import RouterRecord
 from .shards import Shard
 from .slots import ServerSlots, new_slots
 
@@ -124,13 +125,14 @@
         router.take(report, now_s)
         self.term = max(self.term, report.term)
         knew_part = self._take_delegation(sender, report, now_s)
-        self._take_counts(router, report, is_first, now_s)
+        for server in take_counts(self.slots, router, report, is_first, now_s):
+            self._revoke_unused(server)
         if is_first or not knew_part:
-            self._adopt_ramps(report.ramps)
+            adopt_ramps(self.slots, report.ramps)
         seen_seq = report.seen_seq if self._is_mine(report) else 0
         running = report.running if self._is_mine(report) else ()
         self.book.take_holdings(router, running, report.holdings, seen_seq, now_s)
-        self._take_demand(router, report, seen_seq, now_s)
+        take_demand(self.accounts, router, report, seen_seq, now_s)
         if report.wants_release and not self.retiring:
             self.retire(draining=False)
         self.assign()
@@ -245,49 +247,12 @@
         self.delegations.record(sender, delegation)
         return knew_part
 
-    def _take_counts(
-        self, router: RouterRecord, report: Report, is_first: bool, now_s: float
-    ) -> None:
-        for counts in report.counts:
-            slots = self.slots.get(counts.server)
-            if slots is None:
-                continue
-            known = router.counts.get(counts.server)
-            if known is None and not is_first:
-                known = attrs.evolve(counts, completed=0, failed=0, refused=0, cold=0)
-            router.counts[counts.server] = counts
-            if slots.take_counts(known, counts, now_s):
-                self._revoke_unused(counts.server)
-
-    def _adopt_ramps(self, states: tuple[RampState, ...]) -> None:
-        for state in states:
-            slots = self.slots.get(state.server)
-            if slots is not None:
-                slots.ramp.adopt(state.epoch, state.completed)
-
-    def _take_demand(
-        self, router: RouterRecord, report: Report, seen_seq: int, now_s: float
-    ) -> None:
-        unseen: dict[str, int] = {}
-        for grant in router.grants.values():
-            if grant.seq > seen_seq:
-                unseen[grant.organisation] = unseen.get(grant.organisation, 0) + 1
-        router.demand.clear()
-        for entry in report.demand:
-            account = self.accounts[entry.organisation]
-            self.accounts.note_virtual_time(entry.organisation, entry.virtual_time)
-            source = (router.name, router.incarnation)
-            self.accounts.note_served(entry.organisation, source, entry.served_cost)
-            account.elsewhere_cost[router.name] = entry.elsewhere_cost
-            remaining = max(0, entry.waiting - unseen.get(entry.organisation, 0))
-            router.demand[entry.organisation] = DemandRecord(
-                entry, remaining, now_s - entry.oldest_age_s
-            )
-
     def _note_role(self, acting: bool, now_s: float) -> None:
         parts = self.delegations.parts(now_s)
         if not parts <= self._parts:
             self.gained_at_s = now_s
+            for slots in self.slots.values():
+                slots.foreign.reopen(now_s)
             self._parts = parts
         if acting and not self._acting:
             self.term += 1
