Tell no untrue 'no' before a record was read, nor keep a fenced-off order

Cause 2: a service's refusal of an old fencing number was passed on and kept as the outcome, though nothing had run.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test proofs measure benchmark capacity report format
+.PHONY: demo test proofs measure benchmark capacity soak format
 
 $(READY): requirements.txt requirements-workspace.txt $(wildcard libs/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -29,3 +29,17 @@
 
 benchmark: $(READY)
 	$(BIN)/python -m benchmarks.path
+
+capacity: $(READY)
+	$(BIN)/python -m benchmarks.capacity
+
+# About 15 minutes; each part merges its rows into build/measures.json.
+measure: $(READY)
+	$(BIN)/python -m benchmarks.measure_dispatch
+	$(BIN)/python -m benchmarks.measure_configuration
+	$(BIN)/python -m benchmarks.measure_outcomes
+
+SECONDS ?= 60
+SEED ?= 1
+soak: $(READY)
+	$(BIN)/python -m tests.processes.soak --seconds $(SECONDS) --seed $(SEED)
--- a/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
@@ -38,6 +38,7 @@
 from .waiting import Waiter
 
 PROBE_INTERVAL_S = 0.5
+IDLE_TICKS = 10  # ticks between two looks at a shard without work
 DRAIN_POLL_S = 0.02
 
 
@@ -74,6 +75,7 @@
     configuration: Configuration | None = attrs.field(default=None, init=False)
     _local: deque[object] = attrs.field(factory=deque, init=False)
     _grant_numbers: Iterator[int] = attrs.field(factory=lambda: count(1), init=False)
+    _ticks: int = attrs.field(default=0, init=False)
     _pumping: bool = attrs.field(default=False, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
     _polls: LoadPolls | None = attrs.field(default=None, init=False)
@@ -324,11 +326,17 @@
                 await self._wake.wait()
 
     def _tick(self, nursery: trio.Nursery) -> None:
+        """Look at what is busy, and at the idle shards in every tenth tick only."""
+        self._ticks += 1
+        all_are_due = self._ticks % IDLE_TICKS == 0
+        now_s = self.membership.clock()
         for client in self.clients.values():
-            client.step()
+            if all_are_due or client.is_active(now_s):
+                client.step()
         wanted = set()
         for dispatcher in self.dispatchers.values():
-            dispatcher.tick()
+            if all_are_due or dispatcher.is_busy:
+                dispatcher.tick()
             if not dispatcher.is_acting:
                 continue
             for server in dispatcher.shard.servers:
--- a/libs/dispatch/src/teaseldyke/dispatch/errors.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/errors.py
@@ -12,7 +12,7 @@
 
     code: ClassVar[str] = "dispatch_refused"
     status: ClassVar[int] = 503
-    executed: ClassVar[Executed] = "no"
+    executed: Executed = "no"
 
 
 class NotReady(DispatchError):
--- a/libs/operator/src/teaseldyke/operator/errors.py
+++ b/libs/operator/src/teaseldyke/operator/errors.py
@@ -38,7 +38,7 @@
 
     exit_status: ClassVar[int] = EXIT_UNEXPECTED
     code = "operator"
-    executed: ClassVar[Executed] = "no"
+    executed: Executed = "no"
 
 
 class UsageInvalid(OperatorError):
--- a/libs/router/src/teaseldyke/router/callers.py
+++ b/libs/router/src/teaseldyke/router/callers.py
@@ -13,7 +13,7 @@
 from teaseldyke.types import Configuration, TeaseldykeError
 
 from .authentication import Directory
-from .calls import Call, read_call
+from .calls import Call, has_key, read_call
 from .errors import ConfigurationMissing
 from .forwarding import Forwarder
 from .recorded import RecordedForwarder
@@ -61,12 +61,15 @@
         self.running += 1
         service = "none"
         code = "ok"
+        call: Call | None = None
         try:
             call = await read_call(request, self._current(), self.body_limit_bytes)
             service = call.service.name
             await self._answer(call, request)
         except Exception as exc:
             code = _code_of(exc)
+            if call is None and isinstance(exc, TeaseldykeError) and has_key(request):
+                exc.executed = "unknown"  # the record of its key was not read
             raise
         finally:
             self.running -= 1
--- a/libs/router/src/teaseldyke/router/calls.py
+++ b/libs/router/src/teaseldyke/router/calls.py
@@ -142,6 +142,14 @@
     return key
 
 
+def has_key(request: Request) -> bool:
+    """Return whether an earlier request with the same key may have been executed."""
+    try:
+        return idempotency_key_of(request) is not None
+    except HeaderInvalid:
+        return False
+
+
 async def read_call(
     request: Request, directory: Directory, body_limit_bytes: int
 ) -> Call:
--- a/libs/router/src/teaseldyke/router/forwarding.py
+++ b/libs/router/src/teaseldyke/router/forwarding.py
@@ -15,7 +15,15 @@
     OutgoingRequest,
     end_to_end_headers,
 )
-from teaseldyke.outcomes import AttemptState, Decision, RetryBudget, retry_decision
+from teaseldyke.outcomes import (
+    AttemptState,
+    Decision,
+    FencedOff,
+    RetryBudget,
+    is_refusal_candidate,
+    raise_if_fenced_off,
+    retry_decision,
+)
 from teaseldyke.telemetry import Tracing, counter
 from teaseldyke.types import TeaseldykeError
 
@@ -226,6 +234,9 @@
             raise ServerFailed(f"backend server answered {exchange.status}")
         if progress.splitter.passed:
             check_resumed(exchange, progress.splitter.passed)
+        if call.service.checks_fencing and is_refusal_candidate(exchange.status):
+            await self._pass_refusal(call, exchange, sink, progress)
+            return
         streaming = content_type_of(exchange.headers) == EVENT_STREAM
         progress.streaming = streaming
         sink.head(exchange.status, exchange.headers, hold=not streaming)
@@ -237,6 +248,21 @@
                 await sink.write(chunk)
         await sink.finish()
 
+    async def _pass_refusal(
+        self, call: Call, exchange: Exchange, sink: Sink, progress: Progress
+    ) -> None:
+        """Pass an answer on unless it refuses the fencing number of the permit."""
+        body = await exchange.read()
+        try:
+            raise_if_fenced_off(exchange.status, body)
+        except FencedOff:
+            call.sends -= 1  # nothing was executed
+            raise
+        sink.head(exchange.status, exchange.headers, hold=True)
+        progress.meter.feed(body)
+        await sink.write(body)
+        await sink.finish()
+
     async def _pass_events(
         self, exchange: Exchange, permit: Permit, sink: Sink, progress: Progress
     ) -> None:
--- a/libs/router/src/teaseldyke/router/instances.py
+++ b/libs/router/src/teaseldyke/router/instances.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from teaseldyke.outcomes import OutcomeRecords
 from teaseldyke.peers import Links, Membership
 from teaseldyke.platform import Instance, InstanceList, InstanceState
 from teaseldyke.settings import RouterSettings
@@ -31,12 +32,15 @@
         Takes the list in.
     links : Links
         Gets the addresses of the members.
+    records : OutcomeRecords
+        Shares the store's rate of writes with the members.
     """
 
     instances: InstanceList
     settings: RouterSettings
     membership: Membership
     links: Links
+    records: OutcomeRecords
     state: InstanceState = "live"
     reachable: bool = True
 
@@ -79,5 +83,6 @@
         self.membership.update(listed)
         self.links.set_peers(self.membership.addresses)
         after = self.membership.members
+        self.records.share_store(len(after))
         if after != before:
             log_change("members_changed", members=",".join(sorted(after)))
--- a/libs/router/src/teaseldyke/router/process.py
+++ b/libs/router/src/teaseldyke/router/process.py
@@ -27,7 +27,11 @@
         await nursery.start(parts.links.run)
         parts.links.set_peers(parts.membership.addresses)
         keeper = InstanceListKeeper(
-            parts.platform.instances, settings, parts.membership, parts.links
+            parts.platform.instances,
+            settings,
+            parts.membership,
+            parts.links,
+            parts.records,
         )
         await keeper.refresh()
         Timers(nursery).every(settings.list_poll_s, keeper.refresh)
--- a/libs/settings/src/teaseldyke/settings/router.py
+++ b/libs/settings/src/teaseldyke/settings/router.py
@@ -155,7 +155,7 @@
         ),
     )
     join_delay_s: float = attrs.field(
-        default=2.0,
+        default=3.0,
         metadata=spec(
             "Time after the start in which a router takes no dispatcher role.",
             low=0,
--- a/libs/types/src/teaseldyke/types/errors.py
+++ b/libs/types/src/teaseldyke/types/errors.py
@@ -24,12 +24,13 @@
     status : int
         HTTP status of an answer that reports this error.
     executed : {"no", "unknown"}
-        Whether the request may have reached a backend server.
+        Whether the request may have reached a backend server; an instance may say
+        less than its class.
     """
 
     code: ClassVar[str] = "internal"
     status: ClassVar[int] = 500
-    executed: ClassVar[Executed] = "unknown"
+    executed: Executed = "unknown"
 
     def __init__(self, detail: str, *, retry_after_s: float | None = None) -> None:
         super().__init__(detail)
