--- a/Makefile
+++ b/Makefile
@@ -32,12 +32,11 @@
 
 capacity: $(READY)
 	$(BIN)/python -m benchmarks.capacity
+	$(BIN)/python -m benchmarks.capacity_page
 
 # About 15 minutes; each part merges its rows into build/measures.json.
 measure: $(READY)
-	$(BIN)/python -m benchmarks.measure_dispatch
-	$(BIN)/python -m benchmarks.measure_configuration
-	$(BIN)/python -m benchmarks.measure_outcomes
+	$(BIN)/python -m benchmarks.measure
 
 SECONDS ?= 60
 SEED ?= 1
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -19,6 +19,7 @@
     request_slopes,
     stream_slopes,
 )
+from benchmarks.shard_slopes import shard_slopes
 from benchmarks.slopes import Slope, format_slopes, write_slopes
 from benchmarks.state_slopes import configuration_slopes, queue_slopes, record_slopes
 
@@ -29,6 +30,7 @@
     "codec": codec_slopes,
     "links": link_slopes,
     "configuration": configuration_slopes,
+    "shards": shard_slopes,
     "queue": queue_slopes,
     "records": record_slopes,
     "requests": request_slopes,
--- a/libs/dispatch/tests/test_authority.py
+++ b/libs/dispatch/tests/test_authority.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import attrs
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
@@ -347,7 +348,9 @@
     suppress_health_check=list(HealthCheck),
 )
 
-TestAuthority = Authority.TestCase
+TestAuthority = pytest.mark.promise("cold-backend-server")(Authority.TestCase)
 TestAuthority.settings = SETTINGS
-TestAuthorityOfFewHolders = AuthorityOfFewHolders.TestCase
+TestAuthorityOfFewHolders = pytest.mark.promise("cold-backend-server")(
+    AuthorityOfFewHolders.TestCase
+)
 TestAuthorityOfFewHolders.settings = SETTINGS
