Read recorded calls by the router's own class; take out an unused circuit

Cause: replay held a copy of the recorder's class and of its token cost, and outcomes held a circuit breaker that nothing used beside the dispatcher's ejection of failing backend servers. Ruled out: using the circuit in each router as well, which would let two mechanisms leave out the same server.

--- a/libs/outcomes/src/teaseldyke/outcomes/__init__.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/__init__.py
@@ -1,9 +1,8 @@
-"""At-most-once records, retry budgets and circuits."""
+"""At-most-once records, retry budgets and decisions."""
 
 from __future__ import annotations
 
 from .attempt import Attempt, BeginResult, Finished, Started
-from .circuit import Circuit, CircuitState
 from .decision import AttemptState, Decision, retry_decision
 from .errors import (
     AttemptLapsed,
@@ -26,8 +25,6 @@
     "AttemptRunning",
     "AttemptState",
     "BeginResult",
-    "Circuit",
-    "CircuitState",
     "Decision",
     "FencedOff",
     "Finished",
--- a/libs/outcomes/src/teaseldyke/outcomes/decision.py
+++ b/libs/outcomes/src/teaseldyke/outcomes/decision.py
@@ -42,7 +42,7 @@
     resumable : bool
         Whether the answer is a stream that resumes at an offset.
     may_retry : bool
-        Whether the retry budget, the deadline and the circuits leave another try.
+        Whether the retry budget, and the deadline leave another try.
     """
 
     idempotent: bool
--- a/libs/replay/src/teaseldyke/replay/caller.py
+++ b/libs/replay/src/teaseldyke/replay/caller.py
@@ -9,12 +9,13 @@
 import trio
 
 from teaseldyke.http import BackendPool, ConnectFailed, Exchange, ExchangeBroken
+from teaseldyke.router import PROMPT_TOKEN_COST
 from teaseldyke.settings import Address
 from teaseldyke.types import TeaseldykeError
 
 from .requests import body_of, cost_of, is_own_answer
 from .results import Attempt, CallResult
-from .trace import PROMPT_TOKEN_COST, Arrival
+from .trace import Arrival
 
 FIRST_BYTE_TIMEOUT_S = 120.0
 IDLE_TIMEOUT_S = 60.0
--- a/libs/replay/src/teaseldyke/replay/requests.py
+++ b/libs/replay/src/teaseldyke/replay/requests.py
@@ -6,9 +6,10 @@
 import json
 from typing import Any
 
+from teaseldyke.router import PROMPT_TOKEN_COST
 from teaseldyke.standins import Generation
 
-from .trace import PROMPT_TOKEN_COST, Arrival
+from .trace import Arrival
 
 PREFIX_PART = 0.5  # part of a prompt that all prompts of an organisation share
 PLAIN_REQUEST_COST = 1.0
--- a/libs/replay/src/teaseldyke/replay/trace.py
+++ b/libs/replay/src/teaseldyke/replay/trace.py
@@ -14,10 +14,9 @@
 import attrs
 import msgspec
 
+from teaseldyke.router import PROMPT_TOKEN_COST, RecordedCall
 from teaseldyke.types import TeaseldykeError
 
-PROMPT_TOKEN_COST = 0.5  # in output tokens, as the routers charge
-
 SwitchKind = Literal["failure-domain", "instance", "backend-server", "organisation"]
 
 
@@ -94,47 +93,24 @@
 Entry = Arrival | SwitchOrder
 
 
-@attrs.frozen
-class RecordedCall:
-    """A line that a router recorded; it knows hints, not true sizes.
-
-    Parameters
-    ----------
-    router : str
-        Name of the router; a number at its end is taken as its index, from 1.
-    prompt_cost, cost : float
-        Hints, in output tokens.
-    """
-
-    at_s: float
-    router: str
-    organisation: str
-    service: str
-    method: str
-    path: str
-    idempotent: bool
-    prompt_cost: float
-    cost: float
-    idempotency_key: str | None = None
-
-    def to_arrival(self) -> Arrival:
-        """Return an arrival whose size is what the hints say."""
-        output_tokens = 0
-        if self.prompt_cost > 0:
-            output_tokens = max(1, int(self.cost - self.prompt_cost))
-        digits = self.router.rpartition("-")[2]
-        return Arrival(
-            at_s=self.at_s,
-            organisation=self.organisation,
-            service=self.service,
-            method=self.method,
-            path=self.path,
-            router=max(0, int(digits) - 1) if digits.isdigit() else 0,
-            prompt_tokens=int(self.prompt_cost / PROMPT_TOKEN_COST),
-            output_tokens=output_tokens,
-            idempotency_key=self.idempotency_key or "",
-            idempotent=self.idempotent,
-        )
+def arrival_of(call: RecordedCall) -> Arrival:
+    """Return the arrival of a recorded call, whose size is what its hints say."""
+    output_tokens = 0
+    if call.prompt_cost > 0:
+        output_tokens = max(1, int(call.cost - call.prompt_cost))
+    digits = call.router.rpartition("-")[2]
+    return Arrival(
+        at_s=call.at_s,
+        organisation=call.organisation,
+        service=call.service,
+        method=call.method,
+        path=call.path,
+        router=max(0, int(digits) - 1) if digits.isdigit() else 0,
+        prompt_tokens=int(call.prompt_cost / PROMPT_TOKEN_COST),
+        output_tokens=output_tokens,
+        idempotency_key=call.idempotency_key or "",
+        idempotent=call.idempotent,
+    )
 
 
 def read_trace(path: str | os.PathLike[str]) -> list[Entry]:
@@ -171,7 +147,7 @@
     """
     fields = msgspec.json.decode(line, type=dict[str, object])
     if "prompt_cost" in fields:
-        return msgspec.convert(fields, RecordedCall).to_arrival()
+        return arrival_of(msgspec.convert(fields, RecordedCall))
     if "switch" in fields:
         return msgspec.convert(fields, SwitchOrder)
     return msgspec.convert(fields, Arrival)
--- a/libs/router/src/teaseldyke/router/__init__.py
+++ b/libs/router/src/teaseldyke/router/__init__.py
@@ -2,4 +2,7 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from .costs import OUTPUT_TOKEN_COST, PROMPT_TOKEN_COST
+from .recording import RecordedCall
+
+__all__ = ["OUTPUT_TOKEN_COST", "PROMPT_TOKEN_COST", "RecordedCall"]
