Count a lapsed record as no failure of the backend server

Cause: a record whose lease ran out before the send ended the permit as failed, which the dispatcher counts towards leaving the server out. Its test failed first (completion FAILED) and passes.

--- a/libs/router/src/teaseldyke/router/forwarding.py
+++ b/libs/router/src/teaseldyke/router/forwarding.py
@@ -16,6 +16,7 @@
     end_to_end_headers,
 )
 from teaseldyke.outcomes import (
+    AttemptLapsed,
     AttemptState,
     Decision,
     FencedOff,
@@ -169,7 +170,7 @@
         try:
             await self._exchange(call, permit, sink, progress)
             completion = Completion.OK
-        except (PermitLapsed, DeadlinePassed):
+        except (PermitLapsed, DeadlinePassed, AttemptLapsed):
             completion = Completion.UNUSED
             raise
         except ConnectFailed:
@@ -308,7 +309,7 @@
                     RESUMED.bind(service=call.service.name).add()
                 return
             decision = retry_decision(exc, attrs.evolve(state, may_retry=False))
-        if isinstance(exc, DeadlinePassed) or exc.code == "attempt_lapsed":
+        if isinstance(exc, DeadlinePassed | AttemptLapsed):
             raise exc
         if decision is Decision.ANSWER_NO:
             raise BackendUnreachable(exc.detail, retry_after_s=RETRY_AFTER_S) from exc
--- a/libs/router/tests/test_callers.py
+++ b/libs/router/tests/test_callers.py
@@ -8,6 +8,7 @@
 
 from teaseldyke.dispatch import Completion
 from teaseldyke.http import ExchangeBroken, HttpClient, Request, Response
+from teaseldyke.outcomes import AttemptLapsed, OutcomeRecords
 
 AUTHORIZATION = (b"authorization", b"Bearer k9")
 EVENTS = [f"data: {i}\n\n".encode() for i in range(6)]
@@ -230,3 +231,17 @@
         await bench.records.drained()
         again = await _call(bench, "POST", target, AUTHORIZATION, key)
         assert again.body == b"grant 9"
+
+    async def test_lapsed_record_is_no_failure_of_the_backend_server(
+        self, bench: Any, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def lapse(records: object, attempt: object) -> None:
+            raise AttemptLapsed("test", retry_after_s=0.0)
+
+        await bench.add_server("a", _ok)
+        monkeypatch.setattr(OutcomeRecords, "mark_sending", lapse)
+        key = (b"idempotency-key", b"grant-10")
+        target = "/services/licensing/grants"
+        response = await _call(bench, "POST", target, AUTHORIZATION, key)
+        assert response.json()["code"] == "attempt_lapsed"
+        assert bench.dispatching.ends == [("a", Completion.UNUSED)]
