--- a/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatching.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Iterator
 from itertools import count
 from random import Random
@@ -26,6 +25,7 @@
     QueueTimeout,
     ServiceUnknown,
 )
+from .mailbox import Mailbox
 from .messages import GrantBatch, Probe, Report
 from .options import DispatchOptions
 from .permit import Completion, Permit
@@ -73,14 +73,14 @@
     dispatchers: dict[str, Dispatcher] = attrs.field(factory=dict, init=False)
     queues: dict[str, ServiceQueues] = attrs.field(factory=dict, init=False)
     configuration: Configuration | None = attrs.field(default=None, init=False)
-    _local: deque[object] = attrs.field(factory=deque, init=False)
+    _to_self: Mailbox = attrs.field(init=False)
     _grant_numbers: Iterator[int] = attrs.field(factory=lambda: count(1), init=False)
     _ticks: int = attrs.field(default=0, init=False)
-    _pumping: bool = attrs.field(default=False, init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event, init=False)
     _polls: LoadPolls | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._to_self = Mailbox(lambda message: self._handle(self.name, message))
         self.candidates = Candidates(
             self.name,
             self.membership,
@@ -354,19 +354,7 @@
         if receiver != self.name:
             self.links.send(receiver, message)
             return
-        self._local.append(message)
-        self._pump()
-
-    def _pump(self) -> None:
-        """Handle local messages one after another, never inside one another."""
-        if self._pumping:
-            return
-        self._pumping = True
-        try:
-            while self._local:
-                self._handle(self.name, self._local.popleft())
-        finally:
-            self._pumping = False
+        self._to_self.post(message)
 
     async def _on_message(self, sender: str, message: object) -> None:
         self._handle(sender, message)
--- /dev/null
+++ b/libs/dispatch/src/teaseldyke/dispatch/mailbox.py
@@ -0,0 +1,47 @@
+"""Messages of a router to itself."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+
+
+@attrs.define(eq=False)
+class Mailbox:
+    """Hands messages over one after another, never inside one another.
+
+    Parameters
+    ----------
+    handle : callable
+        Takes one message; may post further ones.
+
+    Examples
+    --------
+    >>> seen = []
+    >>> def handle(message):
+    ...     if message == "first":
+    ...         mailbox.post("second")
+    ...     seen.append(message)
+    >>> mailbox = Mailbox(handle)
+    >>> mailbox.post("first")
+    >>> seen
+    ['first', 'second']
+    """
+
+    handle: Callable[[object], None]
+    _waiting: deque[object] = attrs.field(factory=deque, init=False)
+    _handling: bool = attrs.field(default=False, init=False)
+
+    def post(self, message: object) -> None:
+        """Add a message, and hand over all that wait."""
+        self._waiting.append(message)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._waiting:
+                self.handle(self._waiting.popleft())
+        finally:
+            self._handling = False
