--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, the demonstration and the index of proofs."""
