Hold a backend server at its cold limit after a broken request

Cause: an engine that starts anew in place breaks its running requests, and its freed slots were granted again before the next load report told of the new start. Ruled out: the count of completions, mended before. Now a broken request holds the limit at the cold one until a load report from surely after it; a server without load reports is not covered.

--- a/libs/dispatch/src/teaseldyke/dispatch/slots.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/slots.py
@@ -44,6 +44,7 @@
     reports_load: bool = False
     is_unreachable: bool = False
     poll_failed_at_s: float = -math.inf
+    broken_at_s: float = -math.inf
 
     @property
     def in_flight(self) -> int:
@@ -61,6 +62,8 @@
             return 0
         if self.ejection.is_probing(now_s):
             return min(1, self.ramp.limit)
+        if math.isfinite(self.broken_at_s):
+            return min(self.ramp.limit, self.ramp.cold_limit)
         return self.ramp.limit
 
     def free(self, levels: list[Level], now_s: float) -> int:
@@ -89,12 +92,18 @@
             self.ramp.fall()
             return True
         self.ramp.complete(completed)
-        return False
+        if not failed or not self.reports_load:
+            return False
+        # It may have started anew, which the next load report tells.
+        self.broken_at_s = now_s
+        return True
 
     def take_load(self, report: LoadReport, polled_at_s: float, now_s: float) -> bool:
         """Take in a load report; return whether the server was started anew."""
         self.reports_load = True
         self.is_unreachable = False
+        if polled_at_s >= self.broken_at_s + self.foreign.lag_s:
+            self.broken_at_s = -math.inf
         self.foreign.note_report(polled_at_s, now_s, report.running + report.waiting)
         return self.ramp.note_start(report.started_at_s)
 
