--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test proofs measure benchmark capacity soak format
+.PHONY: platform-build demo test proofs measure benchmark capacity soak format
 
-$(READY): requirements.txt requirements-workspace.txt $(wildcard libs/*/pyproject.toml)
+$(READY): requirements.txt requirements-workspace.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.txt
 	$(BIN)/pip install -q --no-build-isolation --no-deps -r requirements-workspace.txt
@@ -14,13 +14,17 @@
 test: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy libs/*/src
+	$(BIN)/mypy libs/*/src platform/src
 	$(BIN)/python -m pytest
 
 format: $(READY)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# Builds what runs on the users' platform, as deploy/system.toml does.
+platform-build:
+	sh deploy/build.sh
+
 demo: $(READY)
 	$(BIN)/python -m benchmarks.demo
 
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/__init__.py
@@ -0,0 +1,30 @@
+"""A router for fleets that a platform runs, with the platform behind interfaces."""
+
+from __future__ import annotations
+
+from .interfaces import (
+    AnswerFacts,
+    Beliefs,
+    CallFacts,
+    CallMalformed,
+    Directory,
+    Headers,
+    Peer,
+    Wire,
+)
+from .process import Gateway
+from .settings import FleetBounds, GatewaySettings
+
+__all__ = [
+    "AnswerFacts",
+    "Beliefs",
+    "CallFacts",
+    "CallMalformed",
+    "Directory",
+    "FleetBounds",
+    "Gateway",
+    "GatewaySettings",
+    "Headers",
+    "Peer",
+    "Wire",
+]
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -0,0 +1,204 @@
+"""One send of a request to a backend server."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from teaseldyke.http import (
+    BackendPool,
+    ConnectFailed,
+    Exchange,
+    ExchangeBroken,
+    OutgoingRequest,
+    ServerConnection,
+)
+from teaseldyke.types import Route, RouteKind, ServiceDescription
+
+from .interfaces import AnswerFacts, CallFacts, Headers, Wire
+from .placing import Placed
+from .relay import PLAIN_ANSWER_MAX_BYTES, Relay
+
+STREAM_ANSWER_MAX_BYTES = 256 * 1024 * 1024
+KEPT_PART_REPEATABLE = 0.8  # of a server's keep-alive, after which a send may cross
+KEPT_PART_ONCE = 0.5  # its end; requests that may run once keep well inside
+PATIENT_S = 3600.0  # where only the request's deadline bounds a wait
+
+
+class Outcome(Enum):
+    """How a send ended."""
+
+    DONE = "done"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    OTHER_SERVER = "other_server"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
+@attrs.frozen
+class Sent:
+    """The end of a send.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What is known.
+    detail : str
+        For logs and the answer.
+    status : int
+        Status of the server's answer; 0 without one.
+    """
+
+    outcome: Outcome
+    detail: str = ""
+    status: int = 0
+
+
+@attrs.frozen
+class AttemptLimits:
+    """How long a send may stay silent before the request goes elsewhere.
+
+    Parameters
+    ----------
+    first_s : float
+        Until the first byte of the body.
+    pause_s : float
+        Between two reads after it.
+    passes_failures : bool
+        Whether an error of the server is its answer to the caller.
+    """
+
+    first_s: float = PATIENT_S
+    pause_s: float = PATIENT_S
+    passes_failures: bool = True
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """Sends a request to its place and passes the answer on.
+
+    Parameters
+    ----------
+    pool : BackendPool
+        Connections to backend servers.
+    wire : Wire
+        Formats of requests and answers.
+    placed : Placed
+        Where the request goes.
+    route, service
+        What was asked.
+    facts : CallFacts
+        The caller's header.
+    relay : Relay
+        Gets the answer.
+    limits : AttemptLimits
+        Of this send.
+    """
+
+    pool: BackendPool
+    wire: Wire
+    placed: Placed
+    route: Route
+    service: ServiceDescription
+    facts: CallFacts
+    relay: Relay
+    limits: AttemptLimits
+    sent: bool = False
+
+    async def run(self, request: OutgoingRequest, resumed_after: int | None) -> Sent:
+        """Send the request; the place is given up whatever happens."""
+        failed: bool | None = None
+        try:
+            result = await self._run(request, resumed_after)
+            failed = result.outcome in (
+                Outcome.NOT_SENT,
+                Outcome.FAILED,
+                Outcome.BROKEN,
+            )
+            if result.outcome in (Outcome.NOT_RUN, Outcome.OTHER_SERVER):
+                failed = None
+            return result
+        finally:
+            self.placed.end(failed)
+
+    async def _run(self, request: OutgoingRequest, resumed_after: int | None) -> Sent:
+        server = self.placed.state.server
+        once = not self.route.repeatable
+        kept_part = KEPT_PART_ONCE if once else KEPT_PART_REPEATABLE
+        try:
+            connection = await self.pool.take(
+                server.host, server.port, kept_part=kept_part
+            )
+        except ConnectFailed as exc:
+            return Sent(Outcome.NOT_SENT, exc.detail)
+        streaming = self.route.kind is RouteKind.STREAMING
+        limit = STREAM_ANSWER_MAX_BYTES if streaming else PLAIN_ANSWER_MAX_BYTES
+        exchange = Exchange(connection, limit, self.limits.first_s, lenient=True)
+        try:
+            self.sent = True
+            await exchange.start(request, self.limits.first_s)
+            return await self._read(connection, exchange, resumed_after)
+        except ExchangeBroken as exc:
+            return Sent(Outcome.BROKEN, exc.detail)
+        finally:
+            self.pool.give_back(connection, exchange)
+
+    async def _read(
+        self,
+        connection: ServerConnection,
+        exchange: Exchange,
+        resumed_after: int | None,
+    ) -> Sent:
+        status = exchange.status
+        facts = self.wire.read_answer(status, exchange.headers)
+        connection.kept_s = facts.kept_s
+        if facts.not_run or status == 421:
+            await exchange.read()
+            outcome = Outcome.OTHER_SERVER if status == 421 else Outcome.NOT_RUN
+            return Sent(outcome, f"server answered {status}, not run", status)
+        fault = self._fault_of(status, facts)
+        if fault:
+            exchange.complete = False
+            return Sent(Outcome.BROKEN, fault, status)
+        if status >= 500 and not self.limits.passes_failures:
+            await exchange.read()
+            return Sent(Outcome.FAILED, f"server answered {status}", status)
+        headers = self.wire.answer_headers(exchange.headers)
+        if self.route.kind is RouteKind.STREAMING and status == 200:
+            await self._pass_stream(exchange, headers, resumed_after)
+        else:
+            if self.relay.started:
+                return Sent(Outcome.BROKEN, f"resumed stream got {status}", status)
+            await self.relay.pass_whole(exchange, headers)
+            if not self.service.is_engine and status < 500:
+                self.placed.note_answer()
+        if status >= 500:
+            self.placed.end(True)
+        return Sent(Outcome.DONE, status=status)
+
+    def _fault_of(self, status: int, facts: AnswerFacts) -> str:
+        if facts.request_id is not None and facts.request_id != self.facts.request_id:
+            return "the answer belongs to another request"
+        if facts.is_encoded:
+            return "the answer is in an encoding that nobody asked for"
+        if 200 <= status < 300 and not facts.is_stamped:
+            return "the answer lacks the server's signature"
+        return ""
+
+    async def _pass_stream(
+        self, exchange: Exchange, headers: Headers, resumed_after: int | None
+    ) -> None:
+        expected_id = None if resumed_after is None else resumed_after + 1
+        fresh = True
+        async for data in exchange.chunks():
+            if fresh:
+                fresh = False
+                self.placed.note_first()
+                exchange.idle_timeout_s = self.limits.pause_s
+                await self.relay.start_stream(exchange, headers)
+            if await self.relay.pass_block(data, expected_id):
+                expected_id = None
+        await self.relay.start_stream(exchange, headers)
+        await self.relay.end_stream()
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/beliefs.py
@@ -0,0 +1,174 @@
+"""What an instance believes of routes, backend servers and failure domains."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+from teaseldyke.placement import ColdAllowance, ServerState
+from teaseldyke.telemetry import log_decision
+from teaseldyke.timers import boot_time_s
+from teaseldyke.types import AnnouncedServer, RoutingTable
+
+RETURN_GRACE_S = 1.8  # entries that lapsed are back within 2 s; so long they are kept
+RATE_START = 2.0  # reading rate before any answer, against the stated production
+RATE_FALLBACK_TOKENS_PER_S = 50_000.0  # when the operator states no production
+
+
+class FleetBeliefs:
+    """The newest configuration and the backend servers.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called after each change.
+    """
+
+    def __init__(self, on_change: Callable[[], None]) -> None:
+        self.table: RoutingTable | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.store_available = False
+        self._store_back_at_s = 0.0
+        self._states: dict[str, ServerState] = {}
+        self._vanished_at_s: dict[str, float] = {}
+        self._by_service: dict[str, list[ServerState]] = {}
+        self._on_change = on_change
+
+    def apply_routing(self, table: RoutingTable) -> None:
+        """Put a configuration in force unless it is older than the one that is."""
+        if self.table is not None and table.version <= self.table.version:
+            return
+        log_decision(
+            "configuration_in_force",
+            version=table.version,
+            replaces=self.table.version if self.table else None,
+        )
+        self.table = table
+        for state in self._states.values():
+            state.cold.rate_per_s = self._cold_rate(state.server.service)
+            if state.rate_tokens_per_s <= 0.0:
+                state.rate_tokens_per_s = self._rate_start(state.server.service)
+        self._on_change()
+
+    def apply_servers(self, servers: Sequence[AnnouncedServer]) -> None:
+        """Replace the backend servers."""
+        now_s = boot_time_s()
+        listed = {server.id: server for server in servers}
+        for server_id, server in listed.items():
+            self._apply_server(server, now_s)
+            self._vanished_at_s.pop(server_id, None)
+        for server_id in self._states.keys() - listed.keys():
+            if server_id in self._vanished_at_s:
+                continue
+            self._vanished_at_s[server_id] = now_s
+            log_decision("server_vanished", server=server_id)
+        self.refresh()
+
+    def apply_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Replace the failure domains that get nothing new."""
+        if failure_domains == self.evacuated:
+            return
+        now_s = boot_time_s()
+        for domain in self.evacuated - failure_domains:
+            log_decision("failure_domain_back", failure_domain=domain)
+            self._warm_up_again(domain, now_s)
+        for domain in failure_domains - self.evacuated:
+            log_decision("failure_domain_out", failure_domain=domain)
+        self.evacuated = failure_domains
+        self.refresh()
+
+    def note_store(self, available: bool, reason: str) -> None:
+        """Note that the platform's store was lost or regained."""
+        if available == self.store_available:
+            return
+        self.store_available = available
+        if available:
+            self._store_back_at_s = boot_time_s()
+        event = "store_regained" if available else "store_lost"
+        log_decision(event, reason=reason)
+
+    def states_of(self, service: str) -> list[ServerState]:
+        """Return the backend servers of a service that may get new requests."""
+        return self._by_service.get(service, [])
+
+    def all_states(self) -> Iterable[ServerState]:
+        """Return every backend server that is listed or vanished lately."""
+        return self._states.values()
+
+    def state(self, server_id: str) -> ServerState | None:
+        """Return a backend server by its id."""
+        return self._states.get(server_id)
+
+    def refresh(self) -> None:
+        """Work out anew which backend servers may get requests."""
+        now_s = boot_time_s()
+        self._forget_vanished(now_s)
+        by_service: dict[str, list[ServerState]] = {}
+        for state in self._states.values():
+            server = state.server
+            if server.leaving or server.failure_domain in self.evacuated:
+                continue
+            if server.id in self._vanished_at_s and not self._may_return(server.id):
+                continue
+            by_service.setdefault(server.service, []).append(state)
+        self._by_service = by_service
+        self._on_change()
+
+    def _may_return(self, server_id: str) -> bool:
+        """Whether an entry vanished only because the store was away."""
+        if not self.store_available:
+            return True
+        grace_ends_at_s = self._store_back_at_s + RETURN_GRACE_S
+        vanished_at_s = self._vanished_at_s[server_id]
+        return vanished_at_s < grace_ends_at_s and boot_time_s() < grace_ends_at_s
+
+    def _forget_vanished(self, now_s: float) -> None:
+        for server_id, vanished_at_s in list(self._vanished_at_s.items()):
+            if now_s - vanished_at_s < 2 * RETURN_GRACE_S or not self.store_available:
+                continue
+            del self._vanished_at_s[server_id]
+            self._states.pop(server_id, None)
+
+    def _apply_server(self, server: AnnouncedServer, now_s: float) -> None:
+        known = self._states.get(server.id)
+        if known is None or known.server.started != server.started:
+            self._states[server.id] = ServerState(
+                server,
+                now_s + server.cold_for_s,
+                ColdAllowance(self._cold_rate(server.service)),
+                rate_tokens_per_s=self._rate_start(server.service),
+            )
+            log_decision(
+                "server_found",
+                server=server.id,
+                service=server.service,
+                cold_for_s=server.cold_for_s,
+                leaving=server.leaving,
+            )
+            return
+        if server.leaving and not known.server.leaving:
+            log_decision("server_leaving", server=server.id)
+        if server.cold_for_s > 0.0 and server != known.server:
+            known.cold_until_s = max(known.cold_until_s, now_s + server.cold_for_s)
+        known.server = server
+
+    def _warm_up_again(self, failure_domain: str, now_s: float) -> None:
+        """Take servers that stood idle through an evacuation as cold."""
+        if self.table is None:
+            return
+        for state in self._states.values():
+            service = self.table.services.get(state.server.service)
+            if state.server.failure_domain != failure_domain or service is None:
+                continue
+            state.cold_until_s = max(state.cold_until_s, now_s + service.cold_s)
+
+    def _cold_rate(self, name: str) -> float:
+        service = self.table.services.get(name) if self.table else None
+        return service.cold_rate_per_s if service else 0.0
+
+    def _rate_start(self, name: str) -> float:
+        service = self.table.services.get(name) if self.table else None
+        if self.table is None or service is None or not service.is_engine:
+            return 0.0
+        engines = sum(state.server.service == name for state in self._states.values())
+        stated = self.table.bounds.tokens_per_s / max(1, engines)
+        return RATE_START * (stated or RATE_FALLBACK_TOKENS_PER_S)
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -0,0 +1,437 @@
+"""Serves callers' requests: from the header to the final answer."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from teaseldyke.http import (
+    BackendPool,
+    CallerGone,
+    MalformedRequest,
+    Request,
+    first_header,
+)
+from teaseldyke.placement import RetryBudget, Work, return_pause_s
+from teaseldyke.telemetry import counter, histogram, log_decision
+from teaseldyke.timers import boot_time_s
+from teaseldyke.types import (
+    KeyedOrganisation,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceDescription,
+    TeaseldykeError,
+)
+
+from .attempts import PATIENT_S, Attempt, AttemptLimits, Outcome, Sent
+from .beliefs import FleetBeliefs
+from .errors import (
+    KeyUnknown,
+    NoServer,
+    NotConfigured,
+    Overloaded,
+    RouteUnknown,
+    ServerBroke,
+    TimedOut,
+)
+from .interfaces import CallFacts, Wire
+from .placing import FULL_PAUSE_S, Placing
+from .relay import Relay
+from .settings import FleetBounds
+
+CONFIGURATION_WAIT_S = 0.5  # told to callers before the first configuration
+SENDS_MAX = 4  # of one request, those that a server turned away included
+FINAL_MARGIN_S = 0.03  # so that the final answer arrives while the caller waits
+FIRST_EVENT_FACTOR = 3.0  # of the expected time to the first event
+FIRST_EVENT_MIN_S = 0.8  # preemption and long prompts delay a sound engine that long
+PAUSE_MIN_S = 1.0  # between events of a sound engine under its longest prompts
+PLAIN_FIRST_FACTOR = 6.0  # of the measured latency of a plain server
+PLAIN_FIRST_MIN_S = 0.25  # the longest work of one in a hundred requests
+PATIENCE_DEFAULT_S = 60.0  # of a caller that doesn't say; the route bounds it anyway
+
+ANSWERED = counter("teaseldyke_answers_total", "Final answers, by route and status.")
+RESENT = counter("teaseldyke_resent_total", "Sends after the first, by cause.")
+GONE = counter("teaseldyke_callers_gone_total", "Callers that left early.")
+FIRST = histogram("teaseldyke_answer_seconds", "Time from arrival to the end.")
+
+
+@attrs.define(eq=False)
+class Call:
+    """A request on its way.
+
+    Parameters
+    ----------
+    request : Request
+        The caller's.
+    facts : CallFacts
+        Its header.
+    route, service, organisation
+        What the configuration makes of it.
+    body : bytes
+        Whole body.
+    work : Work
+        What it asks of a backend server.
+
+    Attributes
+    ----------
+    ran : int
+        Servers that may have run it.
+    sends : int
+        Servers that it was sent to.
+    """
+
+    request: Request
+    facts: CallFacts
+    route: Route
+    service: ServiceDescription
+    organisation: KeyedOrganisation | None
+    body: bytes
+    work: Work
+    relay: Relay
+    avoid: set[str] = attrs.field(factory=set)
+    ran: int = 0
+    sends: int = 0
+    version: int = 0
+    ended: str = ""
+
+    @property
+    def text_id(self) -> str:
+        """The request's id as text."""
+        return self.facts.request_id.decode("latin-1")
+
+
+class CallHandler:
+    """Answers callers.
+
+    Parameters
+    ----------
+    beliefs : FleetBeliefs
+        Configuration and backend servers.
+    placing : Placing
+        Brings requests to backend servers.
+    pool : BackendPool
+        Connections to them.
+    wire : Wire
+        Formats of requests and answers.
+    bounds : FleetBounds
+        Bounds of the whole fleet.
+    instances : callable
+        Returns how many instances share them.
+    """
+
+    def __init__(
+        self,
+        beliefs: FleetBeliefs,
+        placing: Placing,
+        pool: BackendPool,
+        wire: Wire,
+        bounds: FleetBounds,
+        instances: Callable[[], int],
+    ) -> None:
+        self.running = 0
+        self._beliefs = beliefs
+        self._placing = placing
+        self._pool = pool
+        self._wire = wire
+        self._bounds = bounds
+        self._instances = instances
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def handle(self, request: Request) -> None:
+        """Answer one request."""
+        self.running += 1
+        arrived_at_s = boot_time_s()
+        facts: CallFacts | None = None
+        try:
+            facts = self._wire.read_call(request.headers)
+            check_framing(request)
+            await self._serve(request, facts, arrived_at_s)
+        except CallerGone:
+            raise
+        except TeaseldykeError as exc:
+            await self._refuse(request, facts, exc, arrived_at_s)
+        finally:
+            self.running -= 1
+
+    async def _serve(
+        self, request: Request, facts: CallFacts, arrived_at_s: float
+    ) -> None:
+        table = self._beliefs.table
+        if table is None:
+            raise NotConfigured(
+                "no configuration has arrived yet", retry_after_s=CONFIGURATION_WAIT_S
+            )
+        route = table.match(facts.host, request.raw_target.partition("?")[0])
+        if route is None:
+            raise RouteUnknown(
+                f"no route of version {table.version} matches host and path"
+            )
+        organisation = organisation_of(table, route, facts)
+        body = await request.read_body(table.bounds.body_bytes)
+        service = pick_service(table, route)
+        call = Call(
+            request,
+            facts,
+            route,
+            service,
+            organisation,
+            body,
+            work_of(facts, route, organisation, arrived_at_s),
+            Relay(request, self._wire),
+            version=table.version,
+        )
+        await self._bring(call)
+
+    async def _bring(self, call: Call) -> None:
+        """Bring a call to its end, within its deadline and while its caller stays."""
+        left_s = call.work.deadline_at_s - boot_time_s()
+        gone = False
+        scope = trio.CancelScope(deadline=trio.current_time() + left_s)
+
+        def leave() -> None:
+            nonlocal gone
+            gone = True
+            scope.cancel()
+
+        with scope, call.request.on_disconnect(leave):
+            await self._send_until_done(call)
+        if not scope.cancelled_caught:
+            return
+        if gone:
+            GONE.bind(route=call.route.name).add()
+            log_decision(
+                "caller_gone",
+                id=call.text_id,
+                sends=call.sends,
+                after_s=self._elapsed_s(call),
+            )
+            raise CallerGone("caller closed its connection")
+        if call.ran:
+            raise TimedOut(f"no whole answer within {left_s:.3f} s")
+        raise Overloaded(f"not sent within {left_s:.3f} s")
+
+    async def _send_until_done(self, call: Call) -> None:
+        budget = self._budget_of(call.service.name)
+        budget.count_request(boot_time_s())
+        while True:
+            try:
+                sent = await self._send(call)
+            except TeaseldykeError as exc:
+                if call.ran and exc.executed == "no":
+                    raise ServerBroke(f"{call.ended}; then: {exc.detail}") from exc
+                raise
+            if sent.outcome is Outcome.DONE:
+                self._log_end(call, sent)
+                return
+            call.ended = sent.detail
+            self._settle(call, sent, budget)
+            RESENT.bind(cause=sent.outcome.value).add()
+
+    async def _send(self, call: Call) -> Sent:
+        placed = await self._placing.place(
+            call.service, call.work, frozenset(call.avoid)
+        )
+        server_id = placed.state.server.id
+        now_s = boot_time_s()
+        left_s = call.work.deadline_at_s - now_s
+        if left_s <= 0.0:
+            placed.end(None)
+            raise Overloaded("the deadline passed before the request was sent")
+        resumed_after = call.relay.last_event_id
+        if resumed_after is None:
+            resumed_after = call.facts.resumes_after
+        outgoing = self._wire.outgoing(
+            call.request.method,
+            call.request.raw_target,
+            call.request.headers,
+            call.body,
+            left_s=left_s,
+            server_id=server_id,
+            organisation=call.organisation.name if call.organisation else None,
+            resumes_after=resumed_after,
+        )
+        log_decision(
+            "sent",
+            id=call.text_id,
+            server=server_id,
+            route=call.route.name,
+            version=call.version,
+            waited_s=round(now_s - call.work.arrived_at_s, 4),
+            uncached_tokens=int(placed.uncached_tokens),
+            expected_first_s=round(placed.first_s, 3),
+            running=placed.state.running,
+            send=call.sends,
+        )
+        call.sends += 1
+        attempt = Attempt(
+            self._pool,
+            self._wire,
+            placed,
+            call.route,
+            call.service,
+            call.facts,
+            call.relay,
+            self._limits_of(call, placed.first_s, placed.state.latency_s),
+        )
+        call.avoid.add(server_id)
+        call.ran += 1  # until the opposite is known, also when cancelled
+        sent = await attempt.run(outgoing, resumed_after)
+        if not attempt.sent or sent.outcome in (Outcome.NOT_RUN, Outcome.OTHER_SERVER):
+            call.ran -= 1
+        if sent.outcome is Outcome.NOT_RUN:
+            placed.state.note_full(boot_time_s() + FULL_PAUSE_S)
+        return sent
+
+    def _limits_of(self, call: Call, first_s: float, latency_s: float) -> AttemptLimits:
+        """Return how long a send may stay silent; for ever if there is no other."""
+        may_repeat = call.route.repeatable and call.ran + 1 < call.route.attempts_max
+        if not may_repeat:
+            return AttemptLimits()
+        if call.service.is_engine:
+            return AttemptLimits(
+                max(FIRST_EVENT_MIN_S, FIRST_EVENT_FACTOR * first_s),
+                max(PAUSE_MIN_S, 2.0 * call.route.event_gap_s),
+                passes_failures=False,
+            )
+        return AttemptLimits(
+            max(PLAIN_FIRST_MIN_S, PLAIN_FIRST_FACTOR * latency_s),
+            PATIENT_S,
+            passes_failures=False,
+        )
+
+    def _settle(self, call: Call, sent: Sent, budget: RetryBudget) -> None:
+        """Return if the call is to be sent again; otherwise raise its end."""
+        log_decision(
+            "send_ended",
+            id=call.text_id,
+            outcome=sent.outcome.value,
+            status=sent.status,
+            reason=sent.detail,
+            events=call.relay.events,
+        )
+        may_have_run = sent.outcome in (Outcome.BROKEN, Outcome.FAILED)
+        if may_have_run and not call.route.repeatable:
+            raise ServerBroke(sent.detail)
+        if call.relay.started and call.route.kind is not RouteKind.STREAMING:
+            raise ServerBroke(sent.detail)
+        now_s = boot_time_s()
+        spent_up = call.ran >= call.route.attempts_max or call.sends >= SENDS_MAX
+        free = sent.outcome is Outcome.NOT_SENT
+        if not spent_up and (free or budget.try_spend(now_s, self._instances())):
+            return
+        if call.ran:
+            raise ServerBroke(sent.detail)
+        left_s = call.work.deadline_at_s - now_s
+        raise NoServer(
+            sent.detail, retry_after_s=return_pause_s(0.0, left_s, random.random())
+        )
+
+    def _budget_of(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(
+                self._bounds.retry_ratio,
+                self._bounds.retry_slack,
+                self._bounds.retry_window_s,
+            )
+        return budget
+
+    def _log_end(self, call: Call, sent: Sent) -> None:
+        elapsed_s = self._elapsed_s(call)
+        ANSWERED.bind(route=call.route.name, status=str(sent.status)).add()
+        FIRST.bind(service=call.service.name).observe(elapsed_s)
+        log_decision(
+            "answered",
+            id=call.text_id,
+            status=sent.status,
+            after_s=elapsed_s,
+            sends=call.sends,
+        )
+
+    @staticmethod
+    def _elapsed_s(call: Call) -> float:
+        return round(boot_time_s() - call.work.arrived_at_s, 4)
+
+    async def _refuse(
+        self,
+        request: Request,
+        facts: CallFacts | None,
+        error: TeaseldykeError,
+        arrived_at_s: float,
+    ) -> None:
+        request_id = facts.request_id if facts else None
+        log_decision(
+            "refused" if error.executed == "no" else "failed",
+            id=request_id.decode("latin-1") if request_id else None,
+            status=error.status,
+            code=error.code,
+            reason=error.detail,
+            retry_after_s=error.retry_after_s,
+            after_s=round(boot_time_s() - arrived_at_s, 4),
+            cut=request.response_started,
+        )
+        ANSWERED.bind(route="", status=str(error.status)).add()
+        if request.response_started:
+            await request.abort()
+            return
+        body = json.dumps({"code": error.code, "detail": error.detail}).encode()
+        headers = self._wire.refusal_headers(request_id, error.retry_after_s)
+        await request.respond(error.status, body, headers)
+
+
+def check_framing(request: Request) -> None:
+    """Raise `MalformedRequest` if two framings of the body contradict each other."""
+    coding = first_header(request.headers, b"transfer-encoding")
+    length = first_header(request.headers, b"content-length")
+    if coding is not None and length is not None:
+        raise MalformedRequest("both Transfer-Encoding and Content-Length are given")
+
+
+def organisation_of(
+    table: RoutingTable, route: Route, facts: CallFacts
+) -> KeyedOrganisation | None:
+    """Return who asks; raises `KeyUnknown` where the route needs a known key."""
+    organisation = None
+    if facts.key is not None:
+        organisation = table.organisation_of(facts.key)
+    if organisation is None and table.organisations and not route.is_open:
+        raise KeyUnknown(f"no organisation of version {table.version} holds the key")
+    return organisation
+
+
+def pick_service(table: RoutingTable, route: Route) -> ServiceDescription:
+    """Return a service of the route, drawn by weight."""
+    names = [name for name, weight in route.split if weight > 0.0]
+    weights = [weight for _, weight in route.split if weight > 0.0]
+    name = names[0] if len(names) == 1 else random.choices(names, weights)[0]
+    return table.services[name]
+
+
+def work_of(
+    facts: CallFacts,
+    route: Route,
+    organisation: KeyedOrganisation | None,
+    arrived_at_s: float,
+) -> Work:
+    """Return what a request asks of a backend server."""
+    patience_s = facts.patience_s
+    if patience_s is None:
+        patience_s = PATIENCE_DEFAULT_S
+    priority = route.priority
+    if organisation is not None and organisation.priority is not None:
+        priority = organisation.priority
+    return Work(
+        organisation=organisation.name if organisation else "",
+        arrived_at_s=arrived_at_s,
+        on_time_until_s=arrived_at_s + route.target_latency_s,
+        deadline_at_s=arrived_at_s + min(patience_s - FINAL_MARGIN_S, route.timeout_s),
+        prompt_tokens=facts.prompt_tokens,
+        output_tokens=facts.output_tokens,
+        parts=facts.parts,
+        priority=priority,
+    )
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -0,0 +1,184 @@
+"""What a gateway needs of the platform that it runs on."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import attrs
+
+from teaseldyke.http import OutgoingRequest
+from teaseldyke.types import AnnouncedServer, RoutingTable, TeaseldykeError
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallMalformed(TeaseldykeError):
+    """A request lacks what every request must carry, or states it twice."""
+
+    code = "call_malformed"
+    status = 400
+    executed = "no"
+
+
+@attrs.frozen
+class CallFacts:
+    """What a caller's header says of its request.
+
+    Parameters
+    ----------
+    request_id : bytes
+        New for each attempt of a caller.
+    host : str
+        In lower case, without a port.
+    patience_s : float or None
+        How long the caller waits.
+    key : str or None
+        Key of its organisation.
+    prompt_tokens, output_tokens : int
+        Tokens to read, and tokens that are expected to be generated.
+    parts : tuple of (str, int)
+        The prompt's parts, in order.
+    resumes_after : int or None
+        Id of the last event that the caller has.
+    """
+
+    request_id: bytes
+    host: str
+    patience_s: float | None
+    key: str | None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[tuple[str, int], ...] = ()
+    resumes_after: int | None = None
+
+
+@attrs.frozen
+class AnswerFacts:
+    """What a backend server's header says of its answer.
+
+    Parameters
+    ----------
+    request_id : bytes or None
+        Request that it answers.
+    not_run : bool
+        Whether the server states that it did not run the request.
+    is_stamped : bool
+        Whether it carries the server's signature.
+    is_encoded : bool
+        Whether the body is in an encoding that nobody asked for.
+    load : tuple of int or None
+        Requests running and waiting, and slots.
+    kept_s : float or None
+        How long the server keeps the idle connection; ``None`` if it doesn't say.
+    """
+
+    request_id: bytes | None
+    not_run: bool
+    is_stamped: bool
+    is_encoded: bool
+    load: tuple[int, int, int] | None = None
+    kept_s: float | None = None
+
+
+class Wire(Protocol):
+    """Names and formats of requests and answers."""
+
+    def read_call(self, headers: Headers) -> CallFacts:
+        """Decode a caller's header; raises `CallMalformed`."""
+        ...
+
+    def outgoing(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        *,
+        left_s: float,
+        server_id: str,
+        organisation: str | None,
+        resumes_after: int | None,
+    ) -> OutgoingRequest:
+        """Return the request as a backend server gets it."""
+        ...
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Decode a backend server's header."""
+        ...
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Return the header that the caller gets of a backend server's answer."""
+        ...
+
+    def refusal_headers(
+        self, request_id: bytes | None, retry_after_s: float | None
+    ) -> Headers:
+        """Return the header of a refusal."""
+        ...
+
+
+@attrs.frozen
+class Peer:
+    """Another instance of the fleet.
+
+    Parameters
+    ----------
+    name : str
+        Unique in the fleet.
+    host, port : str, int
+        Where it exchanges totals, by datagrams, and listings, by HTTP.
+    """
+
+    name: str
+    host: str
+    port: int
+
+
+class Beliefs(Protocol):
+    """Takes what the directory learns."""
+
+    def apply_routing(self, table: RoutingTable) -> None:
+        """Put a newer configuration in force."""
+        ...
+
+    def apply_servers(self, servers: Sequence[AnnouncedServer]) -> None:
+        """Replace the backend servers."""
+        ...
+
+    def apply_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Replace the failure domains that get nothing new."""
+        ...
+
+    def note_store(self, available: bool, reason: str) -> None:
+        """Note that the platform's store was lost or regained."""
+        ...
+
+
+class Directory(Protocol):
+    """Follows what the operator and the backend servers write into the store."""
+
+    @property
+    def versions(self) -> tuple[int, int]:
+        """Newest change seen of the operator's and of the servers' entries."""
+        ...
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        ...
+
+    async def announce(self, peer: Peer) -> list[Peer]:
+        """Enter this instance and return all; raises `PlatformUnavailable`."""
+        ...
+
+    async def withdraw(self, peer: Peer) -> None:
+        """Take this instance's entry out; raises `PlatformUnavailable`."""
+        ...
+
+    def export_listing(self) -> bytes:
+        """Return all entries, for another instance."""
+        ...
+
+    def import_listing(self, data: bytes) -> None:
+        """Adopt what is newer in another instance's entries; raises `ValueError`."""
+        ...
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -0,0 +1,330 @@
+"""Brings requests to backend servers: at once, after a wait, or not at all."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from teaseldyke.placement import (
+    FAILURE_SHARE_MAX,
+    Choice,
+    ServerState,
+    Standings,
+    Waiter,
+    WaitingLine,
+    Work,
+    choose_engine,
+    choose_plain,
+    refusal_of,
+    return_pause_s,
+    service_time_s,
+)
+from teaseldyke.telemetry import counter, histogram
+from teaseldyke.timers import boot_time_s
+from teaseldyke.types import ServiceDescription
+
+from .beliefs import FleetBeliefs
+from .errors import NoServer, Overloaded
+
+MISSES_MAX = 8  # requests tried without success before the rest must wait on
+PUMP_PAUSE_S = 0.004  # between two looks at what waits; bounds their processor time
+FULL_PAUSE_S = 0.05  # a server that had no room is not tried again before
+DRAIN_TIME_S = 2.0  # over which the rate of sends is measured
+RATE_SHARE_MIN = 0.2  # of an instance's even part; its demand may just have begun
+LEAST_FIRST_S = 0.02  # below it, a time to the first event says nothing of a rate
+
+WAITED = histogram("teaseldyke_wait_seconds", "Time from arrival to the send.")
+REFUSED = counter("teaseldyke_refused_total", "Requests refused, by reason.")
+
+
+@attrs.define(eq=False)
+class Placed:
+    """A request that holds its place at a backend server until `end`.
+
+    Parameters
+    ----------
+    state : ServerState
+        Where it goes.
+    work : Work
+        What it asks.
+    uncached_tokens : float
+        Prompt tokens that the engine is expected to read.
+    first_s : float
+        Expected time to the first event.
+    """
+
+    state: ServerState
+    work: Work
+    uncached_tokens: float
+    first_s: float
+    sent_at_s: float
+    _on_change: Callable[[str], None]
+    _ahead_tokens: float = 0.0
+    _reading: bool = True
+    _open: bool = True
+
+    def note_first(self) -> None:
+        """Note the first event: the prompt has been read."""
+        if not self._reading:
+            return
+        first_s = boot_time_s() - self.sent_at_s
+        tokens = self._ahead_tokens + self.uncached_tokens
+        if first_s > LEAST_FIRST_S and tokens > 2000.0:
+            self.state.note_rate(tokens / first_s)
+        self._stop_reading()
+
+    def note_answer(self) -> None:
+        """Note the whole answer of a plain server."""
+        self.state.note_latency(boot_time_s() - self.sent_at_s)
+
+    def end(self, failed: bool | None) -> None:
+        """Give the place up.
+
+        Parameters
+        ----------
+        failed : bool or None
+            Whether the server failed; ``None`` if the end says nothing of it.
+        """
+        if not self._open:
+            return
+        self._open = False
+        self._stop_reading()
+        own = self.state.own
+        own.running -= 1
+        own.memory_tokens -= self.work.memory_tokens
+        self.state.probing = False
+        if failed is not None:
+            self.state.note_outcome(failed, boot_time_s())
+        self._on_change(self.state.server.service)
+
+    def _stop_reading(self) -> None:
+        if not self._reading:
+            return
+        self._reading = False
+        self.state.own.pending_tokens -= self.uncached_tokens
+        self._on_change(self.state.server.service)
+
+
+@attrs.define(eq=False)
+class _Ticket:
+    service: ServiceDescription
+    avoid: frozenset[str]
+    ready: trio.Event = attrs.field(factory=trio.Event)
+    placed: Placed | None = None
+
+
+class Placing:
+    """Places requests on backend servers and lets the rest wait in order.
+
+    Parameters
+    ----------
+    beliefs : FleetBeliefs
+        Routes and backend servers.
+    standings : Standings
+        Usage of the organisations.
+    instances : callable
+        Returns how many instances share the fleet's bounds.
+    failure_domain : str
+        Where this instance stands.
+    """
+
+    def __init__(
+        self,
+        beliefs: FleetBeliefs,
+        standings: Standings,
+        instances: Callable[[], int],
+        failure_domain: str,
+    ) -> None:
+        self.standings = standings
+        self._beliefs = beliefs
+        self._instances = instances
+        self._failure_domain = failure_domain
+        self._lines: dict[str, WaitingLine[_Ticket]] = {}
+        self._sent: dict[str, float] = {}
+        self._changed = trio.Event()
+        self._rates: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Place waiting requests whenever something has changed."""
+        while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
+            for name, line in self._lines.items():
+                if len(line):
+                    self._pump(name, line)
+            await trio.sleep(PUMP_PAUSE_S)
+
+    def wake(self, _service: str = "") -> None:
+        """Look at what waits again."""
+        self._changed.set()
+
+    def waiting_tokens(self) -> dict[str, float]:
+        """Return the cost of what waits here, by organisation."""
+        total: dict[str, float] = {}
+        for line in self._lines.values():
+            for name, tokens in line.waiting_tokens().items():
+                total[name] = total.get(name, 0.0) + tokens
+        return total
+
+    def settle(self) -> None:
+        """Work out shares and rates anew; called at a fixed interval."""
+        now_s = boot_time_s()
+        if self._beliefs.table is not None:
+            self.standings.tokens_per_s = self._beliefs.table.bounds.tokens_per_s
+        self.standings.settle(self.waiting_tokens(), now_s)
+        self.wake()
+
+    async def place(
+        self, service: ServiceDescription, work: Work, avoid: frozenset[str]
+    ) -> Placed:
+        """Return a place at a backend server.
+
+        Raises
+        ------
+        Overloaded
+            If the request can't be sent in time.
+        NoServer
+            If no backend server may get it.
+        """
+        line = self._lines.setdefault(service.name, WaitingLine())
+        now_s = boot_time_s()
+        reason = "others wait"
+        if not len(line):
+            choice = self._choose(service, work, avoid, now_s)
+            if choice.state is not None:
+                return self._begin(service, work, choice, now_s)
+            reason = choice.reason
+        self._refuse_hopeless(service, work, line, now_s)
+        ticket = _Ticket(service, avoid)
+        waiter = Waiter(work, ticket)
+        line.add(waiter)
+        self.wake()
+        last_s = work.deadline_at_s - min(
+            service_time_s(work), 0.5 * (work.deadline_at_s - now_s)
+        )
+        try:
+            with trio.move_on_after(max(0.0, last_s - now_s)):
+                await ticket.ready.wait()
+        except BaseException:
+            if ticket.placed is not None:
+                ticket.placed.end(None)
+            raise
+        finally:
+            line.remove(waiter)
+        if ticket.placed is not None:
+            return ticket.placed
+        REFUSED.bind(reason=reason).add()
+        left_s = work.deadline_at_s - boot_time_s()
+        raise Overloaded(
+            f"no room within {last_s - now_s:.3f} s: {reason}",
+            retry_after_s=return_pause_s(0.0, left_s, random.random()),
+        )
+
+    def expected_wait_s(
+        self, service: ServiceDescription, line: WaitingLine[_Ticket], work: Work
+    ) -> float:
+        """Return how long a new request would wait, by the rate of the engines."""
+        if not service.is_engine:
+            return 0.0
+        now_s = boot_time_s()
+        rate = sum(
+            state.rate_tokens_per_s
+            for state in self._beliefs.states_of(service.name)
+            if not state.is_out(now_s)
+        ) / max(1, self._instances())
+        if rate <= 0.0:
+            return 0.0
+        return line.tokens_ahead(work, self.standings, now_s) / rate
+
+    def _refuse_hopeless(
+        self,
+        service: ServiceDescription,
+        work: Work,
+        line: WaitingLine[_Ticket],
+        now_s: float,
+    ) -> None:
+        expected_s = self.expected_wait_s(service, line, work)
+        refusal = refusal_of(work, expected_s, now_s, random.random())
+        if refusal is None:
+            return
+        REFUSED.bind(reason=refusal.reason).add()
+        raise Overloaded(
+            f"{refusal.reason}: {expected_s:.3f} s",
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _pump(self, name: str, line: WaitingLine[_Ticket]) -> None:
+        now_s = boot_time_s()
+        misses = 0
+        for waiter in list(line.in_order(self.standings, now_s)):
+            ticket = waiter.token
+            choice = self._choose(ticket.service, waiter.work, ticket.avoid, now_s)
+            if choice.state is None:
+                misses += 1
+                if misses >= MISSES_MAX:
+                    return
+                continue
+            line.remove(waiter)
+            ticket.placed = self._begin(ticket.service, waiter.work, choice, now_s)
+            ticket.ready.set()
+
+    def _choose(
+        self,
+        service: ServiceDescription,
+        work: Work,
+        avoid: frozenset[str],
+        now_s: float,
+    ) -> Choice:
+        states = self._beliefs.states_of(service.name)
+
+        def may_warm(state: ServerState) -> bool:
+            return state.cold.is_free(now_s)
+
+        if not service.is_engine:
+            return choose_plain(
+                states,
+                now_s,
+                failure_domain=self._failure_domain,
+                avoid=avoid,
+                may_warm=may_warm,
+            )
+        return choose_engine(
+            states,
+            service,
+            work,
+            now_s,
+            over_share=self.standings.is_over(work.organisation, now_s),
+            avoid=avoid,
+            may_warm=may_warm,
+        )
+
+    def _begin(
+        self, service: ServiceDescription, work: Work, choice: Choice, now_s: float
+    ) -> Placed:
+        state = choice.state
+        if state is None:
+            raise NoServer("no backend server was chosen")
+        if state.is_cold(now_s):
+            state.cold.take(now_s, self._instances())
+        state.probing = state.failure_share >= FAILURE_SHARE_MAX
+        placed = Placed(
+            state,
+            work,
+            choice.uncached_tokens,
+            choice.first_s,
+            now_s,
+            self.wake,
+            state.pending_tokens,
+        )
+        own = state.own
+        own.running += 1
+        own.pending_tokens += choice.uncached_tokens
+        own.memory_tokens += work.memory_tokens
+        if service.is_engine:
+            state.note_parts(work, now_s)
+            self.standings.charge(work.organisation, work.cost_tokens, now_s)
+        WAITED.bind(service=service.name).observe(now_s - work.arrived_at_s)
+        return placed
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -0,0 +1,196 @@
+"""Runs a gateway from its start to its planned stop."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from teaseldyke.http import (
+    BackendPool,
+    HttpClient,
+    Request,
+    ServerLimits,
+    serve,
+)
+from teaseldyke.placement import Standings
+from teaseldyke.settings import Address
+from teaseldyke.telemetry import log_decision
+from teaseldyke.timers import Timers
+from teaseldyke.types import PlatformUnavailable, TeaseldykeError
+
+from .beliefs import FleetBeliefs
+from .calls import CallHandler
+from .endpoints import LISTING_TARGET, Endpoints
+from .interfaces import Beliefs, Directory, Peer, Wire
+from .placing import Placing
+from .settings import GatewaySettings
+from .totals import EXCHANGE_S, TotalsExchange
+
+CONNECT_TIMEOUT_S = 0.5  # to a backend server; several round trips between domains
+STOP_LINGER_S = 3.0  # balancers see the lost readiness after two checks a second apart
+STOP_MARGIN_S = 0.4  # before the platform would end the process
+CATCH_UP_S = 0.2  # between looks whether a peer knows newer entries
+LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
+ANNOUNCE_RETRY_S = 1.0  # until the store has taken this instance's entry
+BACKLOG = 1024  # connections that wait to be accepted; a full queue costs seconds
+SIDE_LIMITS = ServerLimits(connections=128, idle_timeout_s=30.0)
+
+Handler = Callable[[Request], Awaitable[None]]
+DirectoryFactory = Callable[[Beliefs], Directory]
+
+
+@attrs.define(eq=False)
+class Gateway:
+    """The parts of one instance, wired to each other.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        What the process was told.
+    wire : Wire
+        Formats of requests and answers.
+    make_directory : callable
+        Returns the follower of the platform's store.
+    """
+
+    settings: GatewaySettings
+    wire: Wire
+    make_directory: DirectoryFactory
+    stopping: trio.Event = attrs.field(factory=trio.Event, init=False)
+    beliefs: FleetBeliefs = attrs.field(init=False)
+    placing: Placing = attrs.field(init=False)
+    directory: Directory = attrs.field(init=False)
+    totals: TotalsExchange = attrs.field(init=False)
+    calls: CallHandler = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.beliefs = FleetBeliefs(lambda: self.placing.wake())
+        self.placing = Placing(
+            self.beliefs,
+            Standings(),
+            lambda: self.totals.instances,
+            settings.failure_domain,
+        )
+        self.directory = self.make_directory(self.beliefs)
+        own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
+        self.totals = TotalsExchange(own, self.beliefs, self.placing, self.directory)
+        self.calls = CallHandler(
+            self.beliefs,
+            self.placing,
+            BackendPool(CONNECT_TIMEOUT_S),
+            self.wire,
+            settings.bounds,
+            lambda: self.totals.instances,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome."""
+        return self.beliefs.table is not None and not self.stopping.is_set()
+
+    async def run(self) -> None:
+        """Serve until a signal stops the process."""
+        settings = self.settings
+        endpoints = Endpoints(lambda: self.is_ready, self.directory)
+        callers = await _listen(settings.callers)
+        async with trio.open_nursery() as nursery:
+            await self.totals.open()
+            for address, handler in (
+                (settings.readiness, endpoints.readiness),
+                (settings.exchange, endpoints.exchange),
+                (settings.metrics, endpoints.metrics),
+            ):
+                nursery.start_soon(serve, await _listen(address), handler, SIDE_LIMITS)
+            nursery.start_soon(self._stop_on_signal, nursery)
+            nursery.start_soon(self.directory.run)
+            nursery.start_soon(self.totals.receive)
+            nursery.start_soon(self.placing.run)
+            nursery.start_soon(self._announce)
+            nursery.start_soon(self._catch_up)
+            timers = Timers(nursery)
+            timers.every(EXCHANGE_S, self.totals.send)
+            timers.every(EXCHANGE_S, self._refresh)
+            log_decision("started", callers=str(settings.callers))
+            limits = ServerLimits(
+                connections=settings.connections_max, stop_linger_s=STOP_LINGER_S
+            )
+            await serve(callers, self.calls.handle, limits, stopping=self.stopping)
+            nursery.cancel_scope.cancel()
+        log_decision("stopped", running=self.calls.running)
+
+    async def _refresh(self) -> None:
+        self.beliefs.refresh()
+
+    async def _announce(self) -> None:
+        """Enter this instance into the store and learn of the others."""
+        while True:
+            try:
+                self.totals.add_peers(await self.directory.announce(self.totals.own))
+                return
+            except TeaseldykeError as exc:
+                log_decision("not_announced", reason=exc.detail)
+            await trio.sleep(ANNOUNCE_RETRY_S)
+
+    async def _catch_up(self) -> None:
+        """Fetch the entries of a peer that knows newer ones.
+
+        The store may turn this instance away while it serves the operator.
+        """
+        client = HttpClient(timeout_s=LISTING_TIMEOUT_S)
+        while True:
+            await trio.sleep(CATCH_UP_S)
+            newer = self.totals.newer
+            if newer is None:
+                continue
+            self.totals.newer = None
+            peer, versions = newer
+            own = self.directory.versions
+            if versions[0] <= own[0] and versions[1] <= own[1]:
+                continue
+            try:
+                answer = await client.request(
+                    "GET", peer.host, peer.port, LISTING_TARGET
+                )
+                self.directory.import_listing(answer.body)
+            except (TeaseldykeError, ValueError) as exc:
+                log_decision("listing_not_fetched", peer=peer.name, error=str(exc))
+                continue
+            log_decision("listing_fetched", peer=peer.name, had=own, got=versions)
+
+    async def _stop_on_signal(self, nursery: trio.Nursery) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    log_decision("reload_asked", applied="at the next start")
+                    continue
+                if self.stopping.is_set():
+                    nursery.cancel_scope.cancel()
+                    return
+                self.stopping.set()
+                log_decision("stopping", running=self.calls.running)
+                nursery.start_soon(self._end_at_deadline, nursery)
+                nursery.start_soon(self._withdraw)
+
+    async def _withdraw(self) -> None:
+        try:
+            await self.directory.withdraw(self.totals.own)
+        except PlatformUnavailable as exc:
+            log_decision("not_withdrawn", reason=exc.detail)
+
+    async def _end_at_deadline(self, nursery: trio.Nursery) -> None:
+        await trio.sleep(self.settings.bounds.stop_s - STOP_MARGIN_S)
+        log_decision("stop_deadline_passed", running=self.calls.running)
+        nursery.cancel_scope.cancel()
+
+
+async def _listen(address: Address) -> trio.SocketListener:
+    listeners = await trio.open_tcp_listeners(
+        address.port, host=address.host, backlog=BACKLOG
+    )
+    return listeners[0]
--- /dev/null
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -0,0 +1,108 @@
+"""Passes one backend server's answer on to the caller."""
+
+from __future__ import annotations
+
+import re
+
+import attrs
+
+from teaseldyke.http import Exchange, ExchangeBroken, Request
+
+from .interfaces import Headers, Wire
+
+EVENT_END = b"\n\n"
+EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
+EVENT_MAX_BYTES = 1024 * 1024  # an event that never ends must not fill the memory
+PLAIN_ANSWER_MAX_BYTES = 16 * 1024 * 1024
+
+
+class StreamBroken(ExchangeBroken):
+    """A stream ended early, or went on at another event than was asked for."""
+
+    code = "stream_broken"
+
+
+@attrs.define(eq=False)
+class Relay:
+    """What the caller has got of its answer, over all sends of its request.
+
+    Parameters
+    ----------
+    request : Request
+        The caller's.
+    wire : Wire
+        Formats of answers.
+
+    Attributes
+    ----------
+    events : int
+        Blocks of whole events passed on.
+    """
+
+    request: Request
+    wire: Wire
+    events: int = 0
+    _tail: bytes = b""
+    _last_block: bytes = b""
+
+    @property
+    def started(self) -> bool:
+        """Whether a byte of an answer may have reached the caller."""
+        return self.request.response_started
+
+    @property
+    def last_event_id(self) -> int | None:
+        """Id of the last event passed on, if there is one."""
+        found = EVENT_ID.findall(self._last_block)
+        return int(found[-1]) if found else None
+
+    async def pass_whole(self, exchange: Exchange, headers: Headers) -> None:
+        """Pass an answer on after it has arrived as a whole."""
+        body = await exchange.read()
+        await self.request.respond(exchange.status, body, headers)
+
+    async def start_stream(self, exchange: Exchange, headers: Headers) -> None:
+        """Send the header of a stream, unless an earlier send's went out."""
+        self._tail = b""
+        if self.started:
+            return
+        await self.request.start_response(exchange.status, headers, flush=False)
+
+    async def pass_block(self, data: bytes, expected_id: int | None) -> bool:
+        """Pass the whole events of what arrived on; return whether there were any.
+
+        Parameters
+        ----------
+        expected_id : int or None
+            Id that the first event of a resumed stream must have.
+
+        Raises
+        ------
+        StreamBroken
+            If a resumed stream goes on at another event, or an event has no end.
+        """
+        if self._tail:
+            data = self._tail + data
+        end = data.rfind(EVENT_END)
+        if end < 0:
+            self._tail = data
+            if len(data) > EVENT_MAX_BYTES:
+                raise StreamBroken(f"an event exceeds {EVENT_MAX_BYTES} bytes")
+            return False
+        end += len(EVENT_END)
+        self._tail = data[end:]
+        block = data[:end] if self._tail else data
+        if expected_id is not None:
+            found = EVENT_ID.search(block)
+            if found is None or int(found[1]) != expected_id:
+                raise StreamBroken(f"stream did not go on at event {expected_id}")
+        await self.request.send(block)
+        self._last_block = block
+        self.events += 1
+        return True
+
+    async def end_stream(self) -> None:
+        """End a stream whose last event has been passed on."""
+        if self._tail:
+            raise StreamBroken("the stream ended within an event")
+        await self.request.finish()
--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -19,7 +19,7 @@
     TooManyConnections,
     TransferCodingUnsupported,
 )
-from .exchange import Exchange, OutgoingRequest
+from .exchange import Exchange, OutgoingRequest, ServerConnection
 from .headers import end_to_end_headers, first_header
 from .limits import ServerLimits
 from .problem import problem_response
--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -112,18 +112,34 @@
             await _start(exchange, request, first_byte_timeout_s, request_id)
             yield exchange
         finally:
-            exchange.close_watch()
-            self._give_back(connection, exchange)
+            self.give_back(connection, exchange)
 
     async def take(
-        self, host: str, port: int, *, fresh: bool = False
+        self,
+        host: str,
+        port: int,
+        *,
+        fresh: bool = False,
+        kept_part: float = 1.0,
     ) -> ServerConnection:
-        """Return a kept connection, or a new one; raises `ConnectFailed`."""
+        """Return a kept connection, or a new one; raises `ConnectFailed`.
+
+        Parameters
+        ----------
+        fresh : bool
+            Whether only a new connection will do.
+        kept_part : float
+            Part of the time for which the server keeps an idle connection, after
+            which it is no longer used.
+        """
         idle = self._idle.get((host, port))
-        oldest_s = trio.current_time() - IDLE_MAX_S
+        now_s = trio.current_time()
         while idle and not fresh:
             connection = idle.pop()
-            if connection.idle_since_s >= oldest_s and connection.is_quiet():
+            idle_s = now_s - connection.idle_since_s
+            kept_s = IDLE_MAX_S if connection.kept_s is None else connection.kept_s
+            fits = idle_s <= min(IDLE_MAX_S, kept_part * kept_s)
+            if fits and connection.is_quiet():
                 connection.next_cycle()
                 connection.used = True
                 return connection
@@ -147,7 +163,9 @@
             f"{host}:{port} took no connection within {self._connect_timeout_s} s"
         )
 
-    def _give_back(self, connection: ServerConnection, exchange: Exchange) -> None:
+    def give_back(self, connection: ServerConnection, exchange: Exchange) -> None:
+        """Keep a connection after its exchange if it can serve another one."""
+        exchange.close_watch()
         if not (exchange.complete and connection.is_reusable):
             connection.close()
             return
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -27,7 +27,8 @@
     method, target : str
         Of the request line.
     headers : list of (bytes, bytes)
-        Without ``Host`` and ``Content-Length``.
+        Without ``Content-Length``; the server's address stands for a missing
+        ``Host``.
     body : bytes
         Whole body.
     """
@@ -56,6 +57,8 @@
         Whether an earlier exchange ran on it.
     idle_since_s : float
         When the last exchange ended, on trio's clock.
+    kept_s : float or None
+        How long the server keeps the idle connection, if it said so.
     """
 
     def __init__(self, stream: TcpStream, host: str, port: int) -> None:
@@ -64,6 +67,7 @@
         self.port = port
         self.used = False
         self.idle_since_s = 0.0
+        self.kept_s: float | None = None
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=ANSWER_HEADER_BYTES
         )
@@ -90,7 +94,9 @@
 
     def encode(self, request: OutgoingRequest) -> bytes:
         """Return the bytes of a request; raises `h11.LocalProtocolError`."""
-        headers = [(b"host", self._host_value()), *request.headers]
+        headers = request.headers
+        if first_header(headers, b"host") is None:
+            headers = [(b"host", self._host_value()), *headers]
         if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             headers.append((b"content-length", str(len(request.body)).encode()))
         head = h11.Request(
@@ -168,6 +174,18 @@
 class Exchange:
     """The answer to one request, streamed.
 
+    Parameters
+    ----------
+    connection : ServerConnection
+        Where the request goes.
+    answer_limit_bytes : int
+        Largest answer body.
+    idle_timeout_s : float
+        Longest pause in the body.
+    lenient : bool
+        Whether a body may end with its connection, if that ends cleanly, and whether
+        an answer counts that further bytes follow; these spoil only the connection.
+
     Attributes
     ----------
     status : int
@@ -185,7 +203,10 @@
         connection: ServerConnection,
         answer_limit_bytes: int,
         idle_timeout_s: float,
+        *,
+        lenient: bool = False,
     ) -> None:
+        self.idle_timeout_s = idle_timeout_s
         self.status = 0
         self.headers: Headers = []
         self.sent = False
@@ -193,7 +214,7 @@
         self._connection = connection
         self._watch = Watch(connection.stream)
         self._answer_limit_bytes = answer_limit_bytes
-        self._idle_timeout_s = idle_timeout_s
+        self._lenient = lenient
         self._body_bytes = 0
 
     def header(self, name: str) -> str | None:
@@ -261,13 +282,13 @@
         self._watch.stop()
 
     async def _receive_more(self) -> None:
-        self._watch.deadline_s = trio.current_time() + self._idle_timeout_s
+        self._watch.deadline_s = trio.current_time() + self.idle_timeout_s
         try:
             await self._connection.receive_more()
         except ExchangeBroken as exc:
             if self._watch.expired:
                 raise AnswerTimedOut(
-                    f"answer paused for {self._idle_timeout_s} s"
+                    f"answer paused for {self.idle_timeout_s} s"
                 ) from exc
             raise
         self._watch.deadline_s = math.inf
@@ -278,7 +299,7 @@
             raise AnswerTooLarge(f"answer exceeds {self._answer_limit_bytes} bytes")
 
     def _end(self) -> None:
-        if self._connection.has_extra_bytes():
+        if self._connection.has_extra_bytes() and not self._lenient:
             raise AnswerBroken("bytes follow the complete answer")
         self.complete = True
 
@@ -288,6 +309,8 @@
         if first_header(self.headers, b"transfer-encoding") is not None:
             return
         length = first_header(self.headers, b"content-length")
+        if length is None and self._lenient:
+            return
         if length is None:
             raise AnswerBroken(
                 "answer has neither Content-Length nor chunked coding, "
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -47,6 +47,8 @@
         In the one spelling that `split_target` gives.
     target : str
         Path and raw query, as they are passed on.
+    raw_target : str
+        Path and query exactly as the caller sent them.
     response_started : bool
         Whether an answer has been started.
 
@@ -69,6 +71,7 @@
         self.method = head.method.decode("ascii")
         self.headers: Headers = list(head.headers)
         self.response_started = False
+        self.raw_target = head.target.decode("ascii")
         self.path, self._query = split_target(head.target)
         self.target = f"{self.path}?{self._query}" if self._query else self.path
         self._connection = connection
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -0,0 +1,34 @@
+"""Decisions on waiting, refusal and placement, apart from input and output."""
+
+from __future__ import annotations
+
+from .choice import Choice, choose_engine, choose_plain, weight
+from .refusal import Refusal, refusal_of, return_pause_s, service_time_s
+from .servers import FAILURE_SHARE_MAX, Load, ServerState, usable
+from .shares import DecayingSum, Standings, water_level
+from .waiting import Waiter, WaitingLine
+from .window_budget import ColdAllowance, RetryBudget
+from .work import Work
+
+__all__ = [
+    "FAILURE_SHARE_MAX",
+    "Choice",
+    "ColdAllowance",
+    "DecayingSum",
+    "Load",
+    "Refusal",
+    "RetryBudget",
+    "ServerState",
+    "Standings",
+    "Waiter",
+    "WaitingLine",
+    "Work",
+    "choose_engine",
+    "choose_plain",
+    "refusal_of",
+    "return_pause_s",
+    "service_time_s",
+    "usable",
+    "water_level",
+    "weight",
+]
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -0,0 +1,144 @@
+"""Choice of a backend server for one request.
+
+Load patterns: long prompts beside short ones, prompts that share parts, bursts that
+every instance sees at once. Replayed in ``tests/test_choice.py``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import lru_cache
+from hashlib import blake2b
+
+import attrs
+
+from teaseldyke.types import ServiceDescription
+
+from .servers import ServerState, usable
+from .work import Work
+
+QUEUE_MAX_S = 0.35  # prompt reading queued at an engine; beyond it, work waits here
+OVER_SHARE_QUEUE_MAX_S = 0.12  # the same, for organisations over their fair share
+SLOT_MARGIN = 0.95  # part of the slots that is filled; other instances' sends are late
+MEMORY_MARGIN = 0.9  # part of the engine's memory; preempted requests are read again
+RUNNING_S = 0.002  # added to the first token by each running request
+FIRST_TOKEN_S = 0.05  # from the last prompt token to the first event
+PLAIN_QUEUE_FACTOR = 2.0  # requests at a plain server, in multiples of its slots
+
+
+@attrs.define
+class Choice:
+    """Result of a choice.
+
+    Parameters
+    ----------
+    state : ServerState or None
+        Where to send; ``None`` when the request must wait.
+    uncached_tokens : float
+        Prompt tokens that the engine will read.
+    first_s : float
+        Expected time to the first event.
+    reason : str
+        Why nothing was found, for logs.
+    """
+
+    state: ServerState | None
+    uncached_tokens: float = 0.0
+    first_s: float = 0.0
+    reason: str = ""
+
+
+@lru_cache(maxsize=65536)
+def weight(key: str, name: str) -> int:
+    """Return the rendezvous weight of a name for a key, the same in every router."""
+    digest = blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def choose_engine(
+    states: Iterable[ServerState],
+    service: ServiceDescription,
+    work: Work,
+    now_s: float,
+    *,
+    over_share: bool = False,
+    avoid: frozenset[str] = frozenset(),
+    may_warm: Callable[[ServerState], bool] = lambda state: True,
+) -> Choice:
+    """Return the engine with the earliest expected first token.
+
+    Parameters
+    ----------
+    states : iterable of ServerState
+        Engines of the service that may get work.
+    over_share : bool
+        Whether the organisation has more than its fair share.
+    avoid : frozenset of str
+        Ids of engines that this request was sent to before.
+    may_warm : callable
+        Whether this instance may send to a cold engine now.
+    """
+    candidates = [state for state in states if state.server.id not in avoid]
+    if not candidates:
+        return Choice(None, reason="no engine")
+    home = max(candidates, key=lambda state: weight(work.subject, state.server.id))
+    queue_max_s = OVER_SHARE_QUEUE_MAX_S if over_share else QUEUE_MAX_S
+    best = Choice(None, reason="engines full")
+    for state in usable(candidates, now_s):
+        if now_s < state.slots_free_at_s:
+            continue
+        if state.running + 1 > SLOT_MARGIN * state.server.slots:
+            continue
+        memory_tokens = state.memory_tokens + work.memory_tokens
+        if state.running and memory_tokens > MEMORY_MARGIN * service.memory_tokens:
+            continue
+        rate = max(state.rate_tokens_per_s, 1.0)
+        if state.pending_tokens > queue_max_s * rate:
+            continue
+        if state.is_cold(now_s) and not may_warm(state):
+            continue
+        cached = state.cached_tokens(work, state is home, now_s)
+        uncached = float(work.prompt_tokens - cached)
+        first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
+        first_s += RUNNING_S * state.running
+        if best.state is None or first_s < best.first_s:
+            best = Choice(state, uncached, first_s)
+    return best
+
+
+def choose_plain(
+    states: Iterable[ServerState],
+    now_s: float,
+    *,
+    failure_domain: str,
+    avoid: frozenset[str] = frozenset(),
+    may_warm: Callable[[ServerState], bool] = lambda state: True,
+) -> Choice:
+    """Return the plain server with the shortest expected answer.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where this instance stands; it breaks ties.
+    """
+    candidates = [state for state in states if state.server.id not in avoid]
+    if not candidates:
+        return Choice(None, reason="no server")
+    best = Choice(None, reason="servers full")
+    for state in usable(candidates, now_s):
+        if now_s < state.slots_free_at_s:
+            continue
+        slots = max(1, state.server.slots)
+        if state.running + 1 > PLAIN_QUEUE_FACTOR * slots:
+            continue
+        if state.is_cold(now_s) and not may_warm(state):
+            continue
+        rounds = max(1.0, (state.running + 1) / slots)
+        first_s = state.latency_s * rounds + 0.2 * state.latency_s * (
+            state.running / slots
+        )
+        if state.server.failure_domain != failure_domain:
+            first_s += 0.002
+        if best.state is None or first_s < best.first_s:
+            best = Choice(state, 0.0, first_s)
+    return best
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/refusal.py
@@ -0,0 +1,76 @@
+"""Whether a request is turned away, and when its caller may come back.
+
+Load pattern: a burst of more than the engines produce (`burst`, `hot_tenant`), which
+ends after seconds. Replayed in ``tests/test_refusal.py``.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from .work import Work
+
+WAIT_PART_MAX = 0.5  # of the time left that a request may be expected to wait
+TOKEN_S = 0.012  # for one generated token at a full batch
+RETURN_PART_MAX = 0.33  # callers come back within this part of the time they have
+RETURN_MIN_S = 0.1  # a shorter pause meets the same load
+SPREAD = 0.5  # part of the pause by which returns are spread
+
+
+@attrs.frozen
+class Refusal:
+    """A request that is turned away before it was sent.
+
+    Parameters
+    ----------
+    reason : str
+        For logs and the answer.
+    retry_after_s : float
+        When the caller should come back.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+def service_time_s(work: Work) -> float:
+    """Return how long an engine generates for a request, without its waiting."""
+    return work.output_tokens * TOKEN_S
+
+
+def refusal_of(
+    work: Work, expected_wait_s: float, now_s: float, spread: float
+) -> Refusal | None:
+    """Return the refusal of a request that can't be served in time, if it can't.
+
+    Parameters
+    ----------
+    expected_wait_s : float
+        Until the request would be sent.
+    spread : float
+        Drawn from 0 to 1; spreads the returns.
+    """
+    left_s = work.deadline_at_s - now_s
+    if left_s <= 0.0:
+        return Refusal("deadline passed", RETURN_MIN_S)
+    if expected_wait_s <= WAIT_PART_MAX * left_s:
+        return None
+    return Refusal(
+        "expected wait exceeds the time left",
+        return_pause_s(expected_wait_s, left_s, spread),
+    )
+
+
+def return_pause_s(expected_wait_s: float, left_s: float, spread: float) -> float:
+    """Return when a caller should come back.
+
+    Examples
+    --------
+    >>> return_pause_s(0.4, 9.0, 0.0)
+    0.4
+    >>> return_pause_s(60.0, 9.0, 0.0)
+    2.97
+    """
+    longest_s = RETURN_PART_MAX * left_s
+    pause_s = max(RETURN_MIN_S, expected_wait_s * (1.0 + SPREAD * spread))
+    return round(max(RETURN_MIN_S, min(pause_s, longest_s)), 3)
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -0,0 +1,159 @@
+"""What a router believes of each backend server.
+
+Load patterns: engines that fail part of their requests while healthy (`srv_grey`),
+run slowly (`srv_slow`), or are cold after a start (`cold_return`). Replayed in
+``tests/test_servers.py``.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import attrs
+
+from teaseldyke.types import AnnouncedServer
+
+from .window_budget import ColdAllowance
+from .work import Work
+
+PART_LIFE_S = 20.0  # an unused part is then likely to have yielded its memory
+PARTS_MAX = 400  # parts remembered of one engine; bounds the memory of a router
+FAILURE_WEIGHT = 0.25  # of the newest outcome in the share of failures
+FAILURE_SHARE_MAX = 0.4  # above it a server is left out; sound services err at 0.14
+EJECTION_S = 2.0  # then one request tries the server again
+RATE_WEIGHT = 0.1  # of the newest observation in the measured rate
+LATENCY_WEIGHT = 0.1  # of the newest observation in the measured latency
+LATENCY_START_S = 0.05  # before any answer
+
+
+@attrs.define
+class Load:
+    """Requests at a backend server.
+
+    Parameters
+    ----------
+    pending_tokens : float
+        Prompt tokens that are still to be read.
+    running : int
+        Requests sent and not ended.
+    memory_tokens : float
+        Tokens that these requests hold at their end.
+    """
+
+    pending_tokens: float = 0.0
+    running: int = 0
+    memory_tokens: float = 0.0
+
+
+@attrs.define(eq=False)
+class ServerState:
+    """A backend server, with what is known of its load and health.
+
+    Parameters
+    ----------
+    server : AnnouncedServer
+        Its newest announcement.
+    cold_until_s : float
+        Until when it bears little.
+    cold : ColdAllowance
+        What this instance may send meanwhile.
+    """
+
+    server: AnnouncedServer
+    cold_until_s: float
+    cold: ColdAllowance
+    own: Load = attrs.field(factory=Load)
+    foreign: Load = attrs.field(factory=Load)
+    rate_tokens_per_s: float = 0.0
+    latency_s: float = LATENCY_START_S
+    failure_share: float = 0.0
+    out_until_s: float = 0.0
+    probing: bool = False
+    slots_free_at_s: float = 0.0
+    parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
+
+    @property
+    def pending_tokens(self) -> float:
+        """Prompt tokens of the whole fleet that are still to be read."""
+        return self.own.pending_tokens + self.foreign.pending_tokens
+
+    @property
+    def running(self) -> int:
+        """Requests of the whole fleet."""
+        return self.own.running + self.foreign.running
+
+    @property
+    def memory_tokens(self) -> float:
+        """Tokens that the requests of the whole fleet hold at their end."""
+        return self.own.memory_tokens + self.foreign.memory_tokens
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the server is still cold."""
+        return now_s < self.cold_until_s
+
+    def is_out(self, now_s: float) -> bool:
+        """Return whether failures keep the server out of use."""
+        return now_s < self.out_until_s or self.probing
+
+    def cached_tokens(self, work: Work, is_home: bool, now_s: float) -> int:
+        """Return the prompt tokens that the engine need not read again.
+
+        Parameters
+        ----------
+        is_home : bool
+            Whether the other instances send this subject here too, so that its
+            shared parts are likely to be there.
+        """
+        tokens = 0
+        last = len(work.parts) - 1
+        for index, (part, size_tokens) in enumerate(work.parts):
+            used_at_s = self.parts.get(part)
+            known = used_at_s is not None and now_s - used_at_s < PART_LIFE_S
+            if not known and not (is_home and index < last):
+                break
+            tokens += size_tokens
+        return min(tokens, max(0, work.prompt_tokens - 1))
+
+    def note_parts(self, work: Work, now_s: float) -> None:
+        """Remember that the engine reads a prompt."""
+        for part, _ in work.parts:
+            self.parts[part] = now_s
+            self.parts.move_to_end(part)
+        while len(self.parts) > PARTS_MAX:
+            self.parts.popitem(last=False)
+
+    def note_outcome(self, failed: bool, now_s: float) -> bool:
+        """Count the end of a request; return whether the server is now left out."""
+        self.probing = False
+        self.failure_share += FAILURE_WEIGHT * (float(failed) - self.failure_share)
+        if not failed or self.failure_share < FAILURE_SHARE_MAX:
+            return False
+        self.out_until_s = now_s + EJECTION_S
+        return True
+
+    def note_full(self, until_s: float) -> None:
+        """Remember that the server turned a request away for want of room."""
+        self.slots_free_at_s = max(self.slots_free_at_s, until_s)
+
+    def note_rate(self, tokens_per_s: float) -> None:
+        """Count an observed rate of reading prompts."""
+        if self.rate_tokens_per_s <= 0.0:
+            self.rate_tokens_per_s = tokens_per_s
+            return
+        difference = tokens_per_s - self.rate_tokens_per_s
+        self.rate_tokens_per_s += RATE_WEIGHT * difference
+
+    def note_latency(self, latency_s: float) -> None:
+        """Count an observed time from a send to the whole answer."""
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+
+
+def usable(states: Iterable[ServerState], now_s: float) -> list[ServerState]:
+    """Return the servers that failures don't keep out, or all if over half are out.
+
+    When most fail, the cause lies elsewhere, and the rest would be overrun.
+    """
+    everything = list(states)
+    kept = [state for state in everything if not state.is_out(now_s)]
+    return kept if 2 * len(kept) >= len(everything) else everything
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -0,0 +1,108 @@
+"""Fair shares of organisations in what the engines produce.
+
+Load pattern: one organisation sends many times its usual (`hot_tenant`) while the
+others stay as they are. Replayed in ``tests/test_shares.py``.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+USAGE_TIME_S = 4.0  # the window in which the operator settles shares
+
+
+@attrs.define
+class DecayingSum:
+    """Sum that forgets with a time constant."""
+
+    time_s: float = USAGE_TIME_S
+    value: float = 0.0
+    _updated_at_s: float = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Add an amount at a moment."""
+        self.value = self.at(now_s) + amount
+        self._updated_at_s = now_s
+
+    def at(self, now_s: float) -> float:
+        """Return the sum at a moment."""
+        elapsed_s = max(0.0, now_s - self._updated_at_s)
+        if elapsed_s == 0.0:
+            return self.value
+        return self.value * math.exp(-elapsed_s / self.time_s)
+
+
+def water_level(demands: Mapping[str, float], capacity: float) -> float:
+    """Return the max-min share: what an organisation gets that asks for more.
+
+    Infinite while all demands together fit.
+
+    Examples
+    --------
+    >>> water_level({"a": 10.0, "b": 50.0, "c": 60.0}, 90.0)
+    40.0
+    >>> water_level({"a": 10.0}, 90.0)
+    inf
+    """
+    if sum(demands.values()) <= capacity:
+        return math.inf
+    left = capacity
+    asking = sorted(demands.values())
+    for index, demand in enumerate(asking):
+        share = left / (len(asking) - index)
+        if demand > share:
+            return share
+        left -= demand
+    return math.inf
+
+
+@attrs.define
+class Standings:
+    """Usage of each organisation over the whole fleet against its fair share.
+
+    Parameters
+    ----------
+    tokens_per_s : float
+        What the engines produce together.
+    """
+
+    tokens_per_s: float = 0.0
+    foreign_usage: dict[str, float] = attrs.field(factory=dict)
+    foreign_waiting: dict[str, float] = attrs.field(factory=dict)
+    _own: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
+    _level: float = attrs.field(default=math.inf, init=False)
+
+    def charge(self, organisation: str, tokens: float, now_s: float) -> None:
+        """Count tokens that an organisation was given."""
+        self._own.setdefault(organisation, DecayingSum()).add(tokens, now_s)
+
+    def own_usage(self, now_s: float) -> dict[str, float]:
+        """Return what this instance gave each organisation lately."""
+        return {name: usage.at(now_s) for name, usage in self._own.items()}
+
+    def usage(self, organisation: str, now_s: float) -> float:
+        """Return what the fleet gave an organisation lately."""
+        own = self._own.get(organisation)
+        foreign = self.foreign_usage.get(organisation, 0.0)
+        return foreign + (own.at(now_s) if own is not None else 0.0)
+
+    def settle(self, waiting: Mapping[str, float], now_s: float) -> None:
+        """Work out the fair share from usage and from what waits."""
+        if self.tokens_per_s <= 0.0:
+            self._level = math.inf
+            return
+        names = {*self._own, *self.foreign_usage, *waiting, *self.foreign_waiting}
+        demands = {}
+        for name in names:
+            queued = waiting.get(name, 0.0) + self.foreign_waiting.get(name, 0.0)
+            demands[name] = self.usage(name, now_s) + queued
+        self._level = water_level(demands, self.tokens_per_s * USAGE_TIME_S)
+
+    def is_over(self, organisation: str, now_s: float) -> bool:
+        """Return whether an organisation has more than its fair share."""
+        if self._level == math.inf:
+            return False
+        return self.usage(organisation, now_s) > self._level
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -0,0 +1,95 @@
+"""Order in which waiting requests are tried.
+
+Load patterns: one large organisation among small ones, and a burst in which some
+requests can no longer be on time. Replayed in ``tests/test_waiting.py``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+import attrs
+
+from .shares import Standings
+from .work import Work
+
+T = TypeVar("T")
+LATE_TURN = 4  # one in so many turns goes to late requests, so that none starves
+
+
+@attrs.define(eq=False)
+class Waiter(Generic[T]):
+    """A waiting request and what to wake when its turn comes."""
+
+    work: Work
+    token: T
+
+
+@attrs.define
+class WaitingLine(Generic[T]):
+    """Requests of one service that wait in this router.
+
+    Organisations under their fair share go first, then those that got least; within
+    an organisation, requests that can still be on time go by the end of that time.
+    """
+
+    _waiters: dict[str, list[Waiter[T]]] = attrs.field(factory=dict, init=False)
+    _turns: int = attrs.field(default=0, init=False)
+
+    def __len__(self) -> int:
+        return sum(len(waiters) for waiters in self._waiters.values())
+
+    def add(self, waiter: Waiter[T]) -> None:
+        """Let a request wait."""
+        self._waiters.setdefault(waiter.work.organisation, []).append(waiter)
+
+    def remove(self, waiter: Waiter[T]) -> None:
+        """Take a request out; nothing happens if it isn't waiting."""
+        waiters = self._waiters.get(waiter.work.organisation, [])
+        if waiter not in waiters:
+            return
+        waiters.remove(waiter)
+        if not waiters:
+            del self._waiters[waiter.work.organisation]
+
+    def waiting_tokens(self) -> dict[str, float]:
+        """Return the cost of what waits, by organisation."""
+        return {
+            name: sum(waiter.work.cost_tokens for waiter in waiters)
+            for name, waiters in self._waiters.items()
+        }
+
+    def tokens_ahead(self, work: Work, standings: Standings, now_s: float) -> float:
+        """Return the prompt tokens that would be tried before a new request."""
+        tokens = 0.0
+        is_over = standings.is_over(work.organisation, now_s)
+        for name, waiters in self._waiters.items():
+            is_other = name != work.organisation
+            if is_other and not is_over and standings.is_over(name, now_s):
+                continue
+            tokens += sum(waiter.work.prompt_tokens for waiter in waiters)
+        return tokens
+
+    def in_order(self, standings: Standings, now_s: float) -> Iterator[Waiter[T]]:
+        """Yield the requests in the order in which to try them."""
+        self._turns += 1
+        late_first = self._turns % LATE_TURN == 0
+        names = sorted(
+            self._waiters,
+            key=lambda name: (
+                standings.is_over(name, now_s),
+                standings.usage(name, now_s),
+            ),
+        )
+        for name in names:
+            waiters = sorted(
+                self._waiters[name],
+                key=lambda waiter: _rank(waiter.work, now_s, late_first),
+            )
+            yield from waiters
+
+
+def _rank(work: Work, now_s: float, late_first: bool) -> tuple[int, bool, float]:
+    is_late = now_s > work.on_time_until_s
+    return work.priority, is_late is not late_first, work.on_time_until_s
--- a/libs/telemetry/src/teaseldyke/telemetry/__init__.py
+++ b/libs/telemetry/src/teaseldyke/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .decisions import NonBlockingOutput, configure_decisions, log_decision
 from .logs import configure_logging, log_change, log_fault
 from .metrics import (
     DURATION_BUCKETS_S,
@@ -28,13 +29,16 @@
     "Gauge",
     "Histogram",
     "MetricConflict",
+    "NonBlockingOutput",
     "Span",
     "Tracing",
+    "configure_decisions",
     "configure_logging",
     "counter",
     "gauge",
     "histogram",
     "log_change",
+    "log_decision",
     "log_fault",
     "render_metrics",
 ]
--- a/libs/types/src/teaseldyke/types/__init__.py
+++ b/libs/types/src/teaseldyke/types/__init__.py
@@ -19,16 +19,32 @@
     TeaseldykeError,
     WriteConflict,
 )
+from .routing import (
+    AnnouncedServer,
+    CallerBounds,
+    KeyedOrganisation,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceDescription,
+)
 
 __all__ = [
+    "AnnouncedServer",
     "AnswerLost",
     "BackendServer",
+    "CallerBounds",
     "Configuration",
     "Executed",
+    "KeyedOrganisation",
     "Organisation",
     "PlatformUnavailable",
     "RequestRule",
+    "Route",
+    "RouteKind",
+    "RoutingTable",
     "Service",
+    "ServiceDescription",
     "ServiceKind",
     "SettingsError",
     "Switches",
