Prefer the engine that keeps a prompt, and bound who warms a cold engine

Ruled out: forgotten parts; they are remembered for 20 s and used within 7 s.

Change: the choice weighs tokens read again against waiting and lateness.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -4,7 +4,6 @@
 
 import json
 import random
-from collections.abc import Callable
 
 import attrs
 import trio
@@ -39,7 +38,7 @@
     ServerBroke,
     TimedOut,
 )
-from .interfaces import CallFacts, Wire
+from .interfaces import CallFacts, Fleet, Wire
 from .placing import FULL_PAUSE_S, Placing
 from .relay import Relay
 from .settings import FleetBounds
@@ -120,8 +119,8 @@
         Formats of requests and answers.
     bounds : FleetBounds
         Bounds of the whole fleet.
-    instances : callable
-        Returns how many instances share them.
+    fleet : Fleet
+        Instances that share them.
     """
 
     def __init__(
@@ -131,7 +130,7 @@
         pool: BackendPool,
         wire: Wire,
         bounds: FleetBounds,
-        instances: Callable[[], int],
+        fleet: Fleet,
     ) -> None:
         self.running = 0
         self._beliefs = beliefs
@@ -139,7 +138,7 @@
         self._pool = pool
         self._wire = wire
         self._bounds = bounds
-        self._instances = instances
+        self._fleet = fleet
         self._budgets: dict[str, RetryBudget] = {}
 
     async def handle(self, request: Request) -> None:
@@ -322,7 +321,7 @@
         now_s = boot_time_s()
         spent_up = call.ran >= call.route.attempts_max or call.sends >= SENDS_MAX
         free = sent.outcome is Outcome.NOT_SENT
-        if not spent_up and (free or budget.try_spend(now_s, self._instances())):
+        if not spent_up and (free or budget.try_spend(now_s, self._fleet.instances)):
             return
         if call.ran:
             raise ServerBroke(sent.detail)
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -135,6 +135,19 @@
     port: int
 
 
+class Fleet(Protocol):
+    """The instances that share the fleet's bounds."""
+
+    @property
+    def instances(self) -> int:
+        """How many they are, this one included."""
+        ...
+
+    def rank(self, key: str) -> int:
+        """Return this instance's place among them for a key, from 0."""
+        ...
+
+
 class Beliefs(Protocol):
     """Takes what the directory learns."""
 
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -18,6 +18,7 @@
     Work,
     choose_engine,
     choose_plain,
+    cold_senders,
     refusal_of,
     return_pause_s,
     service_time_s,
@@ -28,12 +29,12 @@
 
 from .beliefs import FleetBeliefs
 from .errors import NoServer, Overloaded
+from .interfaces import Fleet
+from .settings import FleetBounds
 
 MISSES_MAX = 8  # requests tried without success before the rest must wait on
 PUMP_PAUSE_S = 0.004  # between two looks at what waits; bounds their processor time
 FULL_PAUSE_S = 0.05  # a server that had no room is not tried again before
-DRAIN_TIME_S = 2.0  # over which the rate of sends is measured
-RATE_SHARE_MIN = 0.2  # of an instance's even part; its demand may just have begun
 LEAST_FIRST_S = 0.02  # below it, a time to the first event says nothing of a rate
 
 WAITED = histogram("teaseldyke_wait_seconds", "Time from arrival to the send.")
@@ -125,8 +126,10 @@
         Routes and backend servers.
     standings : Standings
         Usage of the organisations.
-    instances : callable
-        Returns how many instances share the fleet's bounds.
+    fleet : Fleet
+        Instances that share the fleet's bounds.
+    bounds : FleetBounds
+        Those bounds.
     failure_domain : str
         Where this instance stands.
     """
@@ -135,17 +138,17 @@
         self,
         beliefs: FleetBeliefs,
         standings: Standings,
-        instances: Callable[[], int],
+        fleet: Fleet,
+        bounds: FleetBounds,
         failure_domain: str,
     ) -> None:
         self.standings = standings
         self._beliefs = beliefs
-        self._instances = instances
+        self._fleet = fleet
+        self._bounds = bounds
         self._failure_domain = failure_domain
         self._lines: dict[str, WaitingLine[_Ticket]] = {}
-        self._sent: dict[str, float] = {}
         self._changed = trio.Event()
-        self._rates: dict[str, float] = {}
 
     async def run(self) -> None:
         """Place waiting requests whenever something has changed."""
@@ -234,7 +237,7 @@
             state.rate_tokens_per_s
             for state in self._beliefs.states_of(service.name)
             if not state.is_out(now_s)
-        ) / max(1, self._instances())
+        ) / max(1, self._fleet.instances)
         if rate <= 0.0:
             return 0.0
         return line.tokens_ahead(work, self.standings, now_s) / rate
@@ -281,7 +284,9 @@
         states = self._beliefs.states_of(service.name)
 
         def may_warm(state: ServerState) -> bool:
-            return state.cold.is_free(now_s)
+            if not state.cold.is_free(now_s):
+                return False
+            return self._fleet.rank(state.server.id) < self._cold_senders(state)
 
         if not service.is_engine:
             return choose_plain(
@@ -301,6 +306,12 @@
             may_warm=may_warm,
         )
 
+    def _cold_senders(self, state: ServerState) -> int:
+        bounds = self._bounds
+        return cold_senders(
+            state.cold.rate_per_s, bounds.cold_factor, bounds.cold_slack
+        )
+
     def _begin(
         self, service: ServiceDescription, work: Work, choice: Choice, now_s: float
     ) -> Placed:
@@ -308,7 +319,8 @@
         if state is None:
             raise NoServer("no backend server was chosen")
         if state.is_cold(now_s):
-            state.cold.take(now_s, self._instances())
+            senders = min(self._fleet.instances, self._cold_senders(state))
+            state.cold.take(now_s, senders)
         state.probing = state.failure_share >= FAILURE_SHARE_MAX
         placed = Placed(
             state,
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -69,22 +69,23 @@
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         self.beliefs = FleetBeliefs(lambda: self.placing.wake())
+        self.directory = self.make_directory(self.beliefs)
+        own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
+        self.totals = TotalsExchange(own, self.beliefs, self.directory)
         self.placing = Placing(
             self.beliefs,
             Standings(),
-            lambda: self.totals.instances,
+            self.totals,
+            settings.bounds,
             settings.failure_domain,
         )
-        self.directory = self.make_directory(self.beliefs)
-        own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
-        self.totals = TotalsExchange(own, self.beliefs, self.placing, self.directory)
         self.calls = CallHandler(
             self.beliefs,
             self.placing,
             BackendPool(CONNECT_TIMEOUT_S),
             self.wire,
             settings.bounds,
-            lambda: self.totals.instances,
+            self.totals,
         )
 
     @property
@@ -112,8 +113,7 @@
             nursery.start_soon(self._announce)
             nursery.start_soon(self._catch_up)
             timers = Timers(nursery)
-            timers.every(EXCHANGE_S, self.totals.send)
-            timers.every(EXCHANGE_S, self._refresh)
+            timers.every(EXCHANGE_S, self._exchange)
             log_decision("started", callers=str(settings.callers))
             limits = ServerLimits(
                 connections=settings.connections_max, stop_linger_s=STOP_LINGER_S
@@ -122,8 +122,10 @@
             nursery.cancel_scope.cancel()
         log_decision("stopped", running=self.calls.running)
 
-    async def _refresh(self) -> None:
+    async def _exchange(self) -> None:
         self.beliefs.refresh()
+        await self.totals.send(self.placing)
+        self.placing.settle()
 
     async def _announce(self) -> None:
         """Enter this instance into the store and learn of the others."""
--- a/libs/gateway/src/teaseldyke/gateway/settings.py
+++ b/libs/gateway/src/teaseldyke/gateway/settings.py
@@ -19,6 +19,9 @@
         Repeated sends beside them.
     retry_window_s : float
         Length of the window.
+    cold_factor, cold_slack : float
+        A cold backend server bears in any second this multiple of its stated rate,
+        and so many requests beside it.
     stop_s : float
         From SIGTERM to the end of the process.
     """
@@ -26,6 +29,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    cold_factor: float
+    cold_slack: float
     stop_s: float
 
 
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from teaseldyke.placement import Load
+from teaseldyke.placement import Load, Standings, weight
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s
 
@@ -73,21 +73,19 @@
     ----------
     own : Peer
         This instance.
-    beliefs, placing, directory
-        Where the totals come from and go to.
+    beliefs, directory
+        What this instance knows.
     """
 
     def __init__(
         self,
         own: Peer,
         beliefs: FleetBeliefs,
-        placing: Placing,
         directory: Directory,
     ) -> None:
         self.own = own
         self.newer: tuple[Peer, tuple[int, int]] | None = None
         self._beliefs = beliefs
-        self._placing = placing
         self._directory = directory
         self._peers: dict[str, _PeerState] = {}
         self._born_s = boot_time_s()
@@ -105,6 +103,16 @@
             for state in self._peers.values()
         )
 
+    def rank(self, key: str) -> int:
+        """Return this instance's place among them for a key, from 0."""
+        now_s = boot_time_s()
+        own_weight = weight(key, self.own.name)
+        return sum(
+            weight(key, name) > own_weight
+            for name, state in self._peers.items()
+            if now_s - state.heard_at_s < INSTANCES_KEPT_S
+        )
+
     async def open(self) -> None:
         """Bind the socket."""
         await self._socket.bind((self.own.host, self.own.port))
@@ -138,14 +146,14 @@
                 continue
             self._take(totals)
 
-    async def send(self) -> None:
-        """Send this instance's totals to the others; called at a fixed interval."""
+    async def send(self, placing: Placing) -> None:
+        """Send this instance's totals to the others, and add up theirs."""
         now_s = boot_time_s()
-        totals = self._totals(now_s)
+        totals = self._totals(placing, now_s)
         content = (totals.versions, totals.loads, totals.waiting)
         if content == self._last_content and self._skipped < IDLE_SKIP_MAX:
             self._skipped += 1
-            self._add_up(now_s)
+            self._add_up(placing.standings, now_s)
             return
         self._skipped = 0
         self._last_content = content
@@ -159,9 +167,9 @@
                 await self._socket.sendto(data, (state.peer.host, state.peer.port))
             except OSError as exc:
                 log_decision("totals_not_sent", peer=state.peer.name, error=str(exc))
-        self._add_up(now_s)
+        self._add_up(placing.standings, now_s)
 
-    def _totals(self, now_s: float) -> Totals:
+    def _totals(self, placing: Placing, now_s: float) -> Totals:
         self._number += 1
         loads = {}
         for state in self._beliefs.all_states():
@@ -172,8 +180,8 @@
                     own.running,
                     int(own.memory_tokens),
                 )
-        usage = self._placing.standings.own_usage(now_s)
-        waiting = self._placing.waiting_tokens()
+        usage = placing.standings.own_usage(now_s)
+        waiting = placing.waiting_tokens()
         return Totals(
             self.own.name,
             self.own.host,
@@ -204,7 +212,7 @@
         if totals.versions[0] > own_versions[0] or totals.versions[1] > own_versions[1]:
             self.newer = (state.peer, totals.versions)
 
-    def _add_up(self, now_s: float) -> None:
+    def _add_up(self, standings: Standings, now_s: float) -> None:
         """Replace what the others have at each backend server and gave out."""
         sums: dict[str, Load] = {}
         usage: dict[str, float] = {}
@@ -223,6 +231,5 @@
                 waiting[name] = waiting.get(name, 0.0) + tokens
         for server in self._beliefs.all_states():
             server.foreign = sums.get(server.server.id) or Load()
-        self._placing.standings.foreign_usage = usage
-        self._placing.standings.foreign_waiting = waiting
-        self._placing.settle()
+        standings.foreign_usage = usage
+        standings.foreign_waiting = waiting
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -7,7 +7,7 @@
 from .servers import FAILURE_SHARE_MAX, Load, ServerState, usable
 from .shares import DecayingSum, Standings, water_level
 from .waiting import Waiter, WaitingLine
-from .window_budget import ColdAllowance, RetryBudget
+from .window_budget import ColdAllowance, RetryBudget, cold_senders
 from .work import Work
 
 __all__ = [
@@ -25,6 +25,7 @@
     "Work",
     "choose_engine",
     "choose_plain",
+    "cold_senders",
     "refusal_of",
     "return_pause_s",
     "service_time_s",
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -21,6 +21,10 @@
 OVER_SHARE_QUEUE_MAX_S = 0.12  # the same, for organisations over their fair share
 SLOT_MARGIN = 0.95  # part of the slots that is filled; other instances' sends are late
 MEMORY_MARGIN = 0.9  # part of the engine's memory; preempted requests are read again
+HOME_QUEUE_PART = 0.6  # of the time left to be on time, queued where the prompt is kept
+REREAD_S = 1e-4  # a shared token that is read again, in seconds of waiting
+LATE_S = 1e-4  # being late, for each token of the request's cost
+ON_TIME_PART = 0.8  # of the time left; expectations err by about a fifth
 RUNNING_S = 0.002  # added to the first token by each running request
 FIRST_TOKEN_S = 0.05  # from the last prompt token to the first event
 PLAIN_QUEUE_FACTOR = 2.0  # requests at a plain server, in multiples of its slots
@@ -65,7 +69,11 @@
     avoid: frozenset[str] = frozenset(),
     may_warm: Callable[[ServerState], bool] = lambda state: True,
 ) -> Choice:
-    """Return the engine with the earliest expected first token.
+    """Return the engine that costs the request least.
+
+    Costs are the expected time to the first event, shared parts of the prompt that
+    are read again, and an answer that comes late. A request may queue longer at an
+    engine that keeps its prompt, as long as it is still expected to be on time.
 
     Parameters
     ----------
@@ -83,7 +91,9 @@
         return Choice(None, reason="no engine")
     home = max(candidates, key=lambda state: weight(work.subject, state.server.id))
     queue_max_s = OVER_SHARE_QUEUE_MAX_S if over_share else QUEUE_MAX_S
+    slack_s = max(0.0, work.on_time_until_s - now_s)
     best = Choice(None, reason="engines full")
+    best_cost_s = 0.0
     for state in usable(candidates, now_s):
         if now_s < state.slots_free_at_s:
             continue
@@ -93,16 +103,23 @@
         if state.running and memory_tokens > MEMORY_MARGIN * service.memory_tokens:
             continue
         rate = max(state.rate_tokens_per_s, 1.0)
-        if state.pending_tokens > queue_max_s * rate:
-            continue
         if state.is_cold(now_s) and not may_warm(state):
             continue
         cached = state.cached_tokens(work, state is home, now_s)
+        limit_s = queue_max_s
+        if cached >= work.shared_tokens > 0 and not over_share:
+            limit_s = max(limit_s, HOME_QUEUE_PART * slack_s)
+        if state.pending_tokens > limit_s * rate:
+            continue
         uncached = float(work.prompt_tokens - cached)
         first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
         first_s += RUNNING_S * state.running
-        if best.state is None or first_s < best.first_s:
+        cost_s = first_s + REREAD_S * uncached
+        if first_s > ON_TIME_PART * slack_s:
+            cost_s += LATE_S * work.cost_tokens
+        if best.state is None or cost_s < best_cost_s:
             best = Choice(state, uncached, first_s)
+            best_cost_s = cost_s
     return best
 
 
--- a/libs/placement/src/teaseldyke/placement/window_budget.py
+++ b/libs/placement/src/teaseldyke/placement/window_budget.py
@@ -83,6 +83,22 @@
         """Return whether a request may be sent now."""
         return now_s >= self._next_at_s
 
-    def take(self, now_s: float, instances: int) -> None:
-        """Count a request that is sent."""
-        self._next_at_s = now_s + max(1, instances) / max(self.rate_per_s, 0.1)
+    def take(self, now_s: float, senders: int) -> None:
+        """Count a request that is sent; ``senders`` instances share the rate."""
+        self._next_at_s = now_s + max(1, senders) / max(self.rate_per_s, 0.1)
+
+
+def cold_senders(rate_per_s: float, burst_factor: float, slack: float) -> int:
+    """Return how many instances may send to one cold server.
+
+    All of them may find it free at the same moment, so in any second it gets one
+    request from each beside the rate. What the bound leaves above the rate limits
+    their number; the rest of a large fleet sends elsewhere.
+
+    Examples
+    --------
+    >>> cold_senders(13.0, 1.5, 5.0)
+    9
+    """
+    room = rate_per_s * (burst_factor - 1.0) + slack
+    return max(1, int(SPLIT_MARGIN * room))
--- a/libs/placement/src/teaseldyke/placement/work.py
+++ b/libs/placement/src/teaseldyke/placement/work.py
@@ -50,6 +50,11 @@
         """Tokens that the request holds in an engine at its end."""
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests share."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
     @property
     def subject(self) -> str:
         """Key of the prompt that other requests share; empty if none do.
--- /dev/null
+++ b/libs/placement/tests/test_choice.py
@@ -0,0 +1,137 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from teaseldyke.placement import (
+    ServerState,
+    Work,
+    choose_engine,
+    choose_plain,
+    weight,
+)
+from teaseldyke.types import ServiceDescription
+
+MakeState = Callable[..., ServerState]
+MakeWork = Callable[..., Work]
+
+
+def home_first(states: list[ServerState], work: Work) -> list[ServerState]:
+    return sorted(
+        states, key=lambda state: weight(work.subject, state.server.id), reverse=True
+    )
+
+
+class TestChooseEngine:
+    @pytest.mark.parametrize(
+        ("pending_tokens", "on_time_s", "stays"),
+        [
+            (0.0, 1.0, True),
+            (40_000.0, 1.0, True),
+            (75_000.0, 1.0, False),
+            (40_000.0, 0.3, False),
+        ],
+        ids=["idle", "waits-on-time", "would-be-late", "short-aim"],
+    )
+    def test_shared_prompt_stays_until_it_would_be_late(
+        self,
+        make_state: MakeState,
+        make_work: MakeWork,
+        engines: ServiceDescription,
+        pending_tokens: float,
+        on_time_s: float,
+        stays: bool,
+    ) -> None:
+        """A hot part: its engine has a backlog and the others are idle."""
+        work = make_work(on_time_s=on_time_s)
+        states = [make_state(name) for name in "abcde"]
+        home, *_ = home_first(states, work)
+        home.foreign.pending_tokens = pending_tokens
+        chosen = choose_engine(states, engines, work, 0.0).state
+        assert (chosen is home) is stays
+
+    def test_every_instance_finds_the_same_home(
+        self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
+    ) -> None:
+        work = make_work()
+        names = set()
+        for _ in range(7):
+            choice = choose_engine(
+                [make_state(name) for name in "edcba"], engines, work, 0.0
+            )
+            assert choice.state is not None
+            names.add(choice.state.server.id)
+        assert len(names) == 1
+
+    def test_burst_fills_engines_evenly(
+        self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
+    ) -> None:
+        """Two hundred requests of different subjects arrive at once."""
+        states = [make_state(name) for name in "abcde"]
+        for i in range(200):
+            work = make_work(parts=((f"subject-{i}", 500),), own_tokens=500)
+            choice = choose_engine(states, engines, work, 0.0)
+            if choice.state is None:
+                continue
+            choice.state.own.running += 1
+            choice.state.own.pending_tokens += choice.uncached_tokens
+        running = [state.running for state in states]
+        assert sum(running) > 100
+        assert max(running) <= 1.5 * min(running)
+
+    @pytest.mark.parametrize("spoil", ["slots", "memory", "out", "cold"])
+    def test_an_engine_without_room_is_passed_over(
+        self,
+        make_state: MakeState,
+        make_work: MakeWork,
+        engines: ServiceDescription,
+        spoil: str,
+    ) -> None:
+        work = make_work()
+        home, other = home_first([make_state("a"), make_state("b")], work)
+        if spoil == "slots":
+            home.foreign.running = 63
+        if spoil == "memory":
+            home.foreign.running = 5
+            home.foreign.memory_tokens = 590_000
+        if spoil == "out":
+            home.out_until_s = 5.0
+        if spoil == "cold":
+            home.cold_until_s = 5.0
+        choice = choose_engine(
+            [home, other], engines, work, 1.0, may_warm=lambda state: False
+        )
+        assert choice.state is other
+
+    def test_organisation_over_its_share_leaves_room_for_the_others(
+        self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
+    ) -> None:
+        state = make_state("a")
+        state.foreign.pending_tokens = 20_000.0
+        work = make_work()
+        over = choose_engine([state], engines, work, 0.0, over_share=True)
+        assert over.state is None
+        assert choose_engine([state], engines, work, 0.0).state is state
+
+    def test_avoided_engines_are_not_chosen_again(
+        self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
+    ) -> None:
+        choice = choose_engine(
+            [make_state("a")], engines, make_work(), 0.0, avoid=frozenset({"a"})
+        )
+        assert choice.state is None
+
+
+class TestChoosePlain:
+    def test_least_loaded_first(
+        self, make_state: MakeState, make_work: MakeWork
+    ) -> None:
+        busy, idle = make_state("a", slots=6), make_state("b", slots=6)
+        busy.foreign.running = 7
+        choice = choose_plain([busy, idle], 0.0, failure_domain="a")
+        assert choice.state is idle
+
+    def test_near_server_breaks_a_tie(self, make_state: MakeState) -> None:
+        far, near = make_state("x", failure_domain="b"), make_state("y")
+        assert choose_plain([far, near], 0.0, failure_domain="a").state is near
--- /dev/null
+++ b/libs/placement/tests/test_refusal.py
@@ -0,0 +1,37 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from teaseldyke.placement import Work, refusal_of, return_pause_s
+
+MakeWork = Callable[..., Work]
+
+
+@pytest.mark.parametrize(
+    ("expected_wait_s", "now_s", "refused"),
+    [(0.0, 0.0, False), (4.0, 0.0, False), (6.0, 0.0, True), (0.0, 11.0, True)],
+    ids=["no-wait", "wait-fits", "wait-too-long", "deadline-passed"],
+)
+def test_only_hopeless_requests_are_refused(
+    make_work: MakeWork, expected_wait_s: float, now_s: float, refused: bool
+) -> None:
+    refusal = refusal_of(make_work(deadline_s=10.0), expected_wait_s, now_s, 0.5)
+    assert (refusal is not None) is refused
+
+
+@pytest.mark.parametrize("left_s", [0.5, 3.0, 12.0])
+@pytest.mark.parametrize("expected_wait_s", [0.0, 1.0, 100.0])
+def test_callers_come_back_while_they_still_have_time(
+    expected_wait_s: float, left_s: float
+) -> None:
+    for spread in (0.0, 0.5, 1.0):
+        pause_s = return_pause_s(expected_wait_s, left_s, spread)
+        assert 0.1 <= pause_s <= max(0.1, left_s / 3)
+
+
+def test_returns_are_spread() -> None:
+    pauses = {return_pause_s(1.0, 12.0, i / 10) for i in range(10)}
+    assert len(pauses) == 10
+    assert max(pauses) / min(pauses) > 1.4
--- /dev/null
+++ b/libs/placement/tests/test_servers.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from teaseldyke.placement import ServerState, Work, usable
+
+MakeState = Callable[..., ServerState]
+MakeWork = Callable[..., Work]
+
+
+class TestFailures:
+    @pytest.mark.parametrize(
+        ("failing_of_ten", "left_out"),
+        [(0, False), (1, False), (9, True)],
+        ids=["sound", "errs-now-and-then", "grey"],
+    )
+    def test_a_grey_server_is_left_out(
+        self, make_state: MakeState, failing_of_ten: int, left_out: bool
+    ) -> None:
+        state = make_state("a")
+        ever_out = False
+        for i in range(60):
+            ever_out |= state.note_outcome(i % 10 < failing_of_ten, float(i))
+        assert ever_out is left_out
+
+    def test_it_returns_after_a_while(self, make_state: MakeState) -> None:
+        state = make_state("a")
+        for _ in range(10):
+            state.note_outcome(True, 0.0)
+        assert state.is_out(1.0)
+        assert not state.is_out(3.0)
+
+    def test_nothing_is_left_out_when_most_fail(self, make_state: MakeState) -> None:
+        states = [make_state(name) for name in "abc"]
+        for state in states[:2]:
+            state.out_until_s = 10.0
+        assert usable(states, 1.0) == states
+        states[1].out_until_s = 0.0
+        assert usable(states, 1.0) == states[1:]
+
+
+class TestCachedTokens:
+    @pytest.mark.parametrize(
+        ("known", "is_home", "expected"),
+        [
+            ((), False, 0),
+            ((), True, 5500),
+            (("system",), False, 500),
+            (("subject",), False, 0),
+            (("system", "subject"), False, 5500),
+        ],
+        ids=["unknown", "home", "system-part", "gap-in-the-chain", "both"],
+    )
+    def test_only_an_unbroken_chain_counts(
+        self,
+        make_state: MakeState,
+        make_work: MakeWork,
+        known: tuple[str, ...],
+        is_home: bool,
+        expected: int,
+    ) -> None:
+        state = make_state("a")
+        for part in known:
+            state.parts[part] = 0.0
+        assert state.cached_tokens(make_work(), is_home, 1.0) == expected
+
+    def test_unused_parts_are_forgotten(
+        self, make_state: MakeState, make_work: MakeWork
+    ) -> None:
+        state = make_state("a")
+        work = make_work()
+        state.note_parts(work, 0.0)
+        assert state.cached_tokens(work, False, 1.0) > 0
+        assert state.cached_tokens(work, False, 60.0) == 0
--- /dev/null
+++ b/libs/placement/tests/test_shares.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from teaseldyke.placement import DecayingSum, Standings, water_level
+
+
+@pytest.mark.parametrize(
+    ("demands", "capacity", "expected"),
+    [
+        ({}, 10.0, math.inf),
+        ({"a": 10.0}, 10.0, math.inf),
+        ({"a": 11.0}, 10.0, 10.0),
+        ({"a": 1.0, "b": 100.0}, 11.0, 10.0),
+        ({"a": 1.0, "b": 6.0, "c": 100.0}, 15.0, 8.0),
+        ({"a": 50.0, "b": 50.0, "c": 50.0}, 30.0, 10.0),
+    ],
+    ids=["none", "fits", "one", "large-beside-small", "three", "equal"],
+)
+def test_water_level(
+    demands: dict[str, float], capacity: float, expected: float
+) -> None:
+    assert water_level(demands, capacity) == expected
+
+
+def test_decaying_sum_forgets() -> None:
+    usage = DecayingSum(4.0)
+    usage.add(100.0, 0.0)
+    assert usage.at(4.0) == pytest.approx(100.0 / math.e)
+
+
+class TestStandings:
+    def test_hot_organisation_is_over_and_the_others_are_not(self) -> None:
+        """One organisation asks more than its share for 20 s, five time constants."""
+        standings = Standings(tokens_per_s=1000.0)
+        waiting = {"hot": 0.0}
+        for step in range(200):
+            now_s = step * 0.1
+            for name in ("a", "b", "c"):
+                standings.charge(name, 20.0, now_s)
+            standings.charge("hot", 60.0, now_s)
+            waiting["hot"] += 100.0
+            standings.settle(waiting, now_s)
+        assert standings.is_over("hot", 20.0)
+        assert not standings.is_over("a", 20.0)
+
+    def test_nobody_is_over_while_all_fit(self) -> None:
+        standings = Standings(tokens_per_s=1000.0)
+        standings.charge("hot", 3000.0, 0.0)
+        standings.settle({}, 0.0)
+        assert not standings.is_over("hot", 0.0)
+
+    def test_usage_at_other_instances_counts(self) -> None:
+        standings = Standings(tokens_per_s=100.0)
+        standings.charge("a", 150.0, 0.0)
+        standings.foreign_usage = {"hot": 300.0}
+        standings.settle({}, 0.0)
+        assert standings.is_over("hot", 0.0)
+        assert not standings.is_over("a", 0.0)
--- /dev/null
+++ b/libs/placement/tests/test_waiting.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from teaseldyke.placement import Standings, Waiter, WaitingLine, Work
+
+MakeWork = Callable[..., Work]
+
+
+def order(line: WaitingLine[str], standings: Standings, now_s: float) -> list[str]:
+    return [waiter.token for waiter in line.in_order(standings, now_s)]
+
+
+class TestOrder:
+    def test_small_organisations_go_before_a_large_one(
+        self, make_work: MakeWork
+    ) -> None:
+        """One organisation's backlog arrived before the others' requests."""
+        line: WaitingLine[str] = WaitingLine()
+        standings = Standings(tokens_per_s=1000.0)
+        standings.charge("hot", 50_000.0, 0.0)
+        for i in range(10):
+            line.add(Waiter(make_work("hot", arrived_at_s=i / 100), "hot"))
+        line.add(Waiter(make_work("small", arrived_at_s=0.5), "small"))
+        standings.settle(line.waiting_tokens(), 0.5)
+        assert order(line, standings, 0.5)[0] == "small"
+
+    def test_requests_that_can_be_on_time_go_first(self, make_work: MakeWork) -> None:
+        line: WaitingLine[str] = WaitingLine()
+        line.add(Waiter(make_work(arrived_at_s=0.0), "late"))
+        line.add(Waiter(make_work(arrived_at_s=2.0), "soon"))
+        line.add(Waiter(make_work(arrived_at_s=1.9), "sooner"))
+        assert order(line, Standings(), 2.1) == ["sooner", "soon", "late"]
+
+    def test_late_requests_get_a_turn_now_and_then(self, make_work: MakeWork) -> None:
+        line: WaitingLine[str] = WaitingLine()
+        line.add(Waiter(make_work(arrived_at_s=0.0), "late"))
+        line.add(Waiter(make_work(arrived_at_s=2.0), "soon"))
+        firsts = [order(line, Standings(), 2.1)[0] for _ in range(8)]
+        assert firsts.count("late") == 2
+
+    def test_tokens_ahead_leave_out_what_goes_later(self, make_work: MakeWork) -> None:
+        line: WaitingLine[str] = WaitingLine()
+        standings = Standings(tokens_per_s=1000.0)
+        standings.charge("hot", 50_000.0, 0.0)
+        for _ in range(10):
+            line.add(Waiter(make_work("hot"), "hot"))
+        standings.settle(line.waiting_tokens(), 0.0)
+        assert line.tokens_ahead(make_work("small"), standings, 0.0) == 0
+        assert line.tokens_ahead(make_work("hot"), standings, 0.0) == 115_000
+
+    def test_removing_twice_does_nothing(self, make_work: MakeWork) -> None:
+        line: WaitingLine[str] = WaitingLine()
+        waiter = Waiter(make_work(), "a")
+        line.add(waiter)
+        line.remove(waiter)
+        line.remove(waiter)
+        assert len(line) == 0
