Let requests wait for the engine that keeps their prompt

Cause: at the worst load, whichever engine had room first took a request, so its 5,000 shared tokens were read twice, which made the load worse. The fair share was worked out of the stated production alone, below what kept prompts let engines give, so that nearly every organisation counted as over it. Plain servers with a cold time but no cold rate got one request in ten seconds.

Change: waiting for an engine is one of the costs; waits end in time for the first event; shares are of what was given lately; a cold rate of 0 bounds nothing.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 
 import attrs
@@ -51,6 +52,9 @@
 PAUSE_MIN_S = 1.0  # between events of a sound engine under its longest prompts
 PLAIN_FIRST_FACTOR = 6.0  # of the measured latency of a plain server
 PLAIN_FIRST_MIN_S = 0.25  # the longest work of one in a hundred requests
+FIRST_PATIENCE_S = 2.0  # callers leave a stream after the longest of this,
+FIRST_PATIENCE_TARGETS = 4.0  # so many times its target latency,
+FIRST_PATIENCE_GAPS = 8.0  # and so many times its longest pause
 PATIENCE_DEFAULT_S = 60.0  # of a caller that doesn't say; the route bounds it anyway
 
 ANSWERED = counter("teaseldyke_answers_total", "Final answers, by route and status.")
@@ -411,6 +415,17 @@
     return table.services[name]
 
 
+def first_patience_s(route: Route) -> float:
+    """Return how long a caller waits for the first byte of its answer."""
+    if route.kind is not RouteKind.STREAMING:
+        return math.inf
+    return max(
+        FIRST_PATIENCE_S,
+        FIRST_PATIENCE_TARGETS * route.target_latency_s,
+        FIRST_PATIENCE_GAPS * route.event_gap_s,
+    )
+
+
 def work_of(
     facts: CallFacts,
     route: Route,
@@ -424,11 +439,13 @@
     priority = route.priority
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
+    deadline_at_s = arrived_at_s + min(patience_s - FINAL_MARGIN_S, route.timeout_s)
     return Work(
         organisation=organisation.name if organisation else "",
         arrived_at_s=arrived_at_s,
         on_time_until_s=arrived_at_s + route.target_latency_s,
-        deadline_at_s=arrived_at_s + min(patience_s - FINAL_MARGIN_S, route.timeout_s),
+        first_due_s=min(deadline_at_s, arrived_at_s + first_patience_s(route)),
+        deadline_at_s=deadline_at_s,
         prompt_tokens=facts.prompt_tokens,
         output_tokens=facts.output_tokens,
         parts=facts.parts,
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -32,9 +32,10 @@
 from .interfaces import Fleet
 from .settings import FleetBounds
 
-MISSES_MAX = 8  # requests tried without success before the rest must wait on
+MISSES_MAX = 24  # requests tried without success before the rest must wait on
 PUMP_PAUSE_S = 0.004  # between two looks at what waits; bounds their processor time
 FULL_PAUSE_S = 0.05  # a server that had no room is not tried again before
+FIRST_MIN_S = 0.1  # an engine takes so long at least to a first event
 LEAST_FIRST_S = 0.02  # below it, a time to the first event says nothing of a rate
 
 WAITED = histogram("teaseldyke_wait_seconds", "Time from arrival to the send.")
@@ -205,9 +206,7 @@
         waiter = Waiter(work, ticket)
         line.add(waiter)
         self.wake()
-        last_s = work.deadline_at_s - min(
-            service_time_s(work), 0.5 * (work.deadline_at_s - now_s)
-        )
+        last_s = last_send_s(work, now_s)
         try:
             with trio.move_on_after(max(0.0, last_s - now_s)):
                 await ticket.ready.wait()
@@ -262,11 +261,17 @@
     def _pump(self, name: str, line: WaitingLine[_Ticket]) -> None:
         now_s = boot_time_s()
         misses = 0
+        instances = self._fleet.instances
+        for state in self._beliefs.states_of(name):
+            state.awaited_tokens = 0.0
         for waiter in list(line.in_order(self.standings, now_s)):
             ticket = waiter.token
             choice = self._choose(ticket.service, waiter.work, ticket.avoid, now_s)
             if choice.state is None:
                 misses += 1
+                if choice.awaited is not None:
+                    tokens = instances * choice.uncached_tokens
+                    choice.awaited.awaited_tokens += tokens
                 if misses >= MISSES_MAX:
                     return
                 continue
@@ -340,3 +345,9 @@
             self.standings.charge(work.organisation, work.cost_tokens, now_s)
         WAITED.bind(service=service.name).observe(now_s - work.arrived_at_s)
         return placed
+
+
+def last_send_s(work: Work, now_s: float) -> float:
+    """Return until when a send of a request may still bring its whole answer."""
+    whole_s = min(service_time_s(work), 0.5 * (work.deadline_at_s - now_s))
+    return min(work.deadline_at_s - whole_s, work.first_due_s - FIRST_MIN_S)
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 from functools import lru_cache
 from hashlib import blake2b
@@ -25,6 +26,7 @@
 REREAD_S = 1e-4  # a shared token that is read again, in seconds of waiting
 LATE_S = 1e-4  # being late, for each token of the request's cost
 ON_TIME_PART = 0.8  # of the time left; expectations err by about a fifth
+FULL_WAIT_S = 0.2  # until an engine without a free slot or memory has one
 RUNNING_S = 0.002  # added to the first token by each running request
 FIRST_TOKEN_S = 0.05  # from the last prompt token to the first event
 PLAIN_QUEUE_FACTOR = 2.0  # requests at a plain server, in multiples of its slots
@@ -42,6 +44,8 @@
         Prompt tokens that the engine will read.
     first_s : float
         Expected time to the first event.
+    awaited : ServerState or None
+        Which server the request waits for, if it does.
     reason : str
         Why nothing was found, for logs.
     """
@@ -49,6 +53,7 @@
     state: ServerState | None
     uncached_tokens: float = 0.0
     first_s: float = 0.0
+    awaited: ServerState | None = None
     reason: str = ""
 
 
@@ -73,7 +78,9 @@
 
     Costs are the expected time to the first event, shared parts of the prompt that
     are read again, and an answer that comes late. A request may queue longer at an
-    engine that keeps its prompt, as long as it is still expected to be on time.
+    engine that keeps its prompt, as long as it is still expected to be on time. Where
+    the engine that costs least has no room, the request waits: at the worst load,
+    sending it elsewhere would have its prompt read twice.
 
     Parameters
     ----------
@@ -93,33 +100,47 @@
     queue_max_s = OVER_SHARE_QUEUE_MAX_S if over_share else QUEUE_MAX_S
     slack_s = max(0.0, work.on_time_until_s - now_s)
     best = Choice(None, reason="engines full")
-    best_cost_s = 0.0
+    best_cost_s = math.inf
     for state in usable(candidates, now_s):
-        if now_s < state.slots_free_at_s:
-            continue
-        if state.running + 1 > SLOT_MARGIN * state.server.slots:
-            continue
-        memory_tokens = state.memory_tokens + work.memory_tokens
-        if state.running and memory_tokens > MEMORY_MARGIN * service.memory_tokens:
-            continue
         rate = max(state.rate_tokens_per_s, 1.0)
         if state.is_cold(now_s) and not may_warm(state):
             continue
+        memory_tokens = state.memory_tokens + work.memory_tokens
+        is_full = (
+            now_s < state.slots_free_at_s
+            or state.running + 1 > SLOT_MARGIN * state.server.slots
+            or (
+                state.running > 0
+                and memory_tokens > MEMORY_MARGIN * service.memory_tokens
+            )
+        )
         cached = state.cached_tokens(work, state is home, now_s)
         limit_s = queue_max_s
         if cached >= work.shared_tokens > 0 and not over_share:
             limit_s = max(limit_s, HOME_QUEUE_PART * slack_s)
-        if state.pending_tokens > limit_s * rate:
-            continue
+        wait_s = max(0.0, state.pending_tokens / rate - limit_s)
+        if state.awaited_tokens > 0.0:
+            wait_s += state.awaited_tokens / rate
+        if is_full:
+            wait_s = max(wait_s, FULL_WAIT_S)
         uncached = float(work.prompt_tokens - cached)
         first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
         first_s += RUNNING_S * state.running
         cost_s = first_s + REREAD_S * uncached
         if first_s > ON_TIME_PART * slack_s:
             cost_s += LATE_S * work.cost_tokens
-        if best.state is None or cost_s < best_cost_s:
-            best = Choice(state, uncached, first_s)
-            best_cost_s = cost_s
+        if is_full:
+            cost_s += FULL_WAIT_S
+        cost_s += state.awaited_tokens / rate
+        if cost_s >= best_cost_s:
+            continue
+        best_cost_s = cost_s
+        if wait_s > 0.0:
+            best = Choice(
+                None, uncached, first_s, state, "waits for the engine that costs least"
+            )
+            continue
+        best = Choice(state, uncached, first_s)
     return best
 
 
--- a/libs/placement/src/teaseldyke/placement/refusal.py
+++ b/libs/placement/src/teaseldyke/placement/refusal.py
@@ -10,7 +10,7 @@
 
 from .work import Work
 
-WAIT_PART_MAX = 0.5  # of the time left that a request may be expected to wait
+WAIT_PART_MAX = 0.5  # of the time to the first event that may be spent waiting
 TOKEN_S = 0.012  # for one generated token at a full batch
 RETURN_PART_MAX = 0.33  # callers come back within this part of the time they have
 RETURN_MIN_S = 0.1  # a shorter pause meets the same load
@@ -53,7 +53,7 @@
     left_s = work.deadline_at_s - now_s
     if left_s <= 0.0:
         return Refusal("deadline passed", RETURN_MIN_S)
-    if expected_wait_s <= WAIT_PART_MAX * left_s:
+    if expected_wait_s <= WAIT_PART_MAX * (work.first_due_s - now_s):
         return None
     return Refusal(
         "expected wait exceeds the time left",
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -58,6 +58,12 @@
         Until when it bears little.
     cold : ColdAllowance
         What this instance may send meanwhile.
+
+    Attributes
+    ----------
+    awaited_tokens : float
+        Prompt tokens of requests here that wait for this server rather than go
+        elsewhere, with an even part for the other instances.
     """
 
     server: AnnouncedServer
@@ -71,6 +77,7 @@
     out_until_s: float = 0.0
     probing: bool = False
     slots_free_at_s: float = 0.0
+    awaited_tokens: float = 0.0
     parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
 
     @property
@@ -89,8 +96,8 @@
         return self.own.memory_tokens + self.foreign.memory_tokens
 
     def is_cold(self, now_s: float) -> bool:
-        """Return whether the server is still cold."""
-        return now_s < self.cold_until_s
+        """Return whether the server is cold and bears only a stated rate."""
+        return now_s < self.cold_until_s and self.cold.rate_per_s > 0.0
 
     def is_out(self, now_s: float) -> bool:
         """Return whether failures keep the server out of use."""
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -90,16 +90,19 @@
         return foreign + (own.at(now_s) if own is not None else 0.0)
 
     def settle(self, waiting: Mapping[str, float], now_s: float) -> None:
-        """Work out the fair share from usage and from what waits."""
-        if self.tokens_per_s <= 0.0:
-            self._level = math.inf
-            return
+        """Work out the fair share from usage and from what waits.
+
+        What is shared is what was given lately if that exceeds the stated production:
+        parts of prompts that engines keep are given without being produced again.
+        """
         names = {*self._own, *self.foreign_usage, *waiting, *self.foreign_waiting}
         demands = {}
         for name in names:
             queued = waiting.get(name, 0.0) + self.foreign_waiting.get(name, 0.0)
             demands[name] = self.usage(name, now_s) + queued
-        self._level = water_level(demands, self.tokens_per_s * USAGE_TIME_S)
+        stated = self.tokens_per_s * USAGE_TIME_S
+        given = sum(self.usage(name, now_s) for name in names)
+        self._level = water_level(demands, max(stated, given))
 
     def is_over(self, organisation: str, now_s: float) -> bool:
         """Return whether an organisation has more than its fair share."""
--- a/libs/placement/src/teaseldyke/placement/waiting.py
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -63,10 +63,9 @@
     def tokens_ahead(self, work: Work, standings: Standings, now_s: float) -> float:
         """Return the prompt tokens that would be tried before a new request."""
         tokens = 0.0
-        is_over = standings.is_over(work.organisation, now_s)
+        own_turn = _turn(work.organisation, standings, now_s)
         for name, waiters in self._waiters.items():
-            is_other = name != work.organisation
-            if is_other and not is_over and standings.is_over(name, now_s):
+            if _turn(name, standings, now_s) > own_turn:
                 continue
             tokens += sum(waiter.work.prompt_tokens for waiter in waiters)
         return tokens
@@ -75,13 +74,7 @@
         """Yield the requests in the order in which to try them."""
         self._turns += 1
         late_first = self._turns % LATE_TURN == 0
-        names = sorted(
-            self._waiters,
-            key=lambda name: (
-                standings.is_over(name, now_s),
-                standings.usage(name, now_s),
-            ),
-        )
+        names = sorted(self._waiters, key=lambda name: _turn(name, standings, now_s))
         for name in names:
             waiters = sorted(
                 self._waiters[name],
@@ -90,6 +83,10 @@
             yield from waiters
 
 
+def _turn(name: str, standings: Standings, now_s: float) -> tuple[bool, float]:
+    return standings.is_over(name, now_s), standings.usage(name, now_s)
+
+
 def _rank(work: Work, now_s: float, late_first: bool) -> tuple[int, bool, float]:
     is_late = now_s > work.on_time_until_s
     return work.priority, is_late is not late_first, work.on_time_until_s
--- a/libs/placement/src/teaseldyke/placement/work.py
+++ b/libs/placement/src/teaseldyke/placement/work.py
@@ -19,6 +19,8 @@
         When the router read it, on the fleet's clock.
     on_time_until_s : float
         Until when its first byte or event is on time.
+    first_due_s : float
+        When its caller leaves unless it has got the first event.
     deadline_at_s : float
         When it gets its final answer at the latest.
     prompt_tokens : int
@@ -34,6 +36,7 @@
     organisation: str
     arrived_at_s: float
     on_time_until_s: float
+    first_due_s: float
     deadline_at_s: float
     prompt_tokens: int = 0
     output_tokens: int = 0
--- a/libs/placement/tests/conftest.py
+++ b/libs/placement/tests/conftest.py
@@ -45,6 +45,7 @@
             arrived_at_s,
             arrived_at_s + on_time_s,
             arrived_at_s + deadline_s,
+            arrived_at_s + deadline_s,
             sum(tokens for _, tokens in parts),
             output_tokens,
             parts,
