--- a/libs/gateway/src/teaseldyke/gateway/beliefs.py
+++ b/libs/gateway/src/teaseldyke/gateway/beliefs.py
@@ -27,6 +27,7 @@
         self.table: RoutingTable | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.store_available = False
+        self.servers_known = False
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
         self._vanished_at_s: dict[str, float] = {}
@@ -52,6 +53,7 @@
     def apply_servers(self, servers: Sequence[AnnouncedServer]) -> None:
         """Replace the backend servers."""
         now_s = boot_time_s()
+        self.servers_known = True
         listed = {server.id: server for server in servers}
         for server_id, server in listed.items():
             self._apply_server(server, now_s)
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -34,6 +34,7 @@
 
 MISSES_MAX = 24  # requests tried without success before the rest must wait on
 PUMP_PAUSE_S = 0.004  # between two looks at what waits; bounds their processor time
+NO_SERVER_PAUSE_S = 1.0  # in which an entry of a new server may appear
 FULL_PAUSE_S = 0.05  # a server that had no room is not tried again before
 FIRST_MIN_S = 0.1  # an engine takes so long at least to a first event
 LEAST_FIRST_S = 0.02  # below it, a time to the first event says nothing of a rate
@@ -116,6 +117,7 @@
     avoid: frozenset[str]
     ready: trio.Event = attrs.field(factory=trio.Event)
     placed: Placed | None = None
+    reason: str = "others wait"
 
 
 class Placing:
@@ -193,14 +195,14 @@
         NoServer
             If no backend server may get it.
         """
+        if self._beliefs.servers_known and not self._beliefs.states_of(service.name):
+            raise self._no_server(service, work)
         line = self._lines.setdefault(service.name, WaitingLine())
         now_s = boot_time_s()
-        reason = "others wait"
         if not len(line):
             choice = self._choose(service, work, avoid, now_s)
             if choice.state is not None:
                 return self._begin(service, work, choice, now_s)
-            reason = choice.reason
         self._refuse_hopeless(service, work, line, now_s)
         ticket = _Ticket(service, avoid)
         waiter = Waiter(work, ticket)
@@ -218,6 +220,7 @@
             line.remove(waiter)
         if ticket.placed is not None:
             return ticket.placed
+        reason = ticket.reason
         REFUSED.bind(reason=reason).add()
         left_s = work.deadline_at_s - boot_time_s()
         raise Overloaded(
@@ -258,6 +261,14 @@
             retry_after_s=refusal.retry_after_s,
         )
 
+    def _no_server(self, service: ServiceDescription, work: Work) -> NoServer:
+        REFUSED.bind(reason="no server").add()
+        left_s = work.deadline_at_s - boot_time_s()
+        return NoServer(
+            f"service {service.name} has no backend server that may get requests",
+            retry_after_s=return_pause_s(NO_SERVER_PAUSE_S, left_s, random.random()),
+        )
+
     def _pump(self, name: str, line: WaitingLine[_Ticket]) -> None:
         now_s = boot_time_s()
         misses = 0
@@ -272,6 +283,7 @@
                 if choice.awaited is not None:
                     tokens = instances * choice.uncached_tokens
                     choice.awaited.awaited_tokens += tokens
+                ticket.reason = choice.reason
                 if misses >= MISSES_MAX:
                     return
                 continue
