Drain with an open port, and prove the path on loopback

New streams could not end before the process did.

Found by the new tests, which stand on a store and engines of their own: a request with both Content-Length and Transfer-Encoding was refused, but the bytes behind it were then read as a request and sent to an engine (failed first). Such a connection is now closed.

Change: a stopping instance takes connections until its streams have ended, begins no stream that it could not finish, and refuses new ones after 2.5 s. The body framing is checked where the head is parsed.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -12,11 +12,9 @@
 from teaseldyke.http import (
     BackendPool,
     CallerGone,
-    MalformedRequest,
     Request,
-    first_header,
 )
-from teaseldyke.placement import RetryBudget, Work, return_pause_s
+from teaseldyke.placement import RetryBudget, Work, return_pause_s, service_time_s
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
@@ -37,6 +35,7 @@
     Overloaded,
     RouteUnknown,
     ServerBroke,
+    Stopping,
     TimedOut,
 )
 from .interfaces import CallFacts, Fleet, Wire
@@ -45,6 +44,8 @@
 from .settings import FleetBounds
 
 CONFIGURATION_WAIT_S = 0.5  # told to callers before the first configuration
+STOPPING_PAUSE_S = 0.1  # another instance may take the request at once
+STREAM_START_S = 1.0  # to the first event, late ones included
 SENDS_MAX = 4  # of one request, those that a server turned away included
 FINAL_MARGIN_S = 0.03  # so that the final answer arrives while the caller waits
 FIRST_EVENT_FACTOR = 3.0  # of the expected time to the first event
@@ -125,6 +126,15 @@
         Bounds of the whole fleet.
     fleet : Fleet
         Instances that share them.
+
+    Attributes
+    ----------
+    running, streams : int
+        Requests, and streams among them, that have no final answer yet.
+    ends_at_s : float
+        When the process ends; answers that take longer are not begun.
+    takes_streams : bool
+        Whether streams are begun at all.
     """
 
     def __init__(
@@ -137,6 +147,9 @@
         fleet: Fleet,
     ) -> None:
         self.running = 0
+        self.streams = 0
+        self.ends_at_s = math.inf
+        self.takes_streams = True
         self._beliefs = beliefs
         self._placing = placing
         self._pool = pool
@@ -152,7 +165,6 @@
         facts: CallFacts | None = None
         try:
             facts = self._wire.read_call(request.headers)
-            check_framing(request)
             await self._serve(request, facts, arrived_at_s)
         except CallerGone:
             raise
@@ -177,6 +189,9 @@
         organisation = organisation_of(table, route, facts)
         body = await request.read_body(table.bounds.body_bytes)
         service = pick_service(table, route)
+        work = work_of(facts, route, organisation, arrived_at_s)
+        is_stream = route.kind is RouteKind.STREAMING
+        self._check_time_left(work, is_stream)
         call = Call(
             request,
             facts,
@@ -184,11 +199,25 @@
             service,
             organisation,
             body,
-            work_of(facts, route, organisation, arrived_at_s),
+            work,
             Relay(request, self._wire),
             version=table.version,
         )
-        await self._bring(call)
+        self.streams += is_stream
+        try:
+            await self._bring(call)
+        finally:
+            self.streams -= is_stream
+
+    def _check_time_left(self, work: Work, is_stream: bool) -> None:
+        """Raise `Stopping` if the process ends before the answer could be whole."""
+        left_s = self.ends_at_s - boot_time_s()
+        needed_s = service_time_s(work) + STREAM_START_S if is_stream else 0.0
+        if left_s >= needed_s and (self.takes_streams or not is_stream):
+            return
+        raise Stopping(
+            f"this instance stops in {left_s:.1f} s", retry_after_s=STOPPING_PAUSE_S
+        )
 
     async def _bring(self, call: Call) -> None:
         """Bring a call to its end, within its deadline and while its caller stays."""
@@ -387,14 +416,6 @@
         await request.respond(error.status, body, headers)
 
 
-def check_framing(request: Request) -> None:
-    """Raise `MalformedRequest` if two framings of the body contradict each other."""
-    coding = first_header(request.headers, b"transfer-encoding")
-    length = first_header(request.headers, b"content-length")
-    if coding is not None and length is not None:
-        raise MalformedRequest("both Transfer-Encoding and Content-Length are given")
-
-
 def organisation_of(
     table: RoutingTable, route: Route, facts: CallFacts
 ) -> KeyedOrganisation | None:
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -29,6 +29,14 @@
     executed = "no"
 
 
+class Stopping(TeaseldykeError):
+    """The instance stops before the answer could be whole."""
+
+    code = "stopping"
+    status = 503
+    executed = "no"
+
+
 class Overloaded(TeaseldykeError):
     """The request can't be served in time and was not sent."""
 
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -18,7 +18,7 @@
 from teaseldyke.placement import Standings
 from teaseldyke.settings import Address
 from teaseldyke.telemetry import log_decision
-from teaseldyke.timers import Timers
+from teaseldyke.timers import Timers, boot_time_s
 from teaseldyke.types import PlatformUnavailable, TeaseldykeError
 
 from .beliefs import FleetBeliefs
@@ -30,7 +30,8 @@
 from .totals import EXCHANGE_S, TotalsExchange
 
 CONNECT_TIMEOUT_S = 0.5  # to a backend server; several round trips between domains
-STOP_LINGER_S = 3.0  # balancers see the lost readiness after two checks a second apart
+STOP_LINGER_S = 2.5  # balancers see the lost readiness after two checks a second apart
+DRAINED_CHECK_S = 0.05  # between looks whether a stopping process has finished
 STOP_MARGIN_S = 0.4  # before the platform would end the process
 CATCH_UP_S = 0.2  # between looks whether a peer knows newer entries
 LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
@@ -60,6 +61,7 @@
     wire: Wire
     make_directory: DirectoryFactory
     stopping: trio.Event = attrs.field(factory=trio.Event, init=False)
+    closing: trio.Event = attrs.field(factory=trio.Event, init=False)
     beliefs: FleetBeliefs = attrs.field(init=False)
     placing: Placing = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
@@ -115,10 +117,14 @@
             timers = Timers(nursery)
             timers.every(EXCHANGE_S, self._exchange)
             log_decision("started", callers=str(settings.callers))
-            limits = ServerLimits(
-                connections=settings.connections_max, stop_linger_s=STOP_LINGER_S
+            limits = ServerLimits(connections=settings.connections_max)
+            await serve(
+                callers,
+                self.calls.handle,
+                limits,
+                stopping=self.stopping,
+                closing=self.closing,
             )
-            await serve(callers, self.calls.handle, limits, stopping=self.stopping)
             nursery.cancel_scope.cancel()
         log_decision("stopped", running=self.calls.running)
 
@@ -176,9 +182,25 @@
                     return
                 self.stopping.set()
                 log_decision("stopping", running=self.calls.running)
+                nursery.start_soon(self._drain)
                 nursery.start_soon(self._end_at_deadline, nursery)
                 nursery.start_soon(self._withdraw)
 
+    async def _drain(self) -> None:
+        """Take connections until the streams have ended.
+
+        Where most instances of a failure domain stop at once, the platform sends
+        callers to stopping ones too; a closed port would cost them their request.
+        """
+        self.calls.ends_at_s = (
+            boot_time_s() + self.settings.bounds.stop_s - STOP_MARGIN_S
+        )
+        await trio.sleep(STOP_LINGER_S)
+        self.calls.takes_streams = False
+        while self.calls.streams:
+            await trio.sleep(DRAINED_CHECK_S)
+        self.closing.set()
+
     async def _withdraw(self) -> None:
         try:
             await self.directory.withdraw(self.totals.own)
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -19,7 +19,7 @@
     RequestTimedOut,
     TransferCodingUnsupported,
 )
-from .headers import Headers
+from .headers import Headers, first_header
 from .limits import ServerLimits
 from .problem import problem_response
 from .request import Request
@@ -199,6 +199,12 @@
         if event.http_version not in SERVED_VERSIONS:
             version = event.http_version.decode("ascii")
             raise MalformedRequest(f"HTTP/{version} is not served, use HTTP/1.1")
+        codings = first_header(event.headers, b"transfer-encoding")
+        if codings and first_header(event.headers, b"content-length") is not None:
+            # Another server may go by the other one and read a request in the body.
+            raise MalformedRequest(
+                "both Transfer-Encoding and Content-Length are given, use one"
+            )
         size_bytes = len(event.target)
         for key, value in event.headers:
             size_bytes += len(key) + len(value) + 4  # colon, space, line end
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -21,6 +21,7 @@
     limits: ServerLimits,
     *,
     stopping: trio.Event | None = None,
+    closing: trio.Event | None = None,
 ) -> None:
     """Serve callers until ``stopping`` is set and running requests have finished.
 
@@ -36,6 +37,9 @@
     stopping : trio.Event, optional
         Once set, only requests that were already under way are taken, for
         ``limits.stop_linger_s``; running ones finish.
+    closing : trio.Event, optional
+        Set by the caller, after ``stopping``, in place of that fixed time. Until then
+        connections are taken, and each answer asks to close its connection.
     """
     stopping = trio.Event() if stopping is None else stopping
     serving = Serving(handler, limits, stopping)
@@ -43,8 +47,11 @@
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
             accepting.start_soon(server.accept, listener, connections)
-            await stopping.wait()
-            await trio.sleep(limits.stop_linger_s)
+            if closing is not None:
+                await closing.wait()
+            else:
+                await stopping.wait()
+                await trio.sleep(limits.stop_linger_s)
             accepting.cancel_scope.cancel()
         for stream in accept_waiting(listener):
             connections.start_soon(server.run_connection, stream)
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,350 @@
+"""Stand-ins of the platform's store and of its engines, for tests."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import h11
+import trio
+
+from teaseldyke.http import Request, ServerLimits, serve
+
+HISTORY_GONE = 410
+
+
+@attrs.define(eq=False)
+class StoreStandin:
+    """Rows with versions and a feed of changes, as the platform's store serves them.
+
+    Attributes
+    ----------
+    status : int
+        Answer to every call; 200 to serve it.
+    silent : bool
+        Whether calls get no answer.
+    calls : list of str
+        Targets of the calls.
+    """
+
+    rows: dict[tuple[str, str], dict[str, Any]] = attrs.field(factory=dict)
+    removed: list[dict[str, Any]] = attrs.field(factory=list)
+    version: int = 1
+    oldest: int = 0
+    status: int = 200
+    silent: bool = False
+    calls: list[str] = attrs.field(factory=list)
+    port: int = 0
+    _changed: trio.Event = attrs.field(factory=trio.Event)
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Write an entry; bytes are written as they are."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.version += 1
+        self.rows[table, key] = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "ver": self.version,
+        }
+        self._wake()
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove an entry."""
+        self.version += 1
+        del self.rows[table, key]
+        self.removed.append(
+            {"table": table, "key": key, "ver": self.version, "removed": True}
+        )
+        self._wake()
+
+    def compact(self) -> None:
+        """Forget the history, so that running feeds must start anew."""
+        self.version += 1
+        self.oldest = self.version
+        self._wake()
+
+    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started()
+        await serve(listeners[0], self._handle, ServerLimits())
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _handle(self, request: Request) -> None:
+        self.calls.append(f"{request.method} {request.target}")
+        if self.silent:
+            await trio.sleep_forever()
+        if self.status != 200:
+            await request.respond(self.status)
+            return
+        if request.path == "/-/rows-tx":
+            await self._transact(request)
+            return
+        table = request.query["table"]
+        if request.path == "/-/rows-get":
+            rows = [row for (name, _), row in self.rows.items() if name == table]
+            await self._answer(request, rows)
+            return
+        await self._feed(request, table)
+
+    async def _feed(self, request: Request, table: str) -> None:
+        after = int(request.query["afterRev"])
+        with trio.move_on_after(int(request.query["waitMs"]) / 1000.0):
+            while True:
+                if after < self.oldest:
+                    await request.respond(HISTORY_GONE)
+                    return
+                kept = [row for (name, _), row in self.rows.items() if name == table]
+                gone = [row for row in self.removed if row["table"] == table]
+                rows = [row for row in kept + gone if row["ver"] > after]
+                if rows:
+                    rows.sort(key=lambda row: int(row["ver"]))
+                    await self._answer(request, rows)
+                    return
+                await self._changed.wait()
+        await self._answer(request, [])
+
+    async def _transact(self, request: Request) -> None:
+        call = json.loads(await request.read_body(1 << 20))
+        for row in call["puts"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in call["remove"]:
+            if (row["table"], row["key"]) in self.rows:
+                self.drop(row["table"], row["key"])
+        await request.respond_json(200, {"ver": self.version, "nowMs": 1})
+
+    async def _answer(self, request: Request, rows: list[dict[str, Any]]) -> None:
+        await request.respond_json(
+            200, {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
+        )
+
+
+@attrs.define
+class Arrival:
+    """A request as an engine got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+
+Script = Callable[["EngineStandin", trio.SocketStream, Arrival], Any]
+
+
+@attrs.define(eq=False)
+class EngineStandin:
+    """An engine that answers each request as its script says.
+
+    Attributes
+    ----------
+    scripts : list of callable
+        For the next requests, in order; then `answer_whole`.
+    arrivals : list of Arrival
+        What came.
+    closed : int
+        Connections that the other side closed during an answer.
+    """
+
+    id: str
+    scripts: list[Script] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    connections: int = 0
+    closed: int = 0
+    port: int = 0
+
+    def entry(self, service: str, zone: str = "zone-a", **fields: object) -> Any:
+        """Return what the engine writes into the store."""
+        return {
+            "service": service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": zone,
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+            **fields,
+        }
+
+    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        number = self.connections
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                arrival = await _read_request(parser, stream, number)
+                if arrival is None:
+                    return
+                self.arrivals.append(arrival)
+                script = self.scripts.pop(0) if self.scripts else answer_whole
+                if await script(self, stream, arrival) is False:
+                    return
+                _skip_answer(parser)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.closed += 1
+
+
+async def _read_request(
+    parser: h11.Connection, stream: trio.SocketStream, number: int
+) -> Arrival | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            data = await stream.receive_some(65536)
+            if not data and head is None:
+                return None
+            parser.receive_data(data)
+            continue
+        if isinstance(event, h11.Request):
+            head = event
+            continue
+        if isinstance(event, h11.Data):
+            body += bytes(event.data)
+            continue
+        if isinstance(event, h11.EndOfMessage) and head is not None:
+            headers = {
+                key.decode(): value.decode("latin-1") for key, value in head.headers
+            }
+            return Arrival(
+                head.method.decode(), head.target.decode(), headers, body, number
+            )
+        return None
+
+
+def _skip_answer(parser: h11.Connection) -> None:
+    """Let the parser go on; the script wrote the answer past it."""
+    parser.send(h11.Response(status_code=200, headers=[("content-length", "0")]))
+    parser.send(h11.EndOfMessage())
+    parser.start_next_cycle()
+
+
+def head_of(
+    arrival: Arrival, status: int = 200, *extra: str, stamp: bool = True
+) -> bytes:
+    """Return the head of an answer without its framing."""
+    lines = [f"HTTP/1.1 {status} Status"]
+    request_id = arrival.headers.get("x-teaseldyke-request-id", "")
+    lines.append(f"X-Teaseldyke-Request-Id: {request_id}")
+    if stamp:
+        lines.append("X-Teaseldyke-Response-Stamp: 3e1b.07")
+    lines.extend(extra)
+    return "\r\n".join(lines).encode() + b"\r\n"
+
+
+def whole(arrival: Arrival, body: bytes, status: int = 200, *extra: str) -> bytes:
+    """Return a whole answer."""
+    head = head_of(arrival, status, f"Content-Length: {len(body)}", *extra)
+    return head + b"\r\n" + body
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+async def answer_whole(
+    engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+) -> None:
+    """Answer with the engine's id."""
+    await stream.send_all(whole(arrival, f"answer of {engine.id}".encode()))
+
+
+def answer_with(status: int, *extra: str, body: bytes = b"") -> Script:
+    """Return a script that gives a whole answer of a status."""
+
+    async def script(
+        _engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+    ) -> None:
+        await stream.send_all(whole(arrival, body, status, *extra))
+
+    return script
+
+
+def not_run(status: int = 503) -> Script:
+    """Return a script that turns a request away."""
+    return answer_with(status, "X-Teaseldyke-Not-Run: 1")
+
+
+async def reset(
+    _engine: EngineStandin, stream: trio.SocketStream, _arrival: Arrival
+) -> bool:
+    """Break the connection without an answer."""
+    await stream.aclose()
+    return False
+
+
+async def hang(
+    engine: EngineStandin, stream: trio.SocketStream, _arrival: Arrival
+) -> bool:
+    """Give no answer, and note when the other side closes."""
+    await stream.receive_some(1)
+    engine.closed += 1
+    return False
+
+
+def raw(make: Callable[[Arrival], bytes], *, close: bool) -> Script:
+    """Return a script that writes bytes, and ends the connection if told to."""
+
+    async def script(
+        _engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+    ) -> bool:
+        await stream.send_all(make(arrival))
+        if close:
+            await stream.aclose()
+        return not close
+
+    return script
+
+
+def stream_of(
+    first: int, last: int, *, cut_after: int | None = None, partial: bytes = b""
+) -> Script:
+    """Return a script that streams events, and breaks off after one of them."""
+
+    async def script(
+        _engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+    ) -> bool:
+        head = head_of(
+            arrival,
+            200,
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        )
+        await stream.send_all(head + b"\r\n")
+        for number in range(first, last + 1):
+            await stream.send_all(chunk(event(number)))
+            await trio.sleep(0.002)
+            if number == cut_after:
+                if partial:
+                    await stream.send_all(chunk(partial))
+                await stream.aclose()
+                return False
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    return script
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,570 @@
+"""The whole path on loopback: what callers and engines see."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+
+from tests.platform.conftest import HOST, Fleet, configuration, route, until
+from tests.platform.standins import (
+    Arrival,
+    Script,
+    answer_with,
+    event,
+    hang,
+    head_of,
+    not_run,
+    raw,
+    reset,
+    stream_of,
+    whole,
+)
+
+KEY = {"Authorization": "Token key-1"}
+
+
+def script_all(fleet: Fleet, *scripts: Script) -> None:
+    """Give every engine the scripts, so that it doesn't matter which is first."""
+    for engine in fleet.engines.values():
+        engine.scripts = list(scripts)
+
+
+def foreign(arrival: Arrival) -> bytes:
+    other = Arrival("GET", "/", {"x-teaseldyke-request-id": "other"}, b"", 0)
+    return whole(other, b"of another request")
+
+
+def extra(arrival: Arrival) -> bytes:
+    return whole(arrival, b"first") + whole(arrival, b"second")
+
+
+def unframed(arrival: Arrival) -> bytes:
+    return head_of(arrival) + b"\r\nto the end"
+
+
+def torn(arrival: Arrival) -> bytes:
+    return head_of(arrival, 200, "Content-Length: 100") + b"\r\nonly this"
+
+
+def encoded(arrival: Arrival) -> bytes:
+    return whole(arrival, b"packed", 200, "Content-Encoding: gzip")
+
+
+def unstamped(arrival: Arrival) -> bytes:
+    return head_of(arrival, 200, "Content-Length: 2", stamp=False) + b"\r\nok"
+
+
+def noise(_arrival: Arrival) -> bytes:
+    return b"these bytes are no answer\r\n\r\n"
+
+
+class TestForwarding:
+    async def test_request_arrives_unchanged(self, fleet: Fleet) -> None:
+        target = "/safe/a%2Fb/%7e?x=1&y=%20"
+        headers = {"X-Other": "kept", "Connection": "X-Hop", "X-Hop": "1"}
+        answer = await fleet.caller().ask(target, headers=headers, body=b"the body")
+        assert answer.status == 200
+        (arrival,) = [a for e in fleet.engines.values() for a in e.arrivals]
+        assert (arrival.method, arrival.target) == ("POST", target)
+        assert arrival.body == b"the body"
+        assert arrival.headers["host"] == HOST
+        assert arrival.headers["x-other"] == "kept"
+        assert "x-hop" not in arrival.headers
+        assert arrival.headers["x-teaseldyke-request-id"] == "r-1"
+        assert answer.headers["x-teaseldyke-response-stamp"] == "3e1b.07"
+
+    async def test_every_send_names_its_engine_and_the_time_left(
+        self, fleet: Fleet
+    ) -> None:
+        await fleet.caller().ask("/safe/a")
+        for name, engine in fleet.engines.items():
+            for arrival in engine.arrivals:
+                assert arrival.headers["x-teaseldyke-expect-instance"] == name
+                left_ms = int(arrival.headers["x-teaseldyke-deadline-ms"])
+                assert 2000 < left_ms <= 2500
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "X-Teaseldyke-Tenant",
+            "X-Teaseldyke-Hold",
+            "X-Teaseldyke-Pin-Ms",
+            "X-Teaseldyke-Kv-Backup",
+            "Kv-From",
+            "Kv-Fetch",
+            "X-Teaseldyke-Expect-Version",
+            "Authorization",
+        ],
+    )
+    async def test_headers_of_the_system_are_not_taken_from_callers(
+        self, fleet: Fleet, name: str
+    ) -> None:
+        answer = await fleet.caller().ask("/safe/a", headers={name: "forged"})
+        assert answer.status == 200
+        (arrival,) = [a for e in fleet.engines.values() for a in e.arrivals]
+        assert name.lower() not in arrival.headers
+
+    async def test_organisation_follows_from_the_key(self, fleet: Fleet) -> None:
+        headers = {**KEY, "X-Teaseldyke-Tenant": "forged"}
+        answer = await fleet.caller().ask("/keyed/a", headers=headers)
+        assert answer.status == 200
+        (arrival,) = [a for e in fleet.engines.values() for a in e.arrivals]
+        assert arrival.headers["x-teaseldyke-tenant"] == "parish"
+        assert "authorization" not in arrival.headers
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("target", "headers", "status"),
+        [
+            ("/nowhere/a", {}, 404),
+            ("/safe", {}, 404),
+            ("/keyed/a", {}, 401),
+            ("/keyed/a", {"Authorization": "Token unknown"}, 401),
+            ("/keyed/a", {"Authorization": "Bearer key-1"}, 401),
+            ("/safe/a", {"X-Teaseldyke-Deadline-Ms": "soon"}, 400),
+        ],
+        ids=["route", "no-slash", "no-key", "unknown-key", "scheme", "deadline"],
+    )
+    async def test_what_is_not_allowed_reaches_no_engine(
+        self, fleet: Fleet, target: str, headers: dict[str, str], status: int
+    ) -> None:
+        assert (await fleet.caller().ask(target, headers=headers)).status == status
+        assert fleet.arrivals == 0
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            b"Content-Length: 3\r\nContent-Length: 4\r\n",
+            b"Content-Length: +3\r\n",
+            b"Transfer-Encoding: chunked, identity\r\n",
+            b"Host: b.example\r\n",
+            b"X-Teaseldyke-Request-Id: r-2\r\n",
+            b"X-Teaseldyke-Deadline-Ms: 1\r\nX-Teaseldyke-Deadline-Ms: 2\r\n",
+            b"Bad Name: 1\r\n",
+            b"Folded: 1\r\n 2\r\n",
+        ],
+    )
+    async def test_ambiguous_framing_reaches_no_engine(
+        self, fleet: Fleet, head: bytes
+    ) -> None:
+        address = fleet.gateways[0].settings.callers
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        smuggled = b"POST /once/b HTTP/1.1\r\nHost: a.example\r\n"
+        smuggled += b"X-Teaseldyke-Request-Id: r-9\r\nContent-Length: 0\r\n\r\n"
+        await stream.send_all(
+            b"POST /once/a HTTP/1.1\r\nHost: a.example\r\n"
+            b"X-Teaseldyke-Request-Id: r-1\r\n" + head + b"\r\n0\r\n\r\n" + smuggled
+        )
+        with trio.fail_after(5):
+            answer = await stream.receive_some(65536)
+        if b"Folded" in head:
+            return  # a folded header is one header to this parser, and not passed on
+        assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.1 501"))
+        await trio.sleep(0.05)
+        assert fleet.arrivals == 0
+
+    async def test_before_the_first_configuration_it_says_503(self) -> None:
+        async with trio.open_nursery() as nursery:
+            from tests.platform.standins import StoreStandin
+
+            fleet = Fleet(nursery, StoreStandin())
+            await nursery.start(fleet.store.run)
+            gateway = await fleet.add_gateway()
+            answer = await fleet.caller().ask("/safe/a")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert not gateway.is_ready
+            nursery.cancel_scope.cancel()
+
+    async def test_without_a_server_it_refuses_at_once(self, fleet: Fleet) -> None:
+        for name in list(fleet.engines):
+            fleet.store.drop("servers", name)
+        gateway = fleet.gateways[0]
+        await until(lambda: not gateway.beliefs.states_of("app"))
+        started_s = trio.current_time()
+        answer = await fleet.caller().ask("/safe/a")
+        assert answer.status == 503
+        assert trio.current_time() - started_s < 0.2
+        assert float(answer.headers["retry-after"]) < 2.5 / 3
+
+
+class TestNonIdempotent:
+    """A promise must be true: 503 and 429 only when nothing can have run."""
+
+    @pytest.mark.parametrize(
+        ("script", "status"),
+        [
+            (reset, 502),
+            (raw(noise, close=True), 502),
+            (raw(foreign, close=False), 502),
+            (raw(torn, close=True), 502),
+            (raw(encoded, close=False), 502),
+            (raw(unstamped, close=False), 502),
+            (answer_with(500, body=b"failed"), 500),
+            (answer_with(503, body=b"ran and failed"), 503),
+            (raw(extra, close=False), 200),
+            (raw(unframed, close=True), 200),
+        ],
+        ids=[
+            "reset",
+            "noise",
+            "foreign",
+            "torn",
+            "encoded",
+            "unstamped",
+            "500",
+            "503-without-not-run",
+            "extra",
+            "unframed",
+        ],
+    )
+    async def test_it_is_sent_once(
+        self, fleet: Fleet, script: Script, status: int
+    ) -> None:
+        script_all(fleet, script)
+        answer = await fleet.caller().ask("/once/a")
+        assert answer.status == status
+        assert fleet.arrivals == 1
+
+    @pytest.mark.parametrize("status", [503, 429, 421])
+    async def test_it_goes_elsewhere_after_not_run(
+        self, fleet: Fleet, status: int
+    ) -> None:
+        script_all(fleet, not_run(status))
+        first, second = fleet.engines.values()
+        second.scripts = []
+        first_answer = await fleet.caller().ask("/once/a")
+        second_answer = await fleet.caller().ask("/once/b", request_id="r-2")
+        assert {first_answer.status, second_answer.status} == {200}
+        assert len(second.arrivals) == 2
+        assert len(first.arrivals) <= 1
+
+    async def test_refused_everywhere_is_told_as_not_run(self, fleet: Fleet) -> None:
+        script_all(fleet, not_run(), not_run())
+        answer = await fleet.caller().ask("/once/a")
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        assert "x-teaseldyke-response-stamp" not in answer.headers
+
+    async def test_no_connection_is_no_send(self, fleet: Fleet) -> None:
+        engine = fleet.engines["e-0"]
+        fleet.store.put(
+            "servers", "e-0", {**engine.entry("app"), "address": "127.0.0.1:1"}
+        )
+        await until(lambda: fleet.gateways[0].beliefs.state("e-0").server.port == 1)
+        for i in range(4):
+            answer = await fleet.caller().ask("/once/a", request_id=f"r-{i}")
+            assert answer.status == 200
+
+    async def test_the_routes_time_ends_it(self, fleet: Fleet) -> None:
+        script_all(fleet, hang)
+        started_s = trio.current_time()
+        answer = await fleet.caller().ask("/short/a")
+        assert answer.status == 504
+        assert 0.25 < trio.current_time() - started_s < 0.6
+
+
+class TestIdempotent:
+    @pytest.mark.parametrize(
+        "script",
+        [
+            reset,
+            raw(noise, close=True),
+            raw(foreign, close=False),
+            raw(torn, close=True),
+            raw(encoded, close=False),
+            raw(unstamped, close=False),
+            answer_with(500),
+            not_run(),
+            not_run(421),
+            hang,
+        ],
+        ids=[
+            "reset",
+            "noise",
+            "foreign",
+            "torn",
+            "encoded",
+            "unstamped",
+            "500",
+            "503",
+            "421",
+            "hang",
+        ],
+    )
+    async def test_another_server_answers(self, fleet: Fleet, script: Script) -> None:
+        first, second = fleet.engines.values()
+        first.scripts = [script]
+        for i in range(3):
+            caller = fleet.caller()
+            answer = await caller.ask("/safe/a", request_id=f"r-{i}")
+            assert (answer.status, answer.complete) == (200, True)
+        assert first.arrivals
+        assert len(second.arrivals) >= 1
+
+    async def test_the_last_failure_is_the_servers_own(self, fleet: Fleet) -> None:
+        script_all(fleet, answer_with(500, body=b"its own"))
+        answer = await fleet.caller().ask("/safe/a")
+        assert (answer.status, answer.body) == (500, b"its own")
+        assert answer.headers["x-teaseldyke-response-stamp"]
+        assert fleet.arrivals == 2
+
+
+class TestConnections:
+    async def test_extra_bytes_spoil_only_the_connection(self, fleet: Fleet) -> None:
+        script_all(fleet, raw(extra, close=False))
+        caller = fleet.caller()
+        answers = [await caller.ask("/once/a", request_id=f"r-{i}") for i in range(4)]
+        assert {answer.status for answer in answers} == {200}
+        assert [a.body for a in answers].count(b"first") <= 2
+        assert b"second" not in [answer.body for answer in answers]
+
+    async def test_a_connection_is_used_again(self, fleet: Fleet) -> None:
+        for i in range(6):
+            assert (
+                await fleet.caller().ask("/safe/a", request_id=f"r-{i}")
+            ).status == 200
+        assert sum(engine.connections for engine in fleet.engines.values()) <= 2
+
+    async def test_long_body_arrives_whole(self, fleet: Fleet) -> None:
+        body = bytes(range(256)) * 600
+        answer = await fleet.caller().ask("/once/a", body=body)
+        assert answer.status == 200
+        (arrival,) = [a for e in fleet.engines.values() for a in e.arrivals]
+        assert arrival.body == body
+
+    async def test_body_over_the_limit_is_refused(self, fleet: Fleet) -> None:
+        answer = await fleet.caller().ask("/once/a", body=b"x" * 300_000)
+        assert answer.status == 413
+        assert fleet.arrivals == 0
+
+
+class TestStreams:
+    async def test_events_pass_in_order(self, fleet: Fleet) -> None:
+        script_all(fleet, stream_of(1, 5))
+        answer = await fleet.caller().ask("/stream/a")
+        assert answer.body == b"".join(event(i) for i in range(1, 6))
+        assert answer.complete
+
+    @pytest.mark.parametrize("partial", [b"", b"id: 3\ndata: to"])
+    async def test_a_broken_stream_goes_on_elsewhere(
+        self, fleet: Fleet, partial: bytes
+    ) -> None:
+        broken = stream_of(1, 5, cut_after=2, partial=partial)
+
+        async def go_on(engine: Any, stream: Any, arrival: Arrival) -> Any:
+            first = int(arrival.headers["last-event-id"]) + 1
+            return await stream_of(first, 5)(engine, stream, arrival)
+
+        async def either(engine: Any, stream: Any, arrival: Arrival) -> Any:
+            resumed = "last-event-id" in arrival.headers
+            return await (go_on if resumed else broken)(engine, stream, arrival)
+
+        script_all(fleet, either)
+        answer = await fleet.caller().ask("/stream/a")
+        assert answer.body == b"".join(event(i) for i in range(1, 6))
+        assert answer.complete
+        assert fleet.arrivals == 2
+
+    async def test_a_callers_place_in_the_stream_is_kept(self, fleet: Fleet) -> None:
+        script_all(fleet, stream_of(8, 9))
+        await fleet.caller().ask("/stream/a", headers={"Last-Event-Id": "7"})
+        (arrival,) = [a for e in fleet.engines.values() for a in e.arrivals]
+        assert arrival.headers["last-event-id"] == "7"
+
+    @pytest.mark.parametrize("wrong_first", [1, 2, 4])
+    async def test_pieces_are_never_joined_wrongly(
+        self, fleet: Fleet, wrong_first: int
+    ) -> None:
+        async def either(engine: Any, stream: Any, arrival: Arrival) -> Any:
+            resumed = "last-event-id" in arrival.headers
+            script = (
+                stream_of(wrong_first, 5) if resumed else stream_of(1, 5, cut_after=2)
+            )
+            return await script(engine, stream, arrival)
+
+        script_all(fleet, either)
+        answer = await fleet.caller().ask("/stream/a")
+        assert not answer.complete
+        assert answer.body == event(1) + event(2)
+
+    @pytest.mark.parametrize("target", ["/single/a"])
+    async def test_a_stream_that_runs_once_breaks_visibly(
+        self, fleet: Fleet, target: str
+    ) -> None:
+        script_all(fleet, stream_of(1, 5, cut_after=2, partial=b"id: 3\nda"))
+        answer = await fleet.caller().ask(target)
+        assert answer.body == event(1) + event(2)
+        assert not answer.complete
+        assert fleet.arrivals == 1
+
+    async def test_a_caller_that_leaves_ends_the_engines_work(
+        self, fleet: Fleet
+    ) -> None:
+        script_all(fleet, hang)
+        caller = fleet.caller()
+        await caller.send("/stream/a")
+        await until(lambda: fleet.arrivals == 1)
+        await caller.close()
+        await until(
+            lambda: sum(e.closed for e in fleet.engines.values()) == 1, timeout_s=0.5
+        )
+
+
+class TestStore:
+    async def test_a_newer_configuration_is_followed(self, fleet: Fleet) -> None:
+        value = configuration(2)
+        value["routes"].append(route("late", "idempotent", "app"))
+        fleet.store.put("op", "config", value)
+        await until(lambda: fleet.gateways[0].beliefs.table.version == 2, 1.0)
+        assert (await fleet.caller().ask("/late/a")).status == 200
+
+    async def test_versions_never_go_back(self, fleet: Fleet) -> None:
+        fleet.store.put("op", "config", configuration(5))
+        await until(lambda: fleet.gateways[0].beliefs.table.version == 5)
+        fleet.store.put("op", "config", configuration(4))
+        await trio.sleep(0.1)
+        assert fleet.gateways[0].beliefs.table.version == 5
+
+    async def test_history_that_is_gone_is_read_anew(self, fleet: Fleet) -> None:
+        fleet.store.put("op", "config", configuration(7))
+        fleet.store.compact()
+        await until(lambda: fleet.gateways[0].beliefs.table.version == 7)
+
+    @pytest.mark.parametrize("how", ["status", "silent"])
+    async def test_a_turned_away_instance_learns_from_its_peer(
+        self, fleet: Fleet, how: str
+    ) -> None:
+        """The store serves one instance and turns the other away."""
+        from tests.platform.standins import StoreStandin
+
+        far = StoreStandin()
+        await fleet.nursery.start(far.run)
+        near = fleet.store
+        far.rows, far.version = dict(near.rows), near.version
+        fleet.store = far
+        other = await fleet.add_gateway("g-2")
+        await until(lambda: other.is_ready)
+        fleet.store = near
+        far.status = 503 if how == "status" else 200
+        far.silent = how == "silent"
+        first = fleet.gateways[0]
+        other.totals.add_peers([first.totals.own])
+        await until(lambda: first.totals.instances == 2)
+        near.version = max(near.version, far.version) + 10
+        near.put("op", "config", configuration(9))
+        await until(lambda: other.beliefs.table.version == 9, 2.0)
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"\xff\xfe",
+            b"[]",
+            b"{}",
+            {"service": "app", "address": "nowhere", "zone": "z", "slots": 1},
+            {"service": 5, "address": "127.0.0.1:1", "state": "ready"},
+        ],
+        ids=["bytes", "list", "empty", "address", "type"],
+    )
+    async def test_unreadable_entries_are_left_out(
+        self, fleet: Fleet, value: object
+    ) -> None:
+        fleet.store.put("servers", "odd", value)
+        await fleet.add_engine("e-9")
+        beliefs = fleet.gateways[0].beliefs
+        await until(lambda: beliefs.state("e-9") is not None)
+        assert beliefs.state("odd") is None
+        assert len(beliefs.states_of("app")) == 3
+
+    async def test_a_leaving_engine_gets_nothing_more(self, fleet: Fleet) -> None:
+        engine = fleet.engines["e-0"]
+        fleet.store.put("servers", "e-0", engine.entry("app", state="draining"))
+        beliefs = fleet.gateways[0].beliefs
+        await until(lambda: len(beliefs.states_of("app")) == 1)
+        for i in range(4):
+            await fleet.caller().ask("/safe/a", request_id=f"r-{i}")
+        assert not engine.arrivals
+
+    async def test_an_evacuated_domain_gets_nothing_until_it_is_back(
+        self, fleet: Fleet
+    ) -> None:
+        away = await fleet.add_engine("e-far", zone="zone-b")
+        beliefs = fleet.gateways[0].beliefs
+        await until(lambda: len(beliefs.states_of("app")) == 3)
+        fleet.store.put("op", "evacuate/zone-b", {})
+        await until(lambda: len(beliefs.states_of("app")) == 2)
+        for i in range(6):
+            await fleet.caller().ask("/safe/a", request_id=f"r-{i}")
+        assert not away.arrivals
+        fleet.store.drop("op", "evacuate/zone-b")
+        await until(lambda: len(beliefs.states_of("app")) == 3)
+
+    async def test_what_was_believed_holds_while_the_store_is_away(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.store.status = 503
+        fleet.store.compact()
+        await until(lambda: not fleet.gateways[0].beliefs.store_available)
+        assert (await fleet.caller().ask("/safe/a")).status == 200
+
+    async def test_entries_that_lapsed_with_the_store_get_time_to_return(
+        self, fleet: Fleet
+    ) -> None:
+        beliefs = fleet.gateways[0].beliefs
+        fleet.store.status = 503
+        fleet.store.compact()
+        await until(lambda: not beliefs.store_available)
+        for name in list(fleet.engines):
+            fleet.store.drop("servers", name)
+        fleet.store.compact()
+        fleet.store.status = 200
+        await until(lambda: beliefs.store_available)
+        await trio.sleep(0.3)
+        assert len(beliefs.states_of("app")) == 2
+        fleet.store.put("servers", "e-0", fleet.engines["e-0"].entry("app"))
+        await until(
+            lambda: [s.server.id for s in beliefs.states_of("app")] == ["e-0"], 4.0
+        )
+
+    async def test_a_cold_engine_gets_little(self, fleet: Fleet) -> None:
+        for name, engine in fleet.engines.items():
+            fleet.store.put(
+                "servers", name, engine.entry("app", born=2, coldRemainingMs=3000)
+            )
+        beliefs = fleet.gateways[0].beliefs
+        await until(lambda: all(s.cold_until_s > 0 for s in beliefs.states_of("app")))
+        before = fleet.arrivals
+        async with trio.open_nursery() as nursery:
+            for i in range(60):
+
+                async def ask(i: int = i) -> None:
+                    await fleet.caller().ask("/safe/a", request_id=f"r-{i}")
+
+                nursery.start_soon(ask)
+            await trio.sleep(1.0)
+            for engine in fleet.engines.values():
+                assert len(engine.arrivals) <= 5.0 * 1.5 + 5.0
+            assert fleet.arrivals > before
+            nursery.cancel_scope.cancel()
+
+
+class TestStop:
+    async def test_a_stopping_instance_says_so_and_serves(self, fleet: Fleet) -> None:
+        gateway = fleet.gateways[0]
+        script_all(fleet, stream_of(1, 200))
+        caller = fleet.caller()
+        await caller.send("/stream/a")
+        await until(lambda: fleet.arrivals == 1)
+        gateway.stopping.set()
+        fleet.nursery.start_soon(gateway._drain)
+        assert not gateway.is_ready
+        other = await fleet.caller().ask("/once/b", request_id="r-2")
+        assert (other.status, other.headers["connection"]) == (200, "close")
+        with trio.fail_after(5):
+            answer = await caller.answer()
+        assert answer.complete
+        assert answer.body.endswith(event(200))
