--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -297,6 +297,9 @@
             uncached_tokens=int(placed.uncached_tokens),
             expected_first_s=round(placed.first_s, 3),
             running=placed.state.running,
+            kept_tokens=call.work.prompt_tokens - int(placed.uncached_tokens),
+            shared_tokens=call.work.shared_tokens,
+            left_s=round(left_s, 3),
             send=call.sends,
         )
         call.sends += 1
