Refuse beyond what can be on time, and let callers who came back wait

Change: a first attempt that can't be on time is refused at once and told to come back in the later part of its time; one that came back may wait longer and goes before late ones. The expected wait counts what waits at all instances. Lateness of a choice counts the wait for that engine. The test of refusals said that half of the time to the deadline may be waited, which no longer is the rule; both rules now have their table.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -49,11 +49,14 @@
         For logs and the answer.
     status : int
         Status of the server's answer; 0 without one.
+    first_s : float
+        From the send to the first event of a stream; 0 without one.
     """
 
     outcome: Outcome
     detail: str = ""
     status: int = 0
+    first_s: float = 0.0
 
 
 @attrs.frozen
@@ -176,7 +179,7 @@
                 self.placed.note_answer()
         if status >= 500:
             self.placed.end(True)
-        return Sent(Outcome.DONE, status=status)
+        return Sent(Outcome.DONE, status=status, first_s=self.placed.measured_first_s)
 
     def _fault_of(self, status: int, facts: AnswerFacts) -> str:
         if facts.request_id is not None and facts.request_id != self.facts.request_id:
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -56,6 +56,7 @@
 FIRST_PATIENCE_S = 2.0  # callers leave a stream after the longest of this,
 FIRST_PATIENCE_TARGETS = 4.0  # so many times its target latency,
 FIRST_PATIENCE_GAPS = 8.0  # and so many times its longest pause
+RETURNED_PART = 0.8  # of the longest time that callers of a route state at first
 PATIENCE_DEFAULT_S = 60.0  # of a caller that doesn't say; the route bounds it anyway
 
 ANSWERED = counter("teaseldyke_answers_total", "Final answers, by route and status.")
@@ -156,6 +157,7 @@
         self._wire = wire
         self._bounds = bounds
         self._fleet = fleet
+        self._longest_patience_s: dict[str, float] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
     async def handle(self, request: Request) -> None:
@@ -189,7 +191,13 @@
         organisation = organisation_of(table, route, facts)
         body = await request.read_body(table.bounds.body_bytes)
         service = pick_service(table, route)
-        work = work_of(facts, route, organisation, arrived_at_s)
+        work = work_of(
+            facts,
+            route,
+            organisation,
+            arrived_at_s,
+            returned=self._has_returned(route, facts),
+        )
         is_stream = route.kind is RouteKind.STREAMING
         self._check_time_left(work, is_stream)
         call = Call(
@@ -209,6 +217,15 @@
         finally:
             self.streams -= is_stream
 
+    def _has_returned(self, route: Route, facts: CallFacts) -> bool:
+        """Return whether a caller has clearly less time than those that begin."""
+        patience_s = facts.patience_s
+        if patience_s is None:
+            return False
+        longest_s = max(patience_s, self._longest_patience_s.get(route.name, 0.0))
+        self._longest_patience_s[route.name] = longest_s
+        return patience_s < RETURNED_PART * longest_s
+
     def _check_time_left(self, work: Work, is_stream: bool) -> None:
         """Raise `Stopping` if the process ends before the answer could be whole."""
         left_s = self.ends_at_s - boot_time_s()
@@ -385,6 +402,7 @@
             id=call.text_id,
             status=sent.status,
             after_s=elapsed_s,
+            first_s=round(sent.first_s, 3),
             sends=call.sends,
         )
 
@@ -455,6 +473,8 @@
     route: Route,
     organisation: KeyedOrganisation | None,
     arrived_at_s: float,
+    *,
+    returned: bool,
 ) -> Work:
     """Return what a request asks of a backend server."""
     patience_s = facts.patience_s
@@ -467,11 +487,12 @@
     return Work(
         organisation=organisation.name if organisation else "",
         arrived_at_s=arrived_at_s,
-        on_time_until_s=arrived_at_s + route.target_latency_s,
+        on_time_until_s=arrived_at_s + (0.0 if returned else route.target_latency_s),
         first_due_s=min(deadline_at_s, arrived_at_s + first_patience_s(route)),
         deadline_at_s=deadline_at_s,
         prompt_tokens=facts.prompt_tokens,
         output_tokens=facts.output_tokens,
         parts=facts.parts,
         priority=priority,
+        returned=returned,
     )
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -57,6 +57,11 @@
         Prompt tokens that the engine is expected to read.
     first_s : float
         Expected time to the first event.
+
+    Attributes
+    ----------
+    measured_first_s : float
+        The same as measured; 0 before.
     """
 
     state: ServerState
@@ -66,6 +71,7 @@
     sent_at_s: float
     _on_change: Callable[[str], None]
     _ahead_tokens: float = 0.0
+    measured_first_s: float = 0.0
     _reading: bool = True
     _open: bool = True
 
@@ -74,6 +80,7 @@
         if not self._reading:
             return
         first_s = boot_time_s() - self.sent_at_s
+        self.measured_first_s = first_s
         tokens = self._ahead_tokens + self.uncached_tokens
         if first_s > LEAST_FIRST_S and tokens > 2000.0:
             self.state.note_rate(tokens / first_s)
@@ -239,10 +246,16 @@
             state.rate_tokens_per_s
             for state in self._beliefs.states_of(service.name)
             if not state.is_out(now_s)
-        ) / max(1, self._fleet.instances)
+        )
         if rate <= 0.0:
             return 0.0
-        return line.tokens_ahead(work, self.standings, now_s) / rate
+        ahead_tokens = line.tokens_ahead(work, self.standings, now_s)
+        if ahead_tokens <= 0.0:
+            return 0.0
+        # Instances get engines' room in proportion to what waits at them.
+        own = sum(line.waiting_tokens().values())
+        foreign = sum(self.standings.foreign_waiting.values())
+        return ahead_tokens * (own + foreign) / own / rate
 
     def _refuse_hopeless(
         self,
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -118,24 +118,19 @@
         limit_s = queue_max_s
         if cached >= work.shared_tokens > 0 and not over_share:
             limit_s = max(limit_s, HOME_QUEUE_PART * slack_s)
-        wait_s = max(0.0, state.pending_tokens / rate - limit_s)
-        if state.awaited_tokens > 0.0:
-            wait_s += state.awaited_tokens / rate
-        if is_full:
-            wait_s = max(wait_s, FULL_WAIT_S)
+        must_wait = is_full or state.pending_tokens > limit_s * rate
         uncached = float(work.prompt_tokens - cached)
         first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
-        first_s += RUNNING_S * state.running
+        first_s += RUNNING_S * state.running + state.awaited_tokens / rate
+        if is_full:
+            first_s += FULL_WAIT_S
         cost_s = first_s + REREAD_S * uncached
         if first_s > ON_TIME_PART * slack_s:
             cost_s += LATE_S * work.cost_tokens
-        if is_full:
-            cost_s += FULL_WAIT_S
-        cost_s += state.awaited_tokens / rate
         if cost_s >= best_cost_s:
             continue
         best_cost_s = cost_s
-        if wait_s > 0.0:
+        if must_wait or state.awaited_tokens > 0.0:
             best = Choice(
                 None, uncached, first_s, state, "waits for the engine that costs least"
             )
--- a/libs/placement/src/teaseldyke/placement/refusal.py
+++ b/libs/placement/src/teaseldyke/placement/refusal.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from .work import Work
 
-WAIT_PART_MAX = 0.5  # of the time to the first event that may be spent waiting
+WAIT_PART_MAX = 0.5  # of the time to the first event, for callers that came back
 TOKEN_S = 0.012  # for one generated token at a full batch
-RETURN_PART_MAX = 0.33  # callers come back within this part of the time they have
+RETURN_PART_MAX = 1 / 3  # callers come back within this part of the time they have
 RETURN_MIN_S = 0.1  # a shorter pause meets the same load
 SPREAD = 0.5  # part of the pause by which returns are spread
 
@@ -43,6 +45,10 @@
 ) -> Refusal | None:
     """Return the refusal of a request that can't be served in time, if it can't.
 
+    Beyond what the engines produce, each request that is served late takes the place
+    of one that would be on time. Who is refused is told at once and comes back when
+    the burst may be over; who came back may wait longer and is not told so again.
+
     Parameters
     ----------
     expected_wait_s : float
@@ -53,7 +59,11 @@
     left_s = work.deadline_at_s - now_s
     if left_s <= 0.0:
         return Refusal("deadline passed", RETURN_MIN_S)
-    if expected_wait_s <= WAIT_PART_MAX * (work.first_due_s - now_s):
+    if work.returned:
+        longest_s = WAIT_PART_MAX * (work.first_due_s - now_s)
+    else:
+        longest_s = work.on_time_until_s - now_s
+    if expected_wait_s <= longest_s:
         return None
     return Refusal(
         "expected wait exceeds the time left",
@@ -64,13 +74,17 @@
 def return_pause_s(expected_wait_s: float, left_s: float, spread: float) -> float:
     """Return when a caller should come back.
 
+    A burst lasts longer than the wait that it causes, so callers are spread over the
+    later part of the time in which they may come back.
+
     Examples
     --------
     >>> return_pause_s(0.4, 9.0, 0.0)
-    0.4
-    >>> return_pause_s(60.0, 9.0, 0.0)
-    2.97
+    1.5
+    >>> return_pause_s(0.4, 9.0, 1.0)
+    3.0
     """
-    longest_s = RETURN_PART_MAX * left_s
-    pause_s = max(RETURN_MIN_S, expected_wait_s * (1.0 + SPREAD * spread))
-    return round(max(RETURN_MIN_S, min(pause_s, longest_s)), 3)
+    longest_s = left_s * RETURN_PART_MAX
+    pause_s = longest_s * (1.0 - SPREAD * (1.0 - spread))
+    pause_s = max(RETURN_MIN_S, min(expected_wait_s, longest_s), pause_s)
+    return math.floor(pause_s * 1000.0) / 1000.0
--- a/libs/placement/src/teaseldyke/placement/waiting.py
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -15,7 +15,8 @@
 from .work import Work
 
 T = TypeVar("T")
-LATE_TURN = 4  # one in so many turns goes to late requests, so that none starves
+FIRST_S = 0.1  # from a send to the first event, at least
+LATE_TURN = 8  # one in so many turns goes to late requests, so that none starves
 
 
 @attrs.define(eq=False)
@@ -31,7 +32,8 @@
     """Requests of one service that wait in this router.
 
     Organisations under their fair share go first, then those that got least; within
-    an organisation, requests that can still be on time go by the end of that time.
+    an organisation, requests that can still be on time go by the end of that time,
+    then those whose caller came back, then late ones.
     """
 
     _waiters: dict[str, list[Waiter[T]]] = attrs.field(factory=dict, init=False)
@@ -61,13 +63,18 @@
         }
 
     def tokens_ahead(self, work: Work, standings: Standings, now_s: float) -> float:
-        """Return the prompt tokens that would be tried before a new request."""
+        """Return the prompt tokens that would be tried before a new request.
+
+        Late requests of other callers go after one that can still be on time.
+        """
         tokens = 0.0
         own_turn = _turn(work.organisation, standings, now_s)
         for name, waiters in self._waiters.items():
             if _turn(name, standings, now_s) > own_turn:
                 continue
-            tokens += sum(waiter.work.prompt_tokens for waiter in waiters)
+            for waiter in waiters:
+                if work.returned or not is_late(waiter.work, now_s):
+                    tokens += waiter.work.prompt_tokens
         return tokens
 
     def in_order(self, standings: Standings, now_s: float) -> Iterator[Waiter[T]]:
@@ -87,6 +94,14 @@
     return standings.is_over(name, now_s), standings.usage(name, now_s)
 
 
-def _rank(work: Work, now_s: float, late_first: bool) -> tuple[int, bool, float]:
-    is_late = now_s > work.on_time_until_s
-    return work.priority, is_late is not late_first, work.on_time_until_s
+def is_late(work: Work, now_s: float) -> bool:
+    """Return whether a request can no longer be on time."""
+    return now_s + FIRST_S > work.on_time_until_s
+
+
+def _rank(work: Work, now_s: float, late_first: bool) -> tuple[int, int, float]:
+    if not is_late(work, now_s):
+        return work.priority, 1, work.on_time_until_s
+    if work.returned:
+        return work.priority, 0 if late_first else 2, work.on_time_until_s
+    return work.priority, 0 if late_first else 3, work.on_time_until_s
--- a/libs/placement/src/teaseldyke/placement/work.py
+++ b/libs/placement/src/teaseldyke/placement/work.py
@@ -31,6 +31,8 @@
         The prompt's parts in their order, with their tokens.
     priority : int
         Rank, 0 the highest.
+    returned : bool
+        Whether its caller was told before to come back, and did.
     """
 
     organisation: str
@@ -42,6 +44,7 @@
     output_tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
     priority: int = 0
+    returned: bool = False
 
     @property
     def cost_tokens(self) -> float:
--- a/libs/placement/tests/test_refusal.py
+++ b/libs/placement/tests/test_refusal.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import attrs
 import pytest
 
 from teaseldyke.placement import Work, refusal_of, return_pause_s
@@ -11,16 +12,25 @@
 
 @pytest.mark.parametrize(
     ("expected_wait_s", "now_s", "refused"),
-    [(0.0, 0.0, False), (4.0, 0.0, False), (6.0, 0.0, True), (0.0, 11.0, True)],
-    ids=["no-wait", "wait-fits", "wait-too-long", "deadline-passed"],
+    [(0.0, 0.0, False), (0.9, 0.0, False), (1.1, 0.0, True), (0.0, 11.0, True)],
+    ids=["no-wait", "on-time", "late", "deadline-passed"],
 )
-def test_only_hopeless_requests_are_refused(
+def test_a_burst_is_refused_beyond_what_can_be_on_time(
     make_work: MakeWork, expected_wait_s: float, now_s: float, refused: bool
 ) -> None:
-    refusal = refusal_of(make_work(deadline_s=10.0), expected_wait_s, now_s, 0.5)
+    work = make_work(on_time_s=1.0, deadline_s=10.0)
+    refusal = refusal_of(work, expected_wait_s, now_s, 0.5)
     assert (refusal is not None) is refused
 
 
+@pytest.mark.parametrize(("expected_wait_s", "refused"), [(4.0, False), (6.0, True)])
+def test_who_came_back_may_wait_longer(
+    make_work: MakeWork, expected_wait_s: float, refused: bool
+) -> None:
+    work = attrs.evolve(make_work(deadline_s=10.0), returned=True)
+    assert (refusal_of(work, expected_wait_s, 0.0, 0.5) is not None) is refused
+
+
 @pytest.mark.parametrize("left_s", [0.5, 3.0, 12.0])
 @pytest.mark.parametrize("expected_wait_s", [0.0, 1.0, 100.0])
 def test_callers_come_back_while_they_still_have_time(
--- a/libs/placement/tests/test_waiting.py
+++ b/libs/placement/tests/test_waiting.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from teaseldyke.placement import Standings, Waiter, WaitingLine, Work
 
 MakeWork = Callable[..., Work]
@@ -36,9 +38,19 @@
         line: WaitingLine[str] = WaitingLine()
         line.add(Waiter(make_work(arrived_at_s=0.0), "late"))
         line.add(Waiter(make_work(arrived_at_s=2.0), "soon"))
-        firsts = [order(line, Standings(), 2.1)[0] for _ in range(8)]
+        firsts = [order(line, Standings(), 2.1)[0] for _ in range(16)]
         assert firsts.count("late") == 2
 
+    def test_who_came_back_goes_before_the_late(self, make_work: MakeWork) -> None:
+        line: WaitingLine[str] = WaitingLine()
+        line.add(Waiter(make_work(arrived_at_s=0.0), "late"))
+        came_back = attrs.evolve(
+            make_work(arrived_at_s=1.0, on_time_s=0.0), returned=True
+        )
+        line.add(Waiter(came_back, "came back"))
+        line.add(Waiter(make_work(arrived_at_s=2.0), "on time"))
+        assert order(line, Standings(), 2.1) == ["on time", "came back", "late"]
+
     def test_tokens_ahead_leave_out_what_goes_later(self, make_work: MakeWork) -> None:
         line: WaitingLine[str] = WaitingLine()
         standings = Standings(tokens_per_s=1000.0)
