Send a broken stream on before new requests

New test, failed first.

Change: without a wait nobody is refused; a request whose send failed goes before new ones.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -56,6 +56,7 @@
 FIRST_PATIENCE_S = 2.0  # callers leave a stream after the longest of this,
 FIRST_PATIENCE_TARGETS = 4.0  # so many times its target latency,
 FIRST_PATIENCE_GAPS = 8.0  # and so many times its longest pause
+RESEND_S = 0.3  # in which a request whose send failed should be sent again
 RETURNED_PART = 0.8  # of the longest time that callers of a route state at first
 PATIENCE_DEFAULT_S = 60.0  # of a caller that doesn't say; the route bounds it anyway
 
@@ -279,6 +280,7 @@
                 return
             call.ended = sent.detail
             self._settle(call, sent, budget)
+            call.work = work_after_break(call.work, call.route, boot_time_s())
             RESENT.bind(cause=sent.outcome.value).add()
 
     async def _send(self, call: Call) -> Sent:
@@ -457,6 +459,20 @@
     return table.services[name]
 
 
+def work_after_break(work: Work, route: Route, now_s: float) -> Work:
+    """Return what a request asks once a send has failed.
+
+    It goes before new ones: its caller has waited or has a part of its answer, and
+    leaves after the same pause as at the start.
+    """
+    return attrs.evolve(
+        work,
+        on_time_until_s=max(work.on_time_until_s, now_s + RESEND_S),
+        first_due_s=min(work.deadline_at_s, now_s + first_patience_s(route)),
+        returned=True,
+    )
+
+
 def first_patience_s(route: Route) -> float:
     """Return how long a caller waits for the first byte of its answer."""
     if route.kind is not RouteKind.STREAMING:
--- a/libs/placement/src/teaseldyke/placement/refusal.py
+++ b/libs/placement/src/teaseldyke/placement/refusal.py
@@ -63,7 +63,7 @@
         longest_s = WAIT_PART_MAX * (work.first_due_s - now_s)
     else:
         longest_s = work.on_time_until_s - now_s
-    if expected_wait_s <= longest_s:
+    if expected_wait_s <= max(0.0, longest_s):
         return None
     return Refusal(
         "expected wait exceeds the time left",
--- a/libs/placement/tests/test_refusal.py
+++ b/libs/placement/tests/test_refusal.py
@@ -23,6 +23,12 @@
     assert (refusal is not None) is refused
 
 
+def test_nobody_is_refused_where_nothing_waits(make_work: MakeWork) -> None:
+    """A stream that broke after its target time goes on elsewhere."""
+    work = make_work(on_time_s=1.0, deadline_s=10.0)
+    assert refusal_of(work, 0.0, 5.0, 0.5) is None
+
+
 @pytest.mark.parametrize(("expected_wait_s", "refused"), [(4.0, False), (6.0, True)])
 def test_who_came_back_may_wait_longer(
     make_work: MakeWork, expected_wait_s: float, refused: bool
