Let a spilled request's engine copy the prompt that another keeps

Change: a request that goes elsewhere names the engine that is likely to keep its shared parts. The choice weighs a copy like reading anew.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -14,7 +14,13 @@
     CallerGone,
     Request,
 )
-from teaseldyke.placement import RetryBudget, Work, return_pause_s, service_time_s
+from teaseldyke.placement import (
+    RetryBudget,
+    ServerState,
+    Work,
+    return_pause_s,
+    service_time_s,
+)
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
@@ -305,6 +311,7 @@
             server_id=server_id,
             organisation=call.organisation.name if call.organisation else None,
             resumes_after=resumed_after,
+            copy_from=address_of(placed.copy_from),
         )
         log_decision(
             "sent",
@@ -316,6 +323,7 @@
             uncached_tokens=int(placed.uncached_tokens),
             expected_first_s=round(placed.first_s, 3),
             running=placed.state.running,
+            copy_from=placed.copy_from.server.id if placed.copy_from else None,
             kept_tokens=call.work.prompt_tokens - int(placed.uncached_tokens),
             shared_tokens=call.work.shared_tokens,
             left_s=round(left_s, 3),
@@ -439,6 +447,11 @@
         await request.respond(error.status, body, headers)
 
 
+def address_of(state: ServerState | None) -> str | None:
+    """Return the address of a backend server."""
+    return None if state is None else f"{state.server.host}:{state.server.port}"
+
+
 def organisation_of(
     table: RoutingTable, route: Route, facts: CallFacts
 ) -> KeyedOrganisation | None:
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -99,8 +99,15 @@
         server_id: str,
         organisation: str | None,
         resumes_after: int | None,
+        copy_from: str | None,
     ) -> OutgoingRequest:
-        """Return the request as a backend server gets it."""
+        """Return the request as a backend server gets it.
+
+        Parameters
+        ----------
+        copy_from : str or None
+            Address of an engine that is likely to keep shared parts of the prompt.
+        """
         ...
 
     def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -57,6 +57,8 @@
         Prompt tokens that the engine is expected to read.
     first_s : float
         Expected time to the first event.
+    copy_from : ServerState or None
+        Engine from which it may copy the shared parts of its prompt.
 
     Attributes
     ----------
@@ -68,6 +70,7 @@
     work: Work
     uncached_tokens: float
     first_s: float
+    copy_from: ServerState | None
     sent_at_s: float
     _on_change: Callable[[str], None]
     _ahead_tokens: float = 0.0
@@ -357,6 +360,7 @@
             work,
             choice.uncached_tokens,
             choice.first_s,
+            choice.copy_from,
             now_s,
             self.wake,
             state.pending_tokens,
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -24,6 +24,8 @@
 MEMORY_MARGIN = 0.9  # part of the engine's memory; preempted requests are read again
 HOME_QUEUE_PART = 0.4  # of the time left to be on time, queued where the prompt is kept
 REREAD_S = 1e-3  # a shared token that is read again, in seconds of waiting
+COPY_PART = 1.0  # of reading a token again; a copy takes memory from other prompts
+COPY_SETUP_S = 0.005  # before engines copy memory, some ms
 LATE_S = 4e-4  # being late, for each token of the request's cost
 ON_TIME_PART = 0.8  # of the time left; expectations err by about a fifth
 FULL_WAIT_S = 0.2  # until an engine without a free slot or memory has one
@@ -44,6 +46,9 @@
         Prompt tokens that the engine will read.
     first_s : float
         Expected time to the first event.
+    copy_from : ServerState or None
+        Engine that is likely to keep the shared parts of the prompt, if the chosen
+        one doesn't.
     awaited : ServerState or None
         Which server the request waits for, if it does.
     reason : str
@@ -53,6 +58,7 @@
     state: ServerState | None
     uncached_tokens: float = 0.0
     first_s: float = 0.0
+    copy_from: ServerState | None = None
     awaited: ServerState | None = None
     reason: str = ""
 
@@ -98,6 +104,9 @@
         return Choice(None, reason="no engine")
     home = max(candidates, key=lambda state: weight(work.subject, state.server.id))
     queue_max_s = OVER_SHARE_QUEUE_MAX_S if over_share else QUEUE_MAX_S
+    source = None
+    if service.memory_link_bytes_per_s > 0.0 and not home.is_out(now_s):
+        source = home
     slack_s = max(0.0, work.on_time_until_s - now_s)
     best = Choice(None, reason="engines full")
     best_cost_s = math.inf
@@ -119,12 +128,18 @@
         if cached >= work.shared_tokens > 0 and not over_share:
             limit_s = max(limit_s, HOME_QUEUE_PART * slack_s)
         must_wait = is_full or state.pending_tokens > limit_s * rate
-        uncached = float(work.prompt_tokens - cached)
+        copied = 0
+        if source is not None and source is not state:
+            copied = max(0, work.shared_tokens - cached)
+        uncached = float(work.prompt_tokens - cached - copied)
         first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
         first_s += RUNNING_S * state.running + state.awaited_tokens / rate
         if is_full:
             first_s += FULL_WAIT_S
-        cost_s = first_s + REREAD_S * uncached
+        if copied:
+            first_s += COPY_SETUP_S
+            first_s += copied * service.token_bytes / service.memory_link_bytes_per_s
+        cost_s = first_s + REREAD_S * (uncached + COPY_PART * copied)
         if first_s > ON_TIME_PART * slack_s:
             cost_s += LATE_S * work.cost_tokens
         if cost_s >= best_cost_s:
@@ -132,10 +147,14 @@
         best_cost_s = cost_s
         if must_wait or state.awaited_tokens > 0.0:
             best = Choice(
-                None, uncached, first_s, state, "waits for the engine that costs least"
+                None,
+                uncached,
+                first_s,
+                awaited=state,
+                reason="waits for the engine that costs least",
             )
             continue
-        best = Choice(state, uncached, first_s)
+        best = Choice(state, uncached, first_s, source if copied else None)
     return best
 
 
--- a/libs/placement/tests/test_choice.py
+++ b/libs/placement/tests/test_choice.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import attrs
 import pytest
 
 from teaseldyke.placement import (
@@ -51,6 +52,21 @@
         chosen = choose_engine(states, engines, work, 0.0).state
         assert (chosen is home) is stays
 
+    def test_a_busy_home_is_copied_from(
+        self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
+    ) -> None:
+        """A hot part where engines copy memory: its engine has a backlog."""
+        copying = attrs.evolve(
+            engines, token_bytes=18_432.0, memory_link_bytes_per_s=68.75e9
+        )
+        work = make_work(on_time_s=0.5)
+        home, other = home_first([make_state("a"), make_state("b")], work)
+        assert choose_engine([home, other], copying, work, 0.0).copy_from is None
+        home.foreign.pending_tokens = 60_000.0
+        choice = choose_engine([home, other], copying, work, 0.0)
+        assert (choice.state, choice.copy_from) == (other, home)
+        assert choice.uncached_tokens == work.prompt_tokens - work.shared_tokens
+
     def test_every_instance_finds_the_same_home(
         self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
     ) -> None:
--- a/libs/types/src/teaseldyke/types/routing.py
+++ b/libs/types/src/teaseldyke/types/routing.py
@@ -86,6 +86,10 @@
         Requests that one of its model engines runs at once; 0 for other services.
     memory_tokens : int
         Tokens that one model engine holds; 0 for other services.
+    token_bytes : float
+        Memory of a token in an engine.
+    memory_link_bytes_per_s : float
+        Rate at which engines copy memory from each other; 0 if they don't.
     """
 
     name: str
@@ -94,6 +98,8 @@
     cold_rate_per_s: float = 0.0
     slots: int = 0
     memory_tokens: int = 0
+    token_bytes: float = 0.0
+    memory_link_bytes_per_s: float = 0.0
 
     @property
     def is_engine(self) -> bool:
