--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -172,19 +172,25 @@
         self.running += 1
         arrived_at_s = boot_time_s()
         facts: CallFacts | None = None
+        context: dict[str, object] = {}
         try:
             facts = self._wire.read_call(request.headers)
-            await self._serve(request, facts, arrived_at_s)
+            await self._serve(request, facts, arrived_at_s, context)
         except CallerGone:
             raise
         except TeaseldykeError as exc:
-            await self._refuse(request, facts, exc, arrived_at_s)
+            await self._refuse(request, facts, exc, arrived_at_s, context)
         finally:
             self.running -= 1
 
     async def _serve(
-        self, request: Request, facts: CallFacts, arrived_at_s: float
+        self,
+        request: Request,
+        facts: CallFacts,
+        arrived_at_s: float,
+        context: dict[str, object],
     ) -> None:
+        """Serve a request, and note what was found out of it for the log."""
         table = self._beliefs.table
         if table is None:
             raise NotConfigured(
@@ -195,7 +201,10 @@
             raise RouteUnknown(
                 f"no route of version {table.version} matches host and path"
             )
+        context["route"] = route.name
+        context["version"] = table.version
         organisation = organisation_of(table, route, facts)
+        context["organisation"] = organisation.name if organisation else None
         body = await request.read_body(table.bounds.body_bytes)
         service = pick_service(table, route)
         work = work_of(
@@ -318,6 +327,7 @@
             id=call.text_id,
             server=server_id,
             route=call.route.name,
+            organisation=call.organisation.name if call.organisation else None,
             version=call.version,
             waited_s=round(now_s - call.work.arrived_at_s, 4),
             uncached_tokens=int(placed.uncached_tokens),
@@ -426,6 +436,7 @@
         facts: CallFacts | None,
         error: TeaseldykeError,
         arrived_at_s: float,
+        context: dict[str, object],
     ) -> None:
         request_id = facts.request_id if facts else None
         log_decision(
@@ -437,6 +448,7 @@
             retry_after_s=error.retry_after_s,
             after_s=round(boot_time_s() - arrived_at_s, 4),
             cut=request.response_started,
+            **context,
         )
         ANSWERED.bind(route="", status=str(error.status)).add()
         if request.response_started:
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -36,7 +36,7 @@
 PUMP_PAUSE_S = 0.004  # between two looks at what waits; bounds their processor time
 NO_SERVER_PAUSE_S = 1.0  # in which an entry of a new server may appear
 FULL_PAUSE_S = 0.05  # a server that had no room is not tried again before
-FIRST_MIN_S = 0.1  # an engine takes so long at least to a first event
+FIRST_MIN_S = 0.2  # from a send to a first event at a loaded engine, at least
 LEAST_FIRST_S = 0.02  # below it, a time to the first event says nothing of a rate
 
 WAITED = histogram("teaseldyke_wait_seconds", "Time from arrival to the send.")
@@ -379,4 +379,4 @@
 def last_send_s(work: Work, now_s: float) -> float:
     """Return until when a send of a request may still bring its whole answer."""
     whole_s = min(service_time_s(work), 0.5 * (work.deadline_at_s - now_s))
-    return min(work.deadline_at_s - whole_s, work.first_due_s - FIRST_MIN_S)
+    return min(work.deadline_at_s - whole_s, work.first_due_s) - FIRST_MIN_S
