--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -167,6 +167,14 @@
         self._longest_patience_s: dict[str, float] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
+    def put_in_force(self, bounds: FleetBounds) -> None:
+        """Replace the bounds of the whole fleet."""
+        self._bounds = bounds
+        for budget in self._budgets.values():
+            budget.ratio = bounds.retry_ratio
+            budget.slack = bounds.retry_slack
+            budget.window_s = bounds.retry_window_s
+
     async def handle(self, request: Request) -> None:
         """Answer one request."""
         self.running += 1
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -158,7 +158,7 @@
         self.standings = standings
         self._beliefs = beliefs
         self._fleet = fleet
-        self._bounds = bounds
+        self.bounds = bounds
         self._failure_domain = failure_domain
         self._lines: dict[str, WaitingLine[_Ticket]] = {}
         self._changed = trio.Event()
@@ -340,7 +340,7 @@
         )
 
     def _cold_senders(self, state: ServerState) -> int:
-        bounds = self._bounds
+        bounds = self.bounds
         return cold_senders(
             state.cold.rate_per_s, bounds.cold_factor, bounds.cold_slack
         )
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -19,7 +19,7 @@
 from teaseldyke.settings import Address
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import Timers, boot_time_s
-from teaseldyke.types import PlatformUnavailable, TeaseldykeError
+from teaseldyke.types import PlatformUnavailable, SettingsError, TeaseldykeError
 
 from .beliefs import FleetBeliefs
 from .calls import CallHandler
@@ -55,11 +55,14 @@
         Formats of requests and answers.
     make_directory : callable
         Returns the follower of the platform's store.
+    load_settings : callable
+        Reads the settings anew; raises `SettingsError`.
     """
 
     settings: GatewaySettings
     wire: Wire
     make_directory: DirectoryFactory
+    load_settings: Callable[[], GatewaySettings]
     stopping: trio.Event = attrs.field(factory=trio.Event, init=False)
     closing: trio.Event = attrs.field(factory=trio.Event, init=False)
     beliefs: FleetBeliefs = attrs.field(init=False)
@@ -175,7 +178,7 @@
         ) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    log_decision("reload_asked", applied="at the next start")
+                    self.reload()
                     continue
                 if self.stopping.is_set():
                     nursery.cancel_scope.cancel()
@@ -186,6 +189,21 @@
                 nursery.start_soon(self._end_at_deadline, nursery)
                 nursery.start_soon(self._withdraw)
 
+    def reload(self) -> None:
+        """Read the settings anew and put the fleet's bounds in force.
+
+        Addresses and names stay as they are until the process starts again.
+        """
+        try:
+            settings = self.load_settings()
+        except SettingsError as exc:
+            log_decision("reload_failed", reason=exc.detail)
+            return
+        self.settings = settings
+        self.placing.bounds = settings.bounds
+        self.calls.put_in_force(settings.bounds)
+        log_decision("reloaded", bounds=attrs.asdict(settings.bounds))
+
     async def _drain(self) -> None:
         """Take connections until the streams have ended.
 
--- /dev/null
+++ b/libs/gateway/tests/test_beliefs.py
@@ -0,0 +1,117 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from teaseldyke.gateway import beliefs as module
+from teaseldyke.gateway.beliefs import FleetBeliefs
+from teaseldyke.types import AnnouncedServer, RoutingTable
+
+MakeServer = Callable[..., AnnouncedServer]
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(module, "boot_time_s", clock)
+    return clock
+
+
+def usable(beliefs: FleetBeliefs) -> list[str]:
+    return sorted(state.server.id for state in beliefs.states_of("app"))
+
+
+class TestServers:
+    def test_a_vanished_server_gets_nothing(
+        self, clock: Clock, beliefs: FleetBeliefs, make_server: MakeServer
+    ) -> None:
+        clock.now_s += 60.0
+        beliefs.apply_servers([make_server("a"), make_server("b")])
+        beliefs.apply_servers([make_server("b")])
+        assert usable(beliefs) == ["b"]
+
+    @pytest.mark.parametrize(("after_s", "expected"), [(1.0, ["a", "b"]), (1.9, ["b"])])
+    def test_entries_that_lapsed_with_the_store_have_time_to_return(
+        self,
+        clock: Clock,
+        beliefs: FleetBeliefs,
+        make_server: MakeServer,
+        after_s: float,
+        expected: list[str],
+    ) -> None:
+        beliefs.apply_servers([make_server("a"), make_server("b")])
+        beliefs.note_store(False, "down")
+        clock.now_s += 5.0
+        beliefs.note_store(True, "back")
+        beliefs.apply_servers([make_server("b")])
+        clock.now_s += after_s
+        beliefs.refresh()
+        assert usable(beliefs) == expected
+
+    def test_a_new_start_under_the_same_id_knows_nothing(
+        self, beliefs: FleetBeliefs, make_server: MakeServer
+    ) -> None:
+        beliefs.apply_servers([make_server("a")])
+        (before,) = beliefs.states_of("app")
+        before.parts["part"] = 1.0
+        beliefs.apply_servers([make_server("a", started=2, cold_for_s=3.0)])
+        (after,) = beliefs.states_of("app")
+        assert after is not before
+        assert not after.parts
+        assert after.is_cold(after.cold_until_s - 1.0)
+
+    def test_a_heartbeat_keeps_what_is_known(
+        self, beliefs: FleetBeliefs, make_server: MakeServer
+    ) -> None:
+        beliefs.apply_servers([make_server("a")])
+        (before,) = beliefs.states_of("app")
+        beliefs.apply_servers([make_server("a", slots=8)])
+        (after,) = beliefs.states_of("app")
+        assert after is before
+        assert after.server.slots == 8
+
+    def test_a_cold_time_without_a_rate_bounds_nothing(
+        self, beliefs: FleetBeliefs, make_server: MakeServer, table: RoutingTable
+    ) -> None:
+        free = attrs.evolve(table.services["app"], cold_rate_per_s=0.0)
+        beliefs.apply_routing(RoutingTable(4, (), (free,), ()))
+        beliefs.apply_servers([make_server("a", cold_for_s=5.0)])
+        (state,) = beliefs.states_of("app")
+        assert not state.is_cold(state.cold_until_s - 1.0)
+
+
+class TestEvacuation:
+    def test_servers_of_the_domain_are_cold_when_it_is_back(
+        self, clock: Clock, beliefs: FleetBeliefs, make_server: MakeServer
+    ) -> None:
+        beliefs.apply_servers([make_server("a"), make_server("b", failure_domain="b")])
+        beliefs.apply_evacuated(frozenset({"b"}))
+        assert usable(beliefs) == ["a"]
+        clock.now_s += 10.0
+        beliefs.apply_evacuated(frozenset())
+        assert usable(beliefs) == ["a", "b"]
+        far = beliefs.state("b")
+        near = beliefs.state("a")
+        assert far is not None
+        assert near is not None
+        assert far.is_cold(clock.now_s + 2.9)
+        assert not near.is_cold(clock.now_s)
+
+
+@pytest.mark.parametrize(("version", "expected"), [(2, 3), (3, 3), (4, 4)])
+def test_versions_never_go_back(
+    beliefs: FleetBeliefs, version: int, expected: int
+) -> None:
+    beliefs.apply_routing(RoutingTable(version, (), (), ()))
+    assert beliefs.table is not None
+    assert beliefs.table.version == expected
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -14,6 +14,9 @@
 RECEIVE_BYTES = 65536  # read at once
 LISTEN_BYTES = 4096  # read at once while only a disconnect is expected
 SENDS_WITHOUT_PAUSE = 16  # then other tasks get a turn
+PROBE_INTERVAL_S = 1  # between keep-alive probes; many round trips of any link
+PROBES = 2  # unanswered ones before the connection is broken
+SILENCE_MS = 2500  # unacknowledged bytes; callers leave a silent stream after 2 s
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, 0 s
 
 
@@ -170,6 +173,19 @@
                 return found
 
 
+def notice_silence(sock: socket.socket) -> None:
+    """Have the system break a connection whose other side has gone silent.
+
+    Without it, a connection that a partition or a lost peer has cut off hangs for as
+    long as nothing is sent, and many minutes after a send.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+
+
 async def open_stream(host: str, port: int) -> TcpStream:
     """Return a connection to an IP number and port; raises `OSError`."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -177,6 +193,7 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
+        notice_silence(sock)
         code = sock.connect_ex((host, port))
         if code == errno.EINPROGRESS:
             await trio.lowlevel.wait_writable(sock)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -184,7 +184,7 @@
         def make_directory(beliefs: Beliefs) -> Directory:
             return StoreDirectory(StoreClient(settings.platform), beliefs)
 
-        gateway = Gateway(settings, HeaderWire(), make_directory)
+        gateway = Gateway(settings, HeaderWire(), make_directory, lambda: settings)
         self.gateways.append(gateway)
         self.nursery.start_soon(gateway.run)
         await until_listening(settings.callers)
