Try a service's only server again at once

Cause: once every server of a service had been tried, a request waited for another one until its deadline and was then refused (new test on loopback, failed first).

Change: servers that were tried are avoided only while there are others. Settings that nothing read are gone; two figures of the choice of a plain server have names.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -205,8 +205,11 @@
         NoServer
             If no backend server may get it.
         """
-        if self._beliefs.servers_known and not self._beliefs.states_of(service.name):
+        states = self._beliefs.states_of(service.name)
+        if self._beliefs.servers_known and not states:
             raise self._no_server(service, work)
+        if all(state.server.id in avoid for state in states):
+            avoid = frozenset()  # a server that failed once is better than none
         line = self._lines.setdefault(service.name, WaitingLine())
         now_s = boot_time_s()
         if not len(line):
--- a/libs/gateway/src/teaseldyke/gateway/settings.py
+++ b/libs/gateway/src/teaseldyke/gateway/settings.py
@@ -54,10 +54,6 @@
         The platform's store.
     bounds : FleetBounds
         Bounds of the whole fleet.
-    first_peers : str
-        Addresses at which other instances may be found, joined by commas.
-    memory_mb : int
-        Memory of the instance.
     connections_max : int
         Callers' connections held at once.
     log_lines_per_s : float
@@ -72,7 +68,5 @@
     metrics: Address
     platform: Address
     bounds: FleetBounds
-    first_peers: str = ""
-    memory_mb: int = 128
     connections_max: int = 2000
     log_lines_per_s: float = 200.0
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -31,6 +31,8 @@
 FULL_WAIT_S = 0.2  # until an engine without a free slot or memory has one
 RUNNING_S = 0.002  # added to the first token by each running request
 FIRST_TOKEN_S = 0.05  # from the last prompt token to the first event
+PLAIN_LOAD_PART = 0.2  # of its latency, by which a full plain server is slower
+FAR_S = 0.002  # added by another failure domain; a round trip takes about that
 PLAIN_QUEUE_FACTOR = 2.0  # requests at a plain server, in multiples of its slots
 
 
@@ -186,11 +188,10 @@
         if state.is_cold(now_s) and not may_warm(state):
             continue
         rounds = max(1.0, (state.running + 1) / slots)
-        first_s = state.latency_s * rounds + 0.2 * state.latency_s * (
-            state.running / slots
-        )
+        load_part = PLAIN_LOAD_PART * state.running / slots
+        first_s = state.latency_s * (rounds + load_part)
         if state.server.failure_domain != failure_domain:
-            first_s += 0.002
+            first_s += FAR_S
         if best.state is None or first_s < best.first_s:
             best = Choice(state, 0.0, first_s)
     return best
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from tests.platform.conftest import HOST, Fleet, configuration, route, until
+from tests.platform.conftest import HOST, Fleet, configuration, route, running_fleet, until
 from tests.platform.standins import (
     Arrival,
     Script,
@@ -314,6 +314,19 @@
         assert fleet.arrivals == 2
 
 
+class TestOneServer:
+    """A service with a single server: a failed send may only go there again."""
+
+    @pytest.mark.parametrize("script", [reset, answer_with(500), not_run()])
+    async def test_it_is_tried_again_at_once(self, script: Script) -> None:
+        async with running_fleet(engines=1) as fleet:
+            script_all(fleet, script)
+            started_s = trio.current_time()
+            answer = await fleet.caller().ask("/safe/a")
+            assert answer.status == 200
+            assert trio.current_time() - started_s < 0.5
+
+
 class TestConnections:
     async def test_extra_bytes_spoil_only_the_connection(self, fleet: Fleet) -> None:
         script_all(fleet, raw(extra, close=False))
