--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -6,7 +6,6 @@
 import math
 import random
 
-import attrs
 import trio
 
 from teaseldyke.http import (
@@ -16,7 +15,6 @@
 )
 from teaseldyke.placement import (
     RetryBudget,
-    ServerState,
     Work,
     return_pause_s,
     service_time_s,
@@ -24,18 +22,22 @@
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
-    KeyedOrganisation,
     Route,
     RouteKind,
-    RoutingTable,
-    ServiceDescription,
     TeaseldykeError,
 )
 
 from .attempts import PATIENT_S, Attempt, AttemptLimits, Outcome, Sent
 from .beliefs import FleetBeliefs
+from .call import (
+    Call,
+    address_of,
+    organisation_of,
+    pick_service,
+    work_after_break,
+    work_of,
+)
 from .errors import (
-    KeyUnknown,
     NoServer,
     NotConfigured,
     Overloaded,
@@ -53,18 +55,12 @@
 STOPPING_PAUSE_S = 0.1  # another instance may take the request at once
 STREAM_START_S = 1.0  # to the first event, late ones included
 SENDS_MAX = 4  # of one request, those that a server turned away included
-FINAL_MARGIN_S = 0.03  # so that the final answer arrives while the caller waits
 FIRST_EVENT_FACTOR = 3.0  # of the expected time to the first event
 FIRST_EVENT_MIN_S = 0.8  # preemption and long prompts delay a sound engine that long
 PAUSE_MIN_S = 1.0  # between events of a sound engine under its longest prompts
 PLAIN_FIRST_FACTOR = 6.0  # of the measured latency of a plain server
 PLAIN_FIRST_MIN_S = 0.25  # the longest work of one in a hundred requests
-FIRST_PATIENCE_S = 2.0  # callers leave a stream after the longest of this,
-FIRST_PATIENCE_TARGETS = 4.0  # so many times its target latency,
-FIRST_PATIENCE_GAPS = 8.0  # and so many times its longest pause
-RESEND_S = 0.3  # in which a request whose send failed should be sent again
 RETURNED_PART = 0.8  # of the longest time that callers of a route state at first
-PATIENCE_DEFAULT_S = 60.0  # of a caller that doesn't say; the route bounds it anyway
 
 ANSWERED = counter("teaseldyke_answers_total", "Final answers, by route and status.")
 RESENT = counter("teaseldyke_resent_total", "Sends after the first, by cause.")
@@ -72,51 +68,6 @@
 FIRST = histogram("teaseldyke_answer_seconds", "Time from arrival to the end.")
 
 
-@attrs.define(eq=False)
-class Call:
-    """A request on its way.
-
-    Parameters
-    ----------
-    request : Request
-        The caller's.
-    facts : CallFacts
-        Its header.
-    route, service, organisation
-        What the configuration makes of it.
-    body : bytes
-        Whole body.
-    work : Work
-        What it asks of a backend server.
-
-    Attributes
-    ----------
-    ran : int
-        Servers that may have run it.
-    sends : int
-        Servers that it was sent to.
-    """
-
-    request: Request
-    facts: CallFacts
-    route: Route
-    service: ServiceDescription
-    organisation: KeyedOrganisation | None
-    body: bytes
-    work: Work
-    relay: Relay
-    avoid: set[str] = attrs.field(factory=set)
-    ran: int = 0
-    sends: int = 0
-    version: int = 0
-    ended: str = ""
-
-    @property
-    def text_id(self) -> str:
-        """The request's id as text."""
-        return self.facts.request_id.decode("latin-1")
-
-
 class CallHandler:
     """Answers callers.
 
@@ -465,83 +416,3 @@
         body = json.dumps({"code": error.code, "detail": error.detail}).encode()
         headers = self._wire.refusal_headers(request_id, error.retry_after_s)
         await request.respond(error.status, body, headers)
-
-
-def address_of(state: ServerState | None) -> str | None:
-    """Return the address of a backend server."""
-    return None if state is None else f"{state.server.host}:{state.server.port}"
-
-
-def organisation_of(
-    table: RoutingTable, route: Route, facts: CallFacts
-) -> KeyedOrganisation | None:
-    """Return who asks; raises `KeyUnknown` where the route needs a known key."""
-    organisation = None
-    if facts.key is not None:
-        organisation = table.organisation_of(facts.key)
-    if organisation is None and table.organisations and not route.is_open:
-        raise KeyUnknown(f"no organisation of version {table.version} holds the key")
-    return organisation
-
-
-def pick_service(table: RoutingTable, route: Route) -> ServiceDescription:
-    """Return a service of the route, drawn by weight."""
-    names = [name for name, weight in route.split if weight > 0.0]
-    weights = [weight for _, weight in route.split if weight > 0.0]
-    name = names[0] if len(names) == 1 else random.choices(names, weights)[0]
-    return table.services[name]
-
-
-def work_after_break(work: Work, route: Route, now_s: float) -> Work:
-    """Return what a request asks once a send has failed.
-
-    It goes before new ones: its caller has waited or has a part of its answer, and
-    leaves after the same pause as at the start.
-    """
-    return attrs.evolve(
-        work,
-        on_time_until_s=max(work.on_time_until_s, now_s + RESEND_S),
-        first_due_s=min(work.deadline_at_s, now_s + first_patience_s(route)),
-        returned=True,
-    )
-
-
-def first_patience_s(route: Route) -> float:
-    """Return how long a caller waits for the first byte of its answer."""
-    if route.kind is not RouteKind.STREAMING:
-        return math.inf
-    return max(
-        FIRST_PATIENCE_S,
-        FIRST_PATIENCE_TARGETS * route.target_latency_s,
-        FIRST_PATIENCE_GAPS * route.event_gap_s,
-    )
-
-
-def work_of(
-    facts: CallFacts,
-    route: Route,
-    organisation: KeyedOrganisation | None,
-    arrived_at_s: float,
-    *,
-    returned: bool,
-) -> Work:
-    """Return what a request asks of a backend server."""
-    patience_s = facts.patience_s
-    if patience_s is None:
-        patience_s = PATIENCE_DEFAULT_S
-    priority = route.priority
-    if organisation is not None and organisation.priority is not None:
-        priority = organisation.priority
-    deadline_at_s = arrived_at_s + min(patience_s - FINAL_MARGIN_S, route.timeout_s)
-    return Work(
-        organisation=organisation.name if organisation else "",
-        arrived_at_s=arrived_at_s,
-        on_time_until_s=arrived_at_s + (0.0 if returned else route.target_latency_s),
-        first_due_s=min(deadline_at_s, arrived_at_s + first_patience_s(route)),
-        deadline_at_s=deadline_at_s,
-        prompt_tokens=facts.prompt_tokens,
-        output_tokens=facts.output_tokens,
-        parts=facts.parts,
-        priority=priority,
-        returned=returned,
-    )
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,7 +7,14 @@
 import pytest
 import trio
 
-from tests.platform.conftest import HOST, Fleet, configuration, route, running_fleet, until
+from tests.platform.conftest import (
+    HOST,
+    Fleet,
+    configuration,
+    route,
+    running_fleet,
+    until,
+)
 from tests.platform.standins import (
     Arrival,
     Script,
