Begin nothing in a stop that could not be finished

Only streams were checked against the time left.

Change: plain requests need 0.8 s to the end too, and the port closes 0.3 s before it. New test on loopback, failed first.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -54,6 +54,7 @@
 CONFIGURATION_WAIT_S = 0.5  # told to callers before the first configuration
 STOPPING_PAUSE_S = 0.1  # another instance may take the request at once
 STREAM_START_S = 1.0  # to the first event, late ones included
+PLAIN_ANSWER_S = 0.8  # of a plain server, its longest work and a second send included
 SENDS_MAX = 4  # of one request, those that a server turned away included
 FIRST_EVENT_FACTOR = 3.0  # of the expected time to the first event
 FIRST_EVENT_MIN_S = 0.8  # preemption and long prompts delay a sound engine that long
@@ -204,7 +205,9 @@
     def _check_time_left(self, work: Work, is_stream: bool) -> None:
         """Raise `Stopping` if the process ends before the answer could be whole."""
         left_s = self.ends_at_s - boot_time_s()
-        needed_s = service_time_s(work) + STREAM_START_S if is_stream else 0.0
+        needed_s = PLAIN_ANSWER_S
+        if is_stream:
+            needed_s = service_time_s(work) + STREAM_START_S
         if left_s >= needed_s and (self.takes_streams or not is_stream):
             return
         raise Stopping(
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -31,6 +31,7 @@
 
 CONNECT_TIMEOUT_S = 0.5  # to a backend server; several round trips between domains
 STOP_LINGER_S = 2.5  # balancers see the lost readiness after two checks a second apart
+CLOSE_S = 0.3  # from the closed port to the end; what has been taken is answered
 DRAINED_CHECK_S = 0.05  # between looks whether a stopping process has finished
 STOP_MARGIN_S = 0.4  # before the platform would end the process
 CATCH_UP_S = 0.2  # between looks whether a peer knows newer entries
@@ -215,7 +216,7 @@
         )
         await trio.sleep(STOP_LINGER_S)
         self.calls.takes_streams = False
-        while self.calls.streams:
+        while self.calls.streams and boot_time_s() < self.calls.ends_at_s - CLOSE_S:
             await trio.sleep(DRAINED_CHECK_S)
         self.closing.set()
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import (
     HOST,
     Fleet,
@@ -588,3 +589,13 @@
             answer = await caller.answer()
         assert answer.complete
         assert answer.body.endswith(event(200))
+
+    @pytest.mark.parametrize(("left_s", "status"), [(0.3, 503), (5.0, 200)])
+    async def test_near_its_end_it_begins_nothing_it_could_not_finish(
+        self, fleet: Fleet, left_s: float, status: int
+    ) -> None:
+        """Requests that arrive until the process ends get their final answer."""
+        fleet.gateways[0].calls.ends_at_s = boot_time_s() + left_s
+        answer = await fleet.caller().ask("/once/a")
+        assert answer.status == status
+        assert fleet.arrivals == (status == 200)
