Fetch no listing that is already known

Ruled out: missed removals; every instance logged server_vanished for that server.

Change: what counts is up to where a table was followed.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -183,6 +183,10 @@
         """Newest change seen of the operator's and of the servers' entries."""
         ...
 
+    def is_behind(self, versions: tuple[int, int]) -> bool:
+        """Return whether another instance's newest changes are not known here."""
+        ...
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         ...
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -160,9 +160,9 @@
                 continue
             self.totals.newer = None
             peer, versions = newer
-            own = self.directory.versions
-            if versions[0] <= own[0] and versions[1] <= own[1]:
+            if not self.directory.is_behind(versions):
                 continue
+            own = self.directory.versions
             try:
                 answer = await client.request(
                     "GET", peer.host, peer.port, LISTING_TARGET
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -208,8 +208,7 @@
                 return
         state.totals = totals
         state.heard_at_s = now_s
-        own_versions = self._directory.versions
-        if totals.versions[0] > own_versions[0] or totals.versions[1] > own_versions[1]:
+        if self._directory.is_behind(totals.versions):
             self.newer = (state.peer, totals.versions)
 
     def _add_up(self, standings: Standings, now_s: float) -> None:
