--- a/libs/standins/src/teaseldyke/standins/relay.py
+++ b/libs/standins/src/teaseldyke/standins/relay.py
@@ -6,6 +6,7 @@
 
 import attrs
 import trio
+from absl import logging
 
 from teaseldyke.http import Request
 
@@ -73,12 +74,21 @@
                 link.caller.socket.close()
                 link.target.socket.close()
                 continue
-            if order.inject:
-                await link.caller.send_all(order.inject.encode())
-            if order.mode == "half-to-target":
-                await link.target.send_eof()
-            if order.mode == "half-to-caller":
-                await link.caller.send_eof()
+            try:
+                await self._apply_to(link, order)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                # The link's own tasks end it; the other links still get the order.
+                logging.info(
+                    "event=link_ended route=%s error=%r", self.settings.name, exc
+                )
+
+    async def _apply_to(self, link: _Link, order: RouteOrder) -> None:
+        if order.inject:
+            await link.caller.send_all(order.inject.encode())
+        if order.mode == "half-to-target":
+            await link.target.send_eof()
+        if order.mode == "half-to-caller":
+            await link.caller.send_eof()
 
     async def relay(self, caller: trio.SocketStream) -> None:
         """Relay one connection until one side closes it."""
--- a/libs/standins/tests/test_relay.py
+++ b/libs/standins/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 from teaseldyke.settings import Address
 from teaseldyke.standins import Relay, RelaySettings, RouteSettings
+from teaseldyke.standins.relay import Mode, Route, RouteOrder, _Link
 
 Start = Callable[..., Awaitable[Any]]
 
@@ -97,3 +98,18 @@
 
 async def test_unknown_route(relayed: _Relayed) -> None:
     assert (await relayed.orders.call("PUT", "/routes/x", b"{}")).status == 404
+
+
+@pytest.mark.parametrize("mode", ["half-to-target", "half-to-caller", "cut"])
+async def test_an_order_passes_over_links_that_have_just_ended(mode: Mode) -> None:
+    """A side was reset between the link's last byte and the order."""
+    route = Route(RouteSettings("r", Address("127.0.0.1", 1), Address("127.0.0.1", 2)))
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    caller = await trio.open_tcp_stream("127.0.0.1", port)
+    target = await trio.open_tcp_stream("127.0.0.1", port)
+    route._links.add(_Link(caller, target))
+    caller.socket.close()
+    target.socket.close()
+    await route.apply(RouteOrder(mode))
+    await listeners[0].aclose()
