Hold that only platform/ knows the platform's names

A test looks for the users' names of fields, calls and headers in every library, and that the folder imports nothing that decides. Passes on the code as it is.

--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,41 @@
+"""Only the folder `platform/` knows the names of the users' platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+NAMES = (
+    "x-teaseldyke-",
+    "kv-fetch",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "expectedrev",
+    "afterrev",
+    "nodename",
+    "coldremainingms",
+    "trafficsplit",
+    "targetlatencyms",
+    "kvcapacitytokens",
+    "apikeys",
+    "retrybudgetratio",
+)
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_no_library_knows_a_name_of_the_platform(name: str) -> None:
+    knowing = [
+        str(path.relative_to(ROOT))
+        for path in (ROOT / "libs").glob("*/src/**/*.py")
+        if name in path.read_text().lower()
+    ]
+    assert knowing == []
+
+
+def test_the_folder_decides_nothing() -> None:
+    """It may not import the library that decides."""
+    for path in (ROOT / "platform").glob("src/**/*.py"):
+        assert "teaseldyke.placement" not in path.read_text(), path
