--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -93,8 +93,8 @@
 
 def pick_service(table: RoutingTable, route: Route) -> ServiceDescription:
     """Return a service of the route, drawn by weight."""
-    names = [name for name, weight in route.split if weight > 0.0]
-    weights = [weight for _, weight in route.split if weight > 0.0]
+    names = [name for name, _ in route.split]
+    weights = [weight for _, weight in route.split]
     name = names[0] if len(names) == 1 else random.choices(names, weights)[0]
     return table.services[name]
 
--- a/libs/types/src/teaseldyke/types/routing.py
+++ b/libs/types/src/teaseldyke/types/routing.py
@@ -30,7 +30,7 @@
     kind : RouteKind
         What may be repeated.
     split : tuple of (str, float)
-        Services and their weights.
+        Services and their weights; each is in the routing table and weighs over 0.
     timeout_s : float
         Longest time until the final answer.
     target_latency_s : float
