Open a router's port for callers only with a configuration in force

Cause of the red rolling restart: a restarted router listened 35 ms before its first look at the store had brought a configuration, and refused what came in between (503 configuration_missing, executed no). Traced in a failed run beside load: the request arrived at 5.625 s, the port opened in that moment, the configuration came into force 35 ms later. Ruled out: the drain of the router before (its callers had gone elsewhere) and the queue's time limit (the refusal came with the fixed 1.0 s of a missing configuration). Now the port opens with the first configuration, or after 3 s without one, so that a router without a store still says why it refuses.

--- a/libs/configuration/src/teaseldyke/configuration/reader.py
+++ b/libs/configuration/src/teaseldyke/configuration/reader.py
@@ -53,6 +53,8 @@
 
     Attributes
     ----------
+    first : trio.Event
+        Set once a version is in force.
     source : str
         Whence the belief came that the version in force is current.
     confirmed_at_s : float
@@ -66,6 +68,7 @@
     peers: Callable[[], Iterable[str]]
     poll_interval_s: float = 1.0
     seed: int | None = None
+    first: trio.Event = attrs.field(factory=trio.Event, init=False)
     source: str = attrs.field(default="none", init=False)
     confirmed_at_s: float = attrs.field(default=-math.inf, init=False)
     store_reachable: bool = attrs.field(default=True, init=False)
@@ -183,6 +186,7 @@
             self.counters.applied += 1
             for callback in self._subscribers:
                 callback(snapshot.configuration)
+            self.first.set()
         return True
 
     async def _poll(self) -> None:
--- a/libs/router/src/teaseldyke/router/process.py
+++ b/libs/router/src/teaseldyke/router/process.py
@@ -16,6 +16,7 @@
 from .parts import Parts, administration_of, assemble, caller_limits
 
 ADMINISTRATION_LIMITS = ServerLimits(body_bytes=SHEET_LIMIT_BYTES, connections=256)
+CONFIGURATION_WAIT_S = 3.0  # several looks at a slow store; then refusals say so
 READINESS_GRACE_S = 1.0  # the balancer sees the readiness go before the port closes
 
 
@@ -38,10 +39,13 @@
         await nursery.start(parts.dispatching.run)
         await nursery.start(parts.records.run)
         await nursery.start(parts.reader.run)
-        callers = await _listen(settings.callers)
         administration = await _listen(settings.administration)
         nursery.start_soon(_serve_administration, parts, administration, stopping)
         nursery.start_soon(_stop_on_signal, parts, keeper, stopping, nursery)
+        # Callers go to another router as long as the port is closed.
+        with trio.move_on_after(CONFIGURATION_WAIT_S):
+            await parts.reader.first.wait()
+        callers = await _listen(settings.callers)
         log_change("router_started", router=settings.name, callers=settings.callers)
         limits = caller_limits(settings.limits)
         await _serve_callers(parts, callers, limits, stopping)
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -17,6 +17,7 @@
 REQUEST_S = 0.3  # the longest that a request takes by itself
 FREEZE_S = 2.5
 OUTAGE_S = 1.0
+SLOW_STORE_S = 0.2
 PLAN = FleetPlan(
     engine={"tokens_per_s": 200},
     router={"join_delay_s": 0.7, "list_poll_s": 0.3, "poll_interval_s": 0.3},
@@ -213,3 +214,25 @@
     observed = await _load_and(fleet, restart_all, after_s=8.0)
     assert not observed.failed
     observed.assert_no_harm()
+
+
+@pytest.mark.promise("configuration")
+async def test_restarted_router_takes_no_request_before_its_configuration(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(PLAN)
+    router = fleet.routers[0]
+
+    async def restart() -> None:
+        router.kill()
+        await fleet.set_faults(slow_s=SLOW_STORE_S)
+        await fleet.restart(router)
+        await fleet.set_faults()
+
+    observed = await _load_and(fleet, restart, after_s=4.0)
+    assert not [
+        result
+        for result in observed.failed
+        if result.final and result.final.code == "configuration_missing"
+    ]
+    observed.assert_no_harm()
