Let one neighbour follow the servers' entries and tell the rest

And since one is always behind another while entries change, instances fetched whole listings from each other without end (most bytes between failure domains). In a fleet with neighbourhoods the first neighbour looks ten times a second and tells the others by datagram; one that was told nothing for a second looks itself, and what leaves a gap waits for that look. A listing is fetched only if the news doesn't come by itself in half a second. Small fleets follow as before.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from enum import Enum
 from typing import Protocol
 
 import attrs
@@ -175,8 +176,31 @@
         ...
 
 
+class FeedDuty(Enum):
+    """How an instance of a large fleet learns of the backend servers' entries."""
+
+    ALONE = "alone"
+    TELLS = "tells"
+    IS_TOLD = "is told"
+
+
 class Directory(Protocol):
-    """Follows what the operator and the backend servers write into the store."""
+    """Follows what the operator and the backend servers write into the store.
+
+    Attributes
+    ----------
+    duty : FeedDuty
+        How the backend servers' entries are followed.
+    relay : callable or None
+        Tells the neighbours what was read.
+    """
+
+    duty: FeedDuty
+    relay: Callable[[bytes], Awaitable[None]] | None
+
+    def take_changes(self, data: bytes) -> None:
+        """Take in what a neighbour told; raises `ValueError`."""
+        ...
 
     @property
     def versions(self) -> tuple[int, int]:
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -35,6 +35,7 @@
 DRAINED_CHECK_S = 0.05  # between looks whether a stopping process has finished
 STOP_MARGIN_S = 0.4  # before the platform would end the process
 CATCH_UP_S = 0.2  # between looks whether a peer knows newer entries
+OWN_NEWS_S = 0.5  # in which the own look at the store or a neighbour brings them
 LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
 ANNOUNCE_RETRY_S = 1.0  # until the store has taken this instance's entry
 BACKLOG = 1024  # connections that wait to be accepted; a full queue costs seconds
@@ -78,6 +79,7 @@
         self.directory = self.make_directory(self.beliefs)
         own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
         self.totals = TotalsExchange(own, self.beliefs, self.directory)
+        self.directory.relay = self.totals.relay
         self.placing = Placing(
             self.beliefs,
             Standings(),
@@ -160,6 +162,7 @@
                 continue
             self.totals.newer = None
             peer, versions = newer
+            await trio.sleep(OWN_NEWS_S)
             if not self.directory.is_behind(versions):
                 continue
             own = self.directory.versions
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -29,7 +29,7 @@
     waiting: dict[str, int] = {}
 
 
-class Message(msgspec.Struct, array_like=True, frozen=True):
+class Message(msgspec.Struct, array_like=True, frozen=True, tag="totals"):
     """What one instance tells another.
 
     Attributes
@@ -64,6 +64,12 @@
     sums: Sums
 
 
+class Relayed(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
+    """Changes of the backend servers' entries, as the directory encodes them."""
+
+    data: bytes
+
+
 @attrs.frozen
 class _Received:
     message: Message
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -19,7 +19,7 @@
 from .interfaces import Directory, Peer
 from .membership import ALIVE_S, Membership
 from .placing import Placing
-from .sums import FleetTotals, Message, Sums, add_up
+from .sums import FleetTotals, Message, Relayed, Sums, add_up
 
 EXCHANGE_S = 0.1  # between two rounds; the load of an engine changes in about that
 DATAGRAMS_PER_S = 200  # beyond it, rounds are left out; about 1 % of a core
@@ -79,7 +79,7 @@
 
     async def receive(self) -> None:
         """Take in datagrams until cancelled."""
-        decoder = msgspec.msgpack.Decoder(Message)
+        decoder = msgspec.msgpack.Decoder(Message | Relayed)
         while True:
             try:
                 data, address = await self._socket.recvfrom(DATAGRAM_BYTES)
@@ -89,6 +89,9 @@
                 continue
             try:
                 message = decoder.decode(data)
+                if isinstance(message, Relayed):
+                    self._directory.take_changes(message.data)
+                    continue
             except (msgspec.DecodeError, ValueError) as exc:
                 log_decision("totals_unreadable", sender=address, error=str(exc))
                 continue
@@ -102,6 +105,7 @@
         """Send this instance's totals to the others, and add up theirs."""
         now_s = boot_time_s()
         self._membership.refresh(now_s)
+        self._directory.duty = self._membership.duty()
         neighbours = self._totals.of_neighbours(now_s)
         foreign = add_up([*neighbours, *self._totals.of_others(now_s)])
         self._put_in_force(foreign, placing.standings)
@@ -151,6 +155,11 @@
             {name: int(value) for name, value in placing.waiting_tokens().items()},
         )
 
+    async def relay(self, data: bytes) -> None:
+        """Tell the neighbours of changes of the backend servers' entries."""
+        others = [peer for peer in self._membership.neighbours() if peer != self.own]
+        await self._send_data(others, msgspec.msgpack.encode(Relayed(data)))
+
     async def _send_to(
         self,
         peers: list[Peer],
@@ -172,6 +181,9 @@
                 sums,
             )
         )
+        await self._send_data(peers, data)
+
+    async def _send_data(self, peers: list[Peer], data: bytes) -> None:
         for peer in peers:
             try:
                 await self._socket.sendto(data, (peer.host, peer.port))
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -2,11 +2,21 @@
 
 from collections.abc import Sequence
 
+import msgspec
+import pytest
+import trio
+
 from teaseldyke.adapter import StoreClient, StoreDirectory
-from teaseldyke.adapter.directory import TableCopy
-from teaseldyke.adapter.store import StoredRow
+from teaseldyke.adapter.directory import (
+    FOLLOW_PAUSE_S,
+    RELAY_PAUSE_S,
+    Changes,
+    TableCopy,
+)
+from teaseldyke.adapter.store import Page, StoredRow
+from teaseldyke.gateway import FeedDuty
 from teaseldyke.settings import Address
-from teaseldyke.types import AnnouncedServer, RoutingTable
+from teaseldyke.types import AnnouncedServer, PlatformUnavailable, RoutingTable
 
 
 class Noted:
@@ -64,3 +74,82 @@
         copy.replace(rows(4, 7), 9)
         assert copy.apply([StoredRow("key-7", 6, b"old")], 10) == []
         assert copy.apply([StoredRow("key-7", 11, b"new")], 12) == ["key-7"]
+
+
+class ChangingStore(StoreClient):
+    """A store in which an engine's entry changes at each look."""
+
+    def __init__(self) -> None:
+        super().__init__(Address("127.0.0.1", 1))
+        self.looks = 0
+
+    async def rows(self, table: str) -> Page:
+        return Page(rows(4), 9)
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Page:
+        await trio.sleep(0.01)
+        if table != "servers":
+            raise PlatformUnavailable("only the servers change")
+        self.looks += 1
+        return Page([StoredRow("key-4", after + 1, b"{}")], after + 1)
+
+
+class TestChanges:
+    @pytest.mark.parametrize(
+        ("after", "version", "expected"),
+        [(9, 12, 12), (7, 12, 12), (10, 12, 9), (4, 9, 9)],
+        ids=["next", "overlapping", "gap", "old"],
+    )
+    def test_only_changes_without_a_gap_count(
+        self, after: int, version: int, expected: int
+    ) -> None:
+        told = directory()
+        told._servers.replace(rows(4), 9)
+        changes = Changes(after, version, [("key-4", version, b"{}")])
+        told.take_changes(msgspec.msgpack.encode(changes))
+        assert told._servers.followed == expected
+        known = told._servers.rows["key-4"].version
+        assert known == (version if expected == version != 9 else 4)
+
+    @pytest.mark.parametrize(
+        ("duty", "told", "least", "most"),
+        [
+            (FeedDuty.ALONE, False, 20, 1000),
+            (FeedDuty.TELLS, False, 5, 1.5 / RELAY_PAUSE_S),
+            (FeedDuty.IS_TOLD, False, 1, 1 + 1.5 / FOLLOW_PAUSE_S),
+            (FeedDuty.IS_TOLD, True, 0, 1),
+        ],
+    )
+    async def test_looks_at_the_store_follow_the_duty(
+        self, duty: FeedDuty, told: bool, least: int, most: float
+    ) -> None:
+        store = ChangingStore()
+        followed = StoreDirectory(store, Noted())
+        followed.duty = duty
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(followed.run)
+            for i in range(15):
+                await trio.sleep(0.1)
+                version = followed._servers.followed
+                changes = Changes(
+                    version, version + 1, [(f"new-{i}", version + 1, b"{}")]
+                )
+                if told:
+                    followed.take_changes(msgspec.msgpack.encode(changes))
+            nursery.cancel_scope.cancel()
+        assert least <= store.looks <= most
+
+    async def test_what_one_instance_reads_reaches_the_others(self) -> None:
+        teller, told = StoreDirectory(ChangingStore(), Noted()), directory()
+        told._servers.replace(rows(4), 9)
+        teller.duty = FeedDuty.TELLS
+
+        async def relay(data: bytes) -> None:
+            told.take_changes(data)
+
+        teller.relay = relay
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(teller.run)
+            await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+        assert told._servers.followed == teller._servers.followed > 10
