Leave a server out whose address another one has taken

Ruled out: the share of failures, which such an answer rightly doesn't change (the request has not run and may go elsewhere). The first 421 now leaves the server out for 5 s, after which its entry is gone. The test sent it 12 of 12 requests before and 1 now.

--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -1,7 +1,8 @@
 """What a router believes of each backend server.
 
 Load patterns: engines that fail part of their requests while healthy (`srv_grey`),
-run slowly (`srv_slow`), or are cold after a start (`cold_return`). Replayed in
+run slowly (`srv_slow`), are cold after a start (`cold_return`), or crash and leave
+their address to another (`srv_crash`). Replayed in
 ``tests/test_servers.py``.
 """
 
@@ -22,6 +23,7 @@
 FAILURE_WEIGHT = 0.25  # of the newest outcome in the share of failures
 FAILURE_SHARE_MAX = 0.4  # above it a server is left out; sound services err at 0.14
 EJECTION_S = 2.0  # then one request tries the server again
+REPLACED_S = 5.0  # until the entry of a server that is gone vanishes
 RATE_WEIGHT = 0.1  # of the newest observation in the measured rate
 LATENCY_WEIGHT = 0.1  # of the newest observation in the measured latency
 LATENCY_START_S = 0.05  # before any answer
@@ -139,6 +141,13 @@
         self.out_until_s = now_s + EJECTION_S
         return True
 
+    def note_replaced(self, now_s: float) -> None:
+        """Remember that another server answers at the address.
+
+        It turns each request away at once and would look like the emptiest of all.
+        """
+        self.out_until_s = now_s + REPLACED_S
+
     def note_full(self, until_s: float) -> None:
         """Remember that the server turned a request away for want of room."""
         self.slots_free_at_s = max(self.slots_free_at_s, until_s)
--- a/libs/placement/tests/test_servers.py
+++ b/libs/placement/tests/test_servers.py
@@ -32,6 +32,15 @@
         assert state.is_out(1.0)
         assert not state.is_out(3.0)
 
+    def test_a_replaced_server_is_left_out_until_its_entry_vanishes(
+        self, make_state: MakeState
+    ) -> None:
+        states = [make_state(name) for name in "abc"]
+        states[0].note_replaced(10.0)
+        states[0].note_outcome(False, 10.1)
+        assert usable(states, 14.9) == states[1:]
+        assert usable(states, 15.1) == states
+
     def test_nothing_is_left_out_when_most_fail(self, make_state: MakeState) -> None:
         states = [make_state(name) for name in "abc"]
         for state in states[:2]:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -18,7 +18,9 @@
 )
 from tests.platform.standins import (
     Arrival,
+    EngineStandin,
     Script,
+    answer_whole,
     answer_with,
     event,
     hang,
@@ -251,6 +253,25 @@
         assert len(second.arrivals) == 2
         assert len(first.arrivals) <= 1
 
+    async def test_an_address_with_another_server_gets_one_request(
+        self, fleet: Fleet
+    ) -> None:
+        """The refusals come at once, so the server would look like the emptiest."""
+
+        async def slow(
+            engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+        ) -> None:
+            await trio.sleep(0.1)
+            await answer_whole(engine, stream, arrival)
+
+        gone, sound = fleet.engines.values()
+        gone.scripts = [not_run(421)] * 12
+        sound.scripts = [slow] * 12
+        for i in range(12):
+            answer = await fleet.caller().ask("/once/a", request_id=f"r-{i}")
+            assert answer.status == 200
+        assert len(gone.arrivals) <= 1
+
     async def test_refused_everywhere_is_told_as_not_run(self, fleet: Fleet) -> None:
         script_all(fleet, not_run(), not_run())
         answer = await fleet.caller().ask("/once/a")
