Send totals less often in large fleets, and keep idle instances alive

And an idle instance skipped five rounds, as long as it takes to count as lost; now two, and the time after which one counts as lost follows the rounds' length.

--- a/libs/gateway/src/teaseldyke/gateway/membership.py
+++ b/libs/gateway/src/teaseldyke/gateway/membership.py
@@ -18,7 +18,7 @@
 from .interfaces import FeedDuty, Peer
 
 WHOLE_FLEET_MAX = 16  # beyond it, two steps cost under half the datagrams of one
-ALIVE_S = 0.6  # six datagrams; then a peer's load no longer counts
+ALIVE_S = 0.6  # six rounds of a small fleet; then a peer's load no longer counts
 GREET_S = 1.0  # between datagrams to peers that are not heard
 KEPT_S = 30.0  # a peer unheard for so long no longer shares the bounds
 MENTIONS = 4  # instances named in a datagram; each second names the largest fleet
@@ -41,6 +41,8 @@
 
     Attributes
     ----------
+    alive_s : float
+        How long an instance counts as alive after it was heard.
     neighbourhoods : int
         Into how many the fleet falls; a power of two, so that a lost instance hardly
         ever moves the others.
@@ -48,6 +50,7 @@
 
     def __init__(self, own: Peer) -> None:
         self.own = own
+        self.alive_s = ALIVE_S
         self.neighbourhoods = 1
         self._known: dict[str, _Known] = {}
         self._names = [own.name]
@@ -102,7 +105,7 @@
         self._alive = [
             known.peer
             for known in self._known.values()
-            if now_s - known.heard_at_s < ALIVE_S
+            if now_s - known.heard_at_s < self.alive_s
         ]
         self._alive.append(self.own)
 
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -10,7 +10,7 @@
 from teaseldyke.telemetry import log_decision
 
 from .interfaces import Peer
-from .membership import ALIVE_S, Membership
+from .membership import Membership
 
 
 class Sums(msgspec.Struct, array_like=True):
@@ -94,7 +94,6 @@
 
     def __init__(self, membership: Membership) -> None:
         self.membership = membership
-        self.keep_s = ALIVE_S
         self._own: dict[str, _Received] = {}
         self._neighbourhoods: dict[tuple[int, int], _Received] = {}
 
@@ -131,7 +130,7 @@
         self._own = {
             name: received
             for name, received in self._own.items()
-            if now_s - received.at_s <= self.keep_s
+            if now_s - received.at_s <= self.membership.alive_s
         }
         return [
             received.message.sums
@@ -146,7 +145,9 @@
         return [
             received.message.sums
             for key, received in self._neighbourhoods.items()
-            if key != own and key[1] == count and now_s - received.at_s <= self.keep_s
+            if key != own
+            and key[1] == count
+            and now_s - received.at_s <= self.membership.alive_s
         ]
 
 
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -22,10 +22,11 @@
 from .sums import FleetTotals, Message, Relayed, Sums, add_up
 
 EXCHANGE_S = 0.1  # between two rounds; the load of an engine changes in about that
-DATAGRAMS_PER_S = 200  # beyond it, rounds are left out; about 1 % of a core
+DATAGRAMS_PER_S = 100  # beyond it, rounds are left out; about 1 % of a core, and
+# bytes between failure domains were the largest price of a grown quiet day
 ROUNDS_KEPT = 4.0  # rounds after which totals that didn't arrive anew count no more
 DATAGRAM_BYTES = 65536
-IDLE_SKIP_MAX = 5  # rounds left out in a row while nothing has changed
+IDLE_SKIP_MAX = 2  # rounds left out in a row; then an idle instance is still alive
 
 
 class TotalsExchange:
@@ -115,7 +116,7 @@
         near, far = self._membership.receivers(now_s)
         round_s = max(EXCHANGE_S, (len(near) + len(far)) / DATAGRAMS_PER_S)
         self._round_at_s = now_s + round_s - EXCHANGE_S / 2.0
-        self._totals.keep_s = max(ALIVE_S, ROUNDS_KEPT * round_s)
+        self._membership.alive_s = max(ALIVE_S, ROUNDS_KEPT * round_s)
         self._number += 1
         await self._send_to(near, own, (0, 0), [])
         if far:
