--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from benchmarks.gateway import measure_gateway
 from benchmarks.load import (
     OpenStreams,
     Target,
@@ -226,7 +227,8 @@
                 for part in parts:
                     print(f"measuring {name}: {part.__name__} ...", flush=True)
                     measures += part(fleet)
-    return measures
+    print("measuring the gateway ...", flush=True)
+    return measures + await measure_gateway()
 
 
 def main() -> int:
