Keep engines' places for organisations that got too little

Others were refused at once, because the wait was reckoned as if all that waits elsewhere went before them. Now an organisation over its share leaves a fifth of the places while others wait; one that got under 0.7 of what it asked (or of its share) waits for one engine only as long as it can be on time there, then goes anywhere; and what waits elsewhere counts by organisation. Each has a test that failed first or couldn't be written.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -256,12 +256,7 @@
         if rate <= 0.0:
             return 0.0
         ahead_tokens = line.tokens_ahead(work, self.standings, now_s)
-        if ahead_tokens <= 0.0:
-            return 0.0
-        # Instances get engines' room in proportion to what waits at them.
-        own = sum(line.waiting_tokens().values())
-        foreign = sum(self.standings.foreign_waiting.values())
-        return ahead_tokens * (own + foreign) / own / rate
+        return ahead_tokens / rate
 
     def _refuse_hopeless(
         self,
@@ -337,7 +332,7 @@
             service,
             work,
             now_s,
-            over_share=self.standings.is_over(work.organisation, now_s),
+            standing=self.standings.standing(work.organisation, now_s),
             avoid=avoid,
             may_warm=may_warm,
         )
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -19,10 +19,14 @@
 from teaseldyke.types import ServiceDescription
 
 from .servers import ServerState, usable
+from .shares import Standing
 from .work import Work
 
 QUEUE_MAX_S = 0.2  # prompt reading queued at an engine; beyond it, work waits here
 OVER_SHARE_QUEUE_MAX_S = 0.1  # the same, for organisations over their fair share
+OVER_SHARE_SLOT_MARGIN = 0.8  # the same for the margins below: room for who waits
+OVER_SHARE_MEMORY_MARGIN = 0.75
+LAST_WAIT_S = 0.1  # before the end of being on time; a start takes about that
 SLOT_MARGIN = 0.95  # part of the slots that is filled; other instances' sends are late
 MEMORY_MARGIN = 0.9  # part of the engine's memory; preempted requests are read again
 HOME_QUEUE_PART = 0.4  # of the time left to be on time, queued where the prompt is kept
@@ -113,7 +117,7 @@
     work: Work,
     now_s: float,
     *,
-    over_share: bool = False,
+    standing: Standing = Standing.FAIR,
     avoid: frozenset[str] = frozenset(),
     may_warm: Callable[[ServerState], bool] = lambda state: True,
 ) -> Choice:
@@ -129,8 +133,8 @@
     ----------
     states : iterable of ServerState
         Engines of the service that may get work.
-    over_share : bool
-        Whether the organisation has more than its fair share.
+    standing : Standing
+        Where the organisation stands against its fair share.
     avoid : frozenset of str
         Ids of engines that this request was sent to before.
     may_warm : callable
@@ -142,11 +146,17 @@
     names = tuple([state.server.id for state in candidates])
     homes = [candidates[place] for place in _homes(work.subject, names)]
     home = homes[0]
+    over_share = standing is Standing.OVER
     queue_max_s = OVER_SHARE_QUEUE_MAX_S if over_share else QUEUE_MAX_S
+    slot_margin = OVER_SHARE_SLOT_MARGIN if over_share else SLOT_MARGIN
+    memory_margin = OVER_SHARE_MEMORY_MARGIN if over_share else MEMORY_MARGIN
     source = None
     if service.memory_link_bytes_per_s > 0.0 and not home.is_out(now_s):
         source = home
     slack_s = max(0.0, work.on_time_until_s - now_s)
+    # Who has too little doesn't wait for one engine longer than it can be on time.
+    waits_no_more = standing is Standing.UNDER and slack_s <= LAST_WAIT_S
+    reread_s = 0.0 if waits_no_more else REREAD_S
     best = Choice(None, reason="engines full")
     best_cost_s = math.inf
     shared_tokens, work_memory_tokens = work.shared_tokens, work.memory_tokens
@@ -157,10 +167,10 @@
         memory_tokens = state.memory_tokens + work_memory_tokens
         is_full = (
             now_s < state.slots_free_at_s
-            or state.running + 1 > SLOT_MARGIN * state.server.slots
+            or state.running + 1 > slot_margin * state.server.slots
             or (
                 state.running > 0
-                and memory_tokens > MEMORY_MARGIN * service.memory_tokens
+                and memory_tokens > memory_margin * service.memory_tokens
             )
         )
         cached = state.cached_tokens(work, state is home, now_s)
@@ -179,7 +189,7 @@
         if copied:
             first_s += COPY_SETUP_S
             first_s += copied * service.token_bytes / service.memory_link_bytes_per_s
-        cost_s = first_s + REREAD_S * (uncached + COPY_PART * copied)
+        cost_s = first_s + reread_s * (uncached + COPY_PART * copied)
         if first_s > ON_TIME_PART * slack_s:
             cost_s += LATE_S * work.cost_tokens
         if cost_s >= best_cost_s:
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -8,10 +8,20 @@
 
 import math
 from collections.abc import Mapping
+from enum import Enum
 
 import attrs
 
 USAGE_TIME_S = 4.0  # the window in which the operator settles shares
+UNDER_PART = 0.7  # of the fair share; unfair is less than half, and beliefs are late
+
+
+class Standing(Enum):
+    """What an organisation got against its fair share, while not all can have all."""
+
+    UNDER = "under"
+    FAIR = "fair"
+    OVER = "over"
 
 
 @attrs.define
@@ -74,6 +84,8 @@
     foreign_waiting: dict[str, float] = attrs.field(factory=dict)
     _own: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
     _level: float = attrs.field(default=math.inf, init=False)
+    _demands: dict[str, float] = attrs.field(factory=dict, init=False)
+    _others_wait: bool = attrs.field(default=False, init=False)
 
     def charge(self, organisation: str, tokens: float, now_s: float) -> None:
         """Count tokens that an organisation was given."""
@@ -96,16 +108,46 @@
         parts of prompts that engines keep are given without being produced again.
         """
         names = {*self._own, *self.foreign_usage, *waiting, *self.foreign_waiting}
-        demands = {}
+        demands: dict[str, float] = {}
         for name in names:
             queued = waiting.get(name, 0.0) + self.foreign_waiting.get(name, 0.0)
             demands[name] = self.usage(name, now_s) + queued
         stated = self.tokens_per_s * USAGE_TIME_S
         given = sum(self.usage(name, now_s) for name in names)
+        self._demands = demands
         self._level = water_level(demands, max(stated, given))
+        self._others_wait = any(
+            demands[name] > self.usage(name, now_s) and not self.is_over(name, now_s)
+            for name in names
+        )
 
     def is_over(self, organisation: str, now_s: float) -> bool:
         """Return whether an organisation has more than its fair share."""
         if self._level == math.inf:
             return False
         return self.usage(organisation, now_s) > self._level
+
+    def standing(self, organisation: str, now_s: float) -> Standing:
+        """Return where an organisation stands; over only while others wait."""
+        if self._level == math.inf:
+            return Standing.FAIR
+        usage = self.usage(organisation, now_s)
+        asked = self._demands.get(organisation, 0.0)
+        if usage < UNDER_PART * min(self._level, asked):
+            return Standing.UNDER
+        if usage > self._level and self._others_wait:
+            return Standing.OVER
+        return Standing.FAIR
+
+    def foreign_ahead(self, organisation: str, now_s: float) -> float:
+        """Return what waits elsewhere and goes before an organisation's requests."""
+        own_turn = self.turn(organisation, now_s)
+        return sum(
+            tokens
+            for name, tokens in self.foreign_waiting.items()
+            if self.turn(name, now_s) <= own_turn
+        )
+
+    def turn(self, organisation: str, now_s: float) -> tuple[bool, float]:
+        """Return the order of organisations: the least goes first."""
+        return self.is_over(organisation, now_s), self.usage(organisation, now_s)
--- a/libs/placement/src/teaseldyke/placement/waiting.py
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -63,25 +63,31 @@
         }
 
     def tokens_ahead(self, work: Work, standings: Standings, now_s: float) -> float:
-        """Return the prompt tokens that would be tried before a new request.
+        """Return the prompt tokens that the fleet would try before a new request.
 
-        Late requests of other callers go after one that can still be on time.
+        Late requests of other callers go after one that can still be on time. What
+        waits elsewhere is known by organisation only, so it is taken to be composed
+        as what the same organisations have waiting here.
         """
-        tokens = 0.0
-        own_turn = _turn(work.organisation, standings, now_s)
+        ahead_tokens = own_tokens = 0.0
+        own_turn = standings.turn(work.organisation, now_s)
         for name, waiters in self._waiters.items():
-            if _turn(name, standings, now_s) > own_turn:
+            if standings.turn(name, now_s) > own_turn:
                 continue
             for waiter in waiters:
+                own_tokens += waiter.work.cost_tokens
                 if work.returned or not is_late(waiter.work, now_s):
-                    tokens += waiter.work.prompt_tokens
-        return tokens
+                    ahead_tokens += waiter.work.prompt_tokens
+        if ahead_tokens <= 0.0:
+            return 0.0
+        foreign_tokens = standings.foreign_ahead(work.organisation, now_s)
+        return ahead_tokens * (own_tokens + foreign_tokens) / own_tokens
 
     def in_order(self, standings: Standings, now_s: float) -> Iterator[Waiter[T]]:
         """Yield the requests in the order in which to try them."""
         self._turns += 1
         late_first = self._turns % LATE_TURN == 0
-        names = sorted(self._waiters, key=lambda name: _turn(name, standings, now_s))
+        names = sorted(self._waiters, key=lambda name: standings.turn(name, now_s))
         for name in names:
             waiters = sorted(
                 self._waiters[name],
@@ -90,10 +96,6 @@
             yield from waiters
 
 
-def _turn(name: str, standings: Standings, now_s: float) -> tuple[bool, float]:
-    return standings.is_over(name, now_s), standings.usage(name, now_s)
-
-
 def is_late(work: Work, now_s: float) -> bool:
     """Return whether a request can no longer be on time."""
     return now_s + FIRST_S > work.on_time_until_s
--- a/libs/placement/tests/test_choice.py
+++ b/libs/placement/tests/test_choice.py
@@ -8,7 +8,9 @@
 import pytest
 
 from teaseldyke.placement import (
+    Load,
     ServerState,
+    Standing,
     Work,
     choose_engine,
     choose_plain,
@@ -169,16 +171,52 @@
         )
         assert choice.state is other
 
+    @pytest.mark.parametrize(
+        "load",
+        [Load(20_000.0, 1, 1000.0), Load(0.0, 52, 1000.0), Load(0.0, 5, 480_000.0)],
+        ids=["queue", "slots", "memory"],
+    )
     def test_organisation_over_its_share_leaves_room_for_the_others(
-        self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
+        self,
+        make_state: MakeState,
+        make_work: MakeWork,
+        engines: ServiceDescription,
+        load: Load,
     ) -> None:
+        """One organisation fills the engines while others wait."""
         state = make_state("a")
-        state.foreign.pending_tokens = 20_000.0
+        state.foreign = load
         work = make_work()
-        over = choose_engine([state], engines, work, 0.0, over_share=True)
+        over = choose_engine([state], engines, work, 0.0, standing=Standing.OVER)
         assert over.state is None
         assert choose_engine([state], engines, work, 0.0).state is state
 
+    @pytest.mark.parametrize(
+        ("standing", "now_s", "leaves"),
+        [
+            (Standing.FAIR, 1.5, False),
+            (Standing.UNDER, 0.5, False),
+            (Standing.UNDER, 1.5, True),
+        ],
+    )
+    def test_who_has_too_little_waits_for_no_engine_past_its_time(
+        self,
+        make_state: MakeState,
+        make_work: MakeWork,
+        engines: ServiceDescription,
+        standing: Standing,
+        now_s: float,
+        leaves: bool,
+    ) -> None:
+        """A hot part whose engine another organisation keeps full."""
+        work = make_work(on_time_s=1.0)
+        home, other = home_first([make_state("a"), make_state("b")], work)
+        home.foreign.running = 64
+        states = [home, other]
+        choice = choose_engine(states, engines, work, now_s, standing=standing)
+        assert (choice.state is other) is leaves
+        assert leaves or choice.awaited is home
+
     def test_avoided_engines_are_not_chosen_again(
         self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
     ) -> None:
--- a/libs/placement/tests/test_shares.py
+++ b/libs/placement/tests/test_shares.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaseldyke.placement import DecayingSum, Standings, water_level
+from teaseldyke.placement import DecayingSum, Standing, Standings, water_level
 
 
 @pytest.mark.parametrize(
@@ -66,3 +66,29 @@
         standings.settle({"a": 100.0}, 0.0)
         assert standings.is_over("hot", 0.0)
         assert not standings.is_over("a", 0.0)
+
+    @pytest.mark.parametrize(
+        ("usage", "waiting", "expected"),
+        [
+            ({"hot": 900.0, "small": 20.0}, {"small": 200.0}, Standing.UNDER),
+            ({"hot": 900.0, "small": 200.0}, {"small": 20.0}, Standing.FAIR),
+            ({"hot": 900.0, "small": 20.0}, {}, Standing.FAIR),
+            ({"hot": 900.0, "small": 300.0}, {"small": 500.0}, Standing.UNDER),
+        ],
+        ids=["gets-little", "gets-most", "asks-little", "below-the-share"],
+    )
+    def test_who_got_much_less_than_it_asked_is_under(
+        self, usage: dict[str, float], waiting: dict[str, float], expected: Standing
+    ) -> None:
+        standings = Standings(tokens_per_s=250.0)
+        standings.foreign_usage = usage
+        standings.settle({"hot": 800.0, **waiting}, 0.0)
+        assert standings.standing("small", 0.0) is expected
+
+    def test_nobody_is_over_unless_others_wait(self) -> None:
+        standings = Standings(tokens_per_s=250.0)
+        standings.foreign_usage = {"hot": 1500.0, "small": 20.0}
+        standings.settle({"hot": 2000.0}, 0.0)
+        assert standings.standing("hot", 0.0) is Standing.FAIR
+        standings.settle({"hot": 2000.0, "small": 200.0}, 0.0)
+        assert standings.standing("hot", 0.0) is Standing.OVER
--- a/libs/placement/tests/test_waiting.py
+++ b/libs/placement/tests/test_waiting.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import attrs
+import pytest
 
 from teaseldyke.placement import Standings, Waiter, WaitingLine, Work
 
@@ -61,6 +62,20 @@
         assert line.tokens_ahead(make_work("small"), standings, 0.0) == 0
         assert line.tokens_ahead(make_work("hot"), standings, 0.0) == 115_000
 
+    def test_what_waits_elsewhere_counts_by_organisation(
+        self, make_work: MakeWork
+    ) -> None:
+        """A large fleet: most of what waits belongs to one organisation."""
+        line: WaitingLine[str] = WaitingLine()
+        standings = Standings(tokens_per_s=1000.0)
+        standings.charge("hot", 50_000.0, 0.0)
+        standings.foreign_waiting = {"hot": 1_000_000.0, "small": 12_300.0}
+        line.add(Waiter(make_work("small"), "small"))
+        standings.settle(line.waiting_tokens(), 0.0)
+        work = make_work("small")
+        ahead = line.tokens_ahead(work, standings, 0.0)
+        assert ahead == pytest.approx(2 * work.prompt_tokens)
+
     def test_removing_twice_does_nothing(self, make_work: MakeWork) -> None:
         line: WaitingLine[str] = WaitingLine()
         waiter = Waiter(make_work(), "a")
