--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -24,8 +24,8 @@
 
 QUEUE_MAX_S = 0.2  # prompt reading queued at an engine; beyond it, work waits here
 OVER_SHARE_QUEUE_MAX_S = 0.1  # the same, for organisations over their fair share
-OVER_SHARE_SLOT_MARGIN = 0.8  # the same for the margins below: room for who waits
-OVER_SHARE_MEMORY_MARGIN = 0.75
+OVER_SHARE_SLOT_MARGIN = 0.9  # the same for the margins below: room for who waits
+OVER_SHARE_MEMORY_MARGIN = 0.85
 LAST_WAIT_S = 0.1  # before the end of being on time; a start takes about that
 SLOT_MARGIN = 0.95  # part of the slots that is filled; other instances' sends are late
 MEMORY_MARGIN = 0.9  # part of the engine's memory; preempted requests are read again
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -13,7 +13,7 @@
 import attrs
 
 USAGE_TIME_S = 4.0  # the window in which the operator settles shares
-UNDER_PART = 0.7  # of the fair share; unfair is less than half, and beliefs are late
+UNDER_PART = 0.6  # of the fair share; unfair is less than half, and beliefs are late
 
 
 class Standing(Enum):
