--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -19,7 +19,7 @@
     GatewaySettings,
 )
 from teaseldyke.settings import Address
-from tests.platform.standins import EngineStandin, StoreStandin
+from tests.platform.standins import EngineStandin, Script, StoreStandin
 
 HOST = "a.example"
 BOUNDS = FleetBounds(0.2, 54.0, 10.0, 1.5, 5.0, 8.0)
@@ -198,6 +198,12 @@
         return sum(len(engine.arrivals) for engine in self.engines.values())
 
 
+def script_all(fleet: Fleet, *scripts: Script) -> None:
+    """Give every engine the scripts, so that it doesn't matter which is first."""
+    for engine in fleet.engines.values():
+        engine.scripts = list(scripts)
+
+
 async def until_listening(address: Address) -> None:
     with trio.fail_after(5):
         while True:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import pytest
 import trio
 
-from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import (
     HOST,
     Fleet,
-    configuration,
-    route,
     running_fleet,
+    script_all,
     until,
 )
 from tests.platform.standins import (
@@ -22,25 +18,17 @@
     Script,
     answer_whole,
     answer_with,
-    event,
     hang,
     head_of,
     not_run,
     raw,
     reset,
-    stream_of,
     whole,
 )
 
 KEY = {"Authorization": "Token key-1"}
 
 
-def script_all(fleet: Fleet, *scripts: Script) -> None:
-    """Give every engine the scripts, so that it doesn't matter which is first."""
-    for engine in fleet.engines.values():
-        engine.scripts = list(scripts)
-
-
 def foreign(arrival: Arrival) -> bytes:
     other = Arrival("GET", "/", {"x-teaseldyke-request-id": "other"}, b"", 0)
     return whole(other, b"of another request")
@@ -383,243 +371,3 @@
         answer = await fleet.caller().ask("/once/a", body=b"x" * 300_000)
         assert answer.status == 413
         assert fleet.arrivals == 0
-
-
-class TestStreams:
-    async def test_events_pass_in_order(self, fleet: Fleet) -> None:
-        script_all(fleet, stream_of(1, 5))
-        answer = await fleet.caller().ask("/stream/a")
-        assert answer.body == b"".join(event(i) for i in range(1, 6))
-        assert answer.complete
-
-    @pytest.mark.parametrize("partial", [b"", b"id: 3\ndata: to"])
-    async def test_a_broken_stream_goes_on_elsewhere(
-        self, fleet: Fleet, partial: bytes
-    ) -> None:
-        broken = stream_of(1, 5, cut_after=2, partial=partial)
-
-        async def go_on(engine: Any, stream: Any, arrival: Arrival) -> Any:
-            first = int(arrival.headers["last-event-id"]) + 1
-            return await stream_of(first, 5)(engine, stream, arrival)
-
-        async def either(engine: Any, stream: Any, arrival: Arrival) -> Any:
-            resumed = "last-event-id" in arrival.headers
-            return await (go_on if resumed else broken)(engine, stream, arrival)
-
-        script_all(fleet, either)
-        answer = await fleet.caller().ask("/stream/a")
-        assert answer.body == b"".join(event(i) for i in range(1, 6))
-        assert answer.complete
-        assert fleet.arrivals == 2
-
-    async def test_a_callers_place_in_the_stream_is_kept(self, fleet: Fleet) -> None:
-        script_all(fleet, stream_of(8, 9))
-        await fleet.caller().ask("/stream/a", headers={"Last-Event-Id": "7"})
-        (arrival,) = [a for e in fleet.engines.values() for a in e.arrivals]
-        assert arrival.headers["last-event-id"] == "7"
-
-    @pytest.mark.parametrize("wrong_first", [1, 2, 4])
-    async def test_pieces_are_never_joined_wrongly(
-        self, fleet: Fleet, wrong_first: int
-    ) -> None:
-        async def either(engine: Any, stream: Any, arrival: Arrival) -> Any:
-            resumed = "last-event-id" in arrival.headers
-            script = (
-                stream_of(wrong_first, 5) if resumed else stream_of(1, 5, cut_after=2)
-            )
-            return await script(engine, stream, arrival)
-
-        script_all(fleet, either)
-        answer = await fleet.caller().ask("/stream/a")
-        assert not answer.complete
-        assert answer.body == event(1) + event(2)
-
-    @pytest.mark.parametrize("target", ["/single/a"])
-    async def test_a_stream_that_runs_once_breaks_visibly(
-        self, fleet: Fleet, target: str
-    ) -> None:
-        script_all(fleet, stream_of(1, 5, cut_after=2, partial=b"id: 3\nda"))
-        answer = await fleet.caller().ask(target)
-        assert answer.body == event(1) + event(2)
-        assert not answer.complete
-        assert fleet.arrivals == 1
-
-    async def test_a_caller_that_leaves_ends_the_engines_work(
-        self, fleet: Fleet
-    ) -> None:
-        script_all(fleet, hang)
-        caller = fleet.caller()
-        await caller.send("/stream/a")
-        await until(lambda: fleet.arrivals == 1)
-        await caller.close()
-        await until(
-            lambda: sum(e.closed for e in fleet.engines.values()) == 1, timeout_s=0.5
-        )
-
-
-class TestStore:
-    async def test_a_newer_configuration_is_followed(self, fleet: Fleet) -> None:
-        value = configuration(2)
-        value["routes"].append(route("late", "idempotent", "app"))
-        fleet.store.put("op", "config", value)
-        await until(lambda: fleet.gateways[0].beliefs.table.version == 2, 1.0)
-        assert (await fleet.caller().ask("/late/a")).status == 200
-
-    async def test_versions_never_go_back(self, fleet: Fleet) -> None:
-        fleet.store.put("op", "config", configuration(5))
-        await until(lambda: fleet.gateways[0].beliefs.table.version == 5)
-        fleet.store.put("op", "config", configuration(4))
-        await trio.sleep(0.1)
-        assert fleet.gateways[0].beliefs.table.version == 5
-
-    async def test_history_that_is_gone_is_read_anew(self, fleet: Fleet) -> None:
-        fleet.store.put("op", "config", configuration(7))
-        fleet.store.compact()
-        await until(lambda: fleet.gateways[0].beliefs.table.version == 7)
-
-    @pytest.mark.parametrize("how", ["status", "silent"])
-    async def test_a_turned_away_instance_learns_from_its_peer(
-        self, fleet: Fleet, how: str
-    ) -> None:
-        """The store serves one instance and turns the other away."""
-        from tests.platform.standins import StoreStandin
-
-        far = StoreStandin()
-        await fleet.nursery.start(far.run)
-        near = fleet.store
-        far.rows, far.version = dict(near.rows), near.version
-        fleet.store = far
-        other = await fleet.add_gateway("g-2")
-        await until(lambda: other.is_ready)
-        fleet.store = near
-        far.status = 503 if how == "status" else 200
-        far.silent = how == "silent"
-        first = fleet.gateways[0]
-        other.totals.add_peers([first.totals.own])
-        await until(lambda: first.totals.instances == 2)
-        near.version = max(near.version, far.version) + 10
-        near.put("op", "config", configuration(9))
-        await until(lambda: other.beliefs.table.version == 9, 2.0)
-
-    @pytest.mark.parametrize(
-        "value",
-        [
-            b"\xff\xfe",
-            b"[]",
-            b"{}",
-            {"service": "app", "address": "nowhere", "zone": "z", "slots": 1},
-            {"service": 5, "address": "127.0.0.1:1", "state": "ready"},
-        ],
-        ids=["bytes", "list", "empty", "address", "type"],
-    )
-    async def test_unreadable_entries_are_left_out(
-        self, fleet: Fleet, value: object
-    ) -> None:
-        fleet.store.put("servers", "odd", value)
-        await fleet.add_engine("e-9")
-        beliefs = fleet.gateways[0].beliefs
-        await until(lambda: beliefs.state("e-9") is not None)
-        assert beliefs.state("odd") is None
-        assert len(beliefs.states_of("app")) == 3
-
-    async def test_a_leaving_engine_gets_nothing_more(self, fleet: Fleet) -> None:
-        engine = fleet.engines["e-0"]
-        fleet.store.put("servers", "e-0", engine.entry("app", state="draining"))
-        beliefs = fleet.gateways[0].beliefs
-        await until(lambda: len(beliefs.states_of("app")) == 1)
-        for i in range(4):
-            await fleet.caller().ask("/safe/a", request_id=f"r-{i}")
-        assert not engine.arrivals
-
-    async def test_an_evacuated_domain_gets_nothing_until_it_is_back(
-        self, fleet: Fleet
-    ) -> None:
-        away = await fleet.add_engine("e-far", zone="zone-b")
-        beliefs = fleet.gateways[0].beliefs
-        await until(lambda: len(beliefs.states_of("app")) == 3)
-        fleet.store.put("op", "evacuate/zone-b", {})
-        await until(lambda: len(beliefs.states_of("app")) == 2)
-        for i in range(6):
-            await fleet.caller().ask("/safe/a", request_id=f"r-{i}")
-        assert not away.arrivals
-        fleet.store.drop("op", "evacuate/zone-b")
-        await until(lambda: len(beliefs.states_of("app")) == 3)
-
-    async def test_what_was_believed_holds_while_the_store_is_away(
-        self, fleet: Fleet
-    ) -> None:
-        fleet.store.status = 503
-        fleet.store.compact()
-        await until(lambda: not fleet.gateways[0].beliefs.store_available)
-        assert (await fleet.caller().ask("/safe/a")).status == 200
-
-    async def test_entries_that_lapsed_with_the_store_get_time_to_return(
-        self, fleet: Fleet
-    ) -> None:
-        beliefs = fleet.gateways[0].beliefs
-        fleet.store.status = 503
-        fleet.store.compact()
-        await until(lambda: not beliefs.store_available)
-        for name in list(fleet.engines):
-            fleet.store.drop("servers", name)
-        fleet.store.compact()
-        fleet.store.status = 200
-        await until(lambda: beliefs.store_available)
-        await trio.sleep(0.3)
-        assert len(beliefs.states_of("app")) == 2
-        fleet.store.put("servers", "e-0", fleet.engines["e-0"].entry("app"))
-        await until(
-            lambda: [s.server.id for s in beliefs.states_of("app")] == ["e-0"], 4.0
-        )
-
-    async def test_a_cold_engine_gets_little(self, fleet: Fleet) -> None:
-        for name, engine in fleet.engines.items():
-            fleet.store.put(
-                "servers", name, engine.entry("app", born=2, coldRemainingMs=3000)
-            )
-        beliefs = fleet.gateways[0].beliefs
-        known_at_s = boot_time_s()
-        await until(
-            lambda: all(s.cold_until_s > known_at_s for s in beliefs.states_of("app"))
-        )
-        before = fleet.arrivals
-        async with trio.open_nursery() as nursery:
-            for i in range(60):
-
-                async def ask(i: int = i) -> None:
-                    await fleet.caller().ask("/safe/a", request_id=f"r-{i}")
-
-                nursery.start_soon(ask)
-            await trio.sleep(1.0)
-            for engine in fleet.engines.values():
-                assert len(engine.arrivals) <= 5.0 * 1.5 + 5.0
-            assert fleet.arrivals > before
-            nursery.cancel_scope.cancel()
-
-
-class TestStop:
-    async def test_a_stopping_instance_says_so_and_serves(self, fleet: Fleet) -> None:
-        gateway = fleet.gateways[0]
-        script_all(fleet, stream_of(1, 200))
-        caller = fleet.caller()
-        await caller.send("/stream/a")
-        await until(lambda: fleet.arrivals == 1)
-        gateway.stopping.set()
-        fleet.nursery.start_soon(gateway._drain)
-        assert not gateway.is_ready
-        other = await fleet.caller().ask("/once/b", request_id="r-2")
-        assert (other.status, other.headers["connection"]) == (200, "close")
-        with trio.fail_after(5):
-            answer = await caller.answer()
-        assert answer.complete
-        assert answer.body.endswith(event(200))
-
-    @pytest.mark.parametrize(("left_s", "status"), [(0.3, 503), (5.0, 200)])
-    async def test_near_its_end_it_begins_nothing_it_could_not_finish(
-        self, fleet: Fleet, left_s: float, status: int
-    ) -> None:
-        """Requests that arrive until the process ends get their final answer."""
-        fleet.gateways[0].calls.ends_at_s = boot_time_s() + left_s
-        answer = await fleet.caller().ask("/once/a")
-        assert answer.status == status
-        assert fleet.arrivals == (status == 200)
