Play load patterns against the decisions, on a model of the engines

teaseldyke-replay pattern NAME: batched steps, chunked reading, kept prompts that give memory up by last use, first-come admission, lost and cold engines; eight patterns with seeds; worth by kind, organisation and second as table and plot, beside what the engines could earn at best by reckoning. Every pattern is held to the users' rule on fair parts (half, in six seconds). Not in the model: failing servers, copies between engines, neighbourhoods (their delay can be set).

--- a/libs/replay/src/teaseldyke/replay/main.py
+++ b/libs/replay/src/teaseldyke/replay/main.py
@@ -12,6 +12,7 @@
 import yaml
 
 from teaseldyke.configuration import read_sheet
+from teaseldyke.patterns import PATTERNS, FleetSpec, ModelFleet
 from teaseldyke.settings import Address, load_settings
 from teaseldyke.types import SettingsError, TeaseldykeError
 
@@ -140,6 +141,50 @@
         write_trace(to, entries)
         print(f"{len(entries)} entries written to {to}")
 
+    def pattern(
+        self,
+        name: str,
+        *,
+        seed: int = 1,
+        instances: int = 6,
+        engines: int = 6,
+        totals_delay_s: float = 0.1,
+        baseline: bool = False,
+        plot: str = "",
+    ) -> None:
+        """Play a load pattern against the decisions, on a model of the engines.
+
+        Parameters
+        ----------
+        name : str
+            One of the patterns; an unknown name prints them.
+        seed : int
+            Seed of every draw.
+        instances, engines : int
+            Size of the fleet.
+        totals_delay_s : float
+            Until an instance knows what the others have at the engines.
+        baseline : bool
+            Whether decisions don't know which organisation got too little.
+        plot : str
+            Picture to write, worth by second for each kind and organisation.
+        """
+        found = PATTERNS.get(name)
+        if found is None:
+            known = ", ".join(PATTERNS)
+            print(f"pattern {name!r}; known: {known}", file=sys.stderr)
+            raise SystemExit(EXIT_INPUT)
+        spec = FleetSpec(
+            instances=int(instances),
+            engines=int(engines),
+            totals_delay_s=float(totals_delay_s),
+            keeps_places=not baseline,
+        )
+        outcome = ModelFleet(spec, found, int(seed)).play()
+        print(outcome.table())
+        if plot:
+            outcome.plot(Path(plot))
+
 
 async def _replay(
     replayer: Replayer, entries: list[Entry], servers: list[Address]
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,6 +16,7 @@
     "fairness",
     "capacity",
     "placement",
+    "patterns",
     "dispatch",
     "outcomes",
     "configuration",
