--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -22,8 +22,9 @@
 from .sums import FleetTotals, Message, Relayed, Sums, add_up, number_of
 
 EXCHANGE_S = 0.1  # between two rounds; the load of an engine changes in about that
-DATAGRAMS_PER_S = 100  # beyond it, rounds are left out; about 1 % of a core, and
-# bytes between failure domains were the largest price of a grown quiet day
+# Beyond it, rounds are left out: bytes between failure domains were the largest price of
+# a grown quiet day.
+DATAGRAMS_PER_S = 100
 ROUNDS_KEPT = 4.0  # rounds after which totals that didn't arrive anew count no more
 DATAGRAM_BYTES = 65536
 USAGE_ROUNDS = 4  # of a large fleet, in one of which the tokens given are told
