--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -22,8 +22,8 @@
 from .sums import FleetTotals, Message, Relayed, Sums, add_up, number_of
 
 EXCHANGE_S = 0.1  # between two rounds; the load of an engine changes in about that
-# Beyond it, rounds are left out: bytes between failure domains were the largest price of
-# a grown quiet day.
+# Beyond it, rounds are left out: bytes between failure domains were the largest price
+# of a grown quiet day.
 DATAGRAMS_PER_S = 100
 ROUNDS_KEPT = 4.0  # rounds after which totals that didn't arrive anew count no more
 DATAGRAM_BYTES = 65536
