Show how late an instance is, and how old what it believes

A request that lies unread in a socket left no trace: arrival was the moment of the read, and the lines of the late requests fell to the log's rate limit.

- A watch of the scheduler's passes tells how long what is read now may have lain unread; requests carry it, a histogram counts it, 'instance_late' names the longest pass of a second.
- 'sent' gives the age of the servers' entries and of the totals in force, so that late instances, late beliefs and wrong shares can be told apart.
- A tenth of a burst of log lines is kept for changes of state.

--- a/libs/gateway/src/teaseldyke/gateway/beliefs.py
+++ b/libs/gateway/src/teaseldyke/gateway/beliefs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 
 from teaseldyke.placement import ColdAllowance, ServerState
@@ -21,6 +22,11 @@
     ----------
     on_change : callable
         Called after each change.
+
+    Attributes
+    ----------
+    servers_as_of_s : float
+        Up to when the servers' entries are known.
     """
 
     def __init__(self, on_change: Callable[[], None]) -> None:
@@ -28,6 +34,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.store_available = False
         self.servers_known = False
+        self.servers_as_of_s = -math.inf
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
         self._vanished_at_s: dict[str, float] = {}
@@ -88,6 +95,10 @@
         event = "store_regained" if available else "store_lost"
         log_decision(event, reason=reason)
 
+    def note_servers_current(self, as_of_s: float) -> None:
+        """Note that all changes of the servers' entries up to a moment are known."""
+        self.servers_as_of_s = max(self.servers_as_of_s, as_of_s)
+
     def states_of(self, service: str) -> list[ServerState]:
         """Return the backend servers of a service that may get new requests."""
         return self._by_service.get(service, [])
--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -73,6 +73,12 @@
         """The request's id as text."""
         return self.facts.request_id.decode("latin-1")
 
+    @property
+    def unread_s(self) -> float:
+        """Longest time that the request may have lain unread, for logs."""
+        unread_s = self.work.arrived_at_s - self.request.unread_since_s
+        return round(max(0.0, unread_s), 4)
+
 
 def address_of(state: ServerState | None) -> str | None:
     """Return the address of a backend server."""
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -67,6 +67,9 @@
 RESENT = counter("teaseldyke_resent_total", "Sends after the first, by cause.")
 GONE = counter("teaseldyke_callers_gone_total", "Callers that left early.")
 FIRST = histogram("teaseldyke_answer_seconds", "Time from arrival to the end.")
+UNREAD = histogram(
+    "teaseldyke_unread_seconds", "Longest time that a request may have lain unread."
+).bind()
 
 
 class CallHandler:
@@ -131,6 +134,7 @@
         """Answer one request."""
         self.running += 1
         arrived_at_s = boot_time_s()
+        UNREAD.observe(max(0.0, arrived_at_s - request.unread_since_s))
         facts: CallFacts | None = None
         context: dict[str, object] = {}
         try:
@@ -291,7 +295,10 @@
             route=call.route.name,
             organisation=call.organisation.name if call.organisation else None,
             version=call.version,
+            unread_s=call.unread_s,
             waited_s=round(now_s - call.work.arrived_at_s, 4),
+            servers_age_s=round(now_s - self._beliefs.servers_as_of_s, 3),
+            totals_age_s=round(self._fleet.totals_age_s, 3),
             uncached_tokens=int(placed.uncached_tokens),
             expected_first_s=round(placed.first_s, 3),
             running=placed.state.running,
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -151,6 +151,11 @@
         """How many they are, this one included."""
         ...
 
+    @property
+    def totals_age_s(self) -> float:
+        """Age of the oldest totals of other instances that are in force."""
+        ...
+
     def rank(self, key: str) -> int:
         """Return this instance's place among them for a key, from 0."""
         ...
@@ -171,6 +176,10 @@
         """Replace the failure domains that get nothing new."""
         ...
 
+    def note_servers_current(self, as_of_s: float) -> None:
+        """Note that all changes of the servers' entries up to a moment are known."""
+        ...
+
     def note_store(self, available: bool, reason: str) -> None:
         """Note that the platform's store was lost or regained."""
         ...
@@ -198,8 +207,21 @@
     duty: FeedDuty
     relay: Callable[[bytes], Awaitable[None]] | None
 
-    def take_changes(self, data: bytes) -> None:
-        """Take in what a neighbour told; raises `ValueError`."""
+    def take_changes(self, data: bytes, as_of_s: float) -> None:
+        """Take in what a neighbour told.
+
+        Parameters
+        ----------
+        data : bytes
+            As the neighbour's directory encoded it.
+        as_of_s : float
+            It arrived after this moment, on the clock of `boot_time_s`.
+
+        Raises
+        ------
+        ValueError
+            If it can't be decoded.
+        """
         ...
 
     @property
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -177,6 +177,11 @@
         """Look at what waits again."""
         self._changed.set()
 
+    @property
+    def waiting(self) -> int:
+        """Requests that wait here for a backend server."""
+        return sum(len(line) for line in self._lines.values())
+
     def waiting_tokens(self) -> dict[str, float]:
         """Return the cost of what waits here, by organisation."""
         total: dict[str, float] = {}
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -17,8 +17,8 @@
 )
 from teaseldyke.placement import Standings
 from teaseldyke.settings import Address
-from teaseldyke.telemetry import log_decision
-from teaseldyke.timers import Timers, boot_time_s
+from teaseldyke.telemetry import gauge, log_decision
+from teaseldyke.timers import Timers, boot_time_s, scheduler_passes
 from teaseldyke.types import PlatformUnavailable, SettingsError, TeaseldykeError
 
 from .beliefs import FleetBeliefs
@@ -39,8 +39,15 @@
 LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
 ANNOUNCE_RETRY_S = 1.0  # until the store has taken this instance's entry
 BACKLOG = 1024  # connections that wait to be accepted; a full queue costs seconds
+LATENESS_S = 1.0  # between reports of the longest pass of the scheduler
+LATE_PASS_S = 0.1  # callers and neighbours notice such a delay
 SIDE_LIMITS = ServerLimits(connections=128, idle_timeout_s=30.0)
 
+LONGEST_PASS = gauge(
+    "teaseldyke_longest_pass_seconds",
+    "Longest time between two polls of the sockets in the last second.",
+).bind()
+
 Handler = Callable[[Request], Awaitable[None]]
 DirectoryFactory = Callable[[Beliefs], Directory]
 
@@ -122,6 +129,7 @@
             nursery.start_soon(self._catch_up)
             timers = Timers(nursery)
             timers.every(EXCHANGE_S, self._exchange)
+            timers.every(LATENESS_S, self._report_lateness)
             log_decision("started", callers=str(settings.callers))
             limits = ServerLimits(connections=settings.connections_max)
             await serve(
@@ -139,6 +147,19 @@
         await self.totals.send(self.placing)
         self.placing.settle()
 
+    async def _report_lateness(self) -> None:
+        longest_s = scheduler_passes().take_longest_s()
+        LONGEST_PASS.set(longest_s)
+        if longest_s < LATE_PASS_S:
+            return
+        log_decision(
+            "instance_late",
+            longest_pass_s=round(longest_s, 3),
+            running=self.calls.running,
+            streams=self.calls.streams,
+            waiting=self.placing.waiting,
+        )
+
     async def _announce(self) -> None:
         """Enter this instance into the store and learn of the others."""
         while True:
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -147,6 +147,12 @@
             if number_of(name) == own
         ]
 
+    def oldest_s(self, now_s: float) -> float:
+        """Return the age of the oldest totals that are still counted."""
+        received = [*self._own.values(), *self._neighbourhoods.values()]
+        ages_s = [now_s - part.at_s for part in received]
+        return max((s for s in ages_s if s <= self.membership.alive_s), default=0.0)
+
     def of_others(self, now_s: float) -> list[Sums]:
         """Return the sums of the other neighbourhoods."""
         count = self.membership.neighbourhoods
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -13,7 +13,7 @@
 
 from teaseldyke.placement import Load, Standings
 from teaseldyke.telemetry import log_decision
-from teaseldyke.timers import boot_time_s
+from teaseldyke.timers import boot_time_s, scheduler_passes
 
 from .beliefs import FleetBeliefs
 from .interfaces import Directory, Peer
@@ -58,6 +58,8 @@
         self._number = 0
         self._skipped = 0
         self._round_at_s = 0.0
+        self._summed_at_s = self._born_s
+        self._oldest_s = 0.0
         self._last_content: tuple[object, ...] = ()
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
 
@@ -66,6 +68,11 @@
         """Instances that share the fleet's bounds, this one included."""
         return self._membership.instances
 
+    @property
+    def totals_age_s(self) -> float:
+        """Age of the oldest totals of other instances that are in force."""
+        return boot_time_s() - self._summed_at_s + self._oldest_s
+
     def rank(self, key: str) -> int:
         """Return this instance's place among them for a key, from 0."""
         return self._membership.rank(key)
@@ -83,6 +90,7 @@
     async def receive(self) -> None:
         """Take in datagrams until cancelled."""
         decoder = msgspec.msgpack.Decoder(Message | Relayed)
+        passes = scheduler_passes()
         while True:
             try:
                 data, address = await self._socket.recvfrom(DATAGRAM_BYTES)
@@ -93,7 +101,7 @@
             try:
                 message = decoder.decode(data)
                 if isinstance(message, Relayed):
-                    self._directory.take_changes(message.data)
+                    self._directory.take_changes(message.data, passes.unread_since_s)
                     continue
             except (msgspec.DecodeError, ValueError) as exc:
                 log_decision("totals_unreadable", sender=address, error=str(exc))
@@ -111,6 +119,7 @@
         self._directory.duty = self._membership.duty()
         neighbours = self._totals.of_neighbours(now_s)
         foreign = add_up([*neighbours, *self._totals.of_others(now_s)])
+        self._summed_at_s, self._oldest_s = now_s, self._totals.oldest_s(now_s)
         self._put_in_force(foreign, placing.standings)
         own = self._own_sums(placing, now_s)
         if self._is_idle([own, *neighbours], now_s):
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -10,6 +10,7 @@
 import trio
 from absl import logging
 
+from teaseldyke.timers import scheduler_passes
 from teaseldyke.types import TeaseldykeError
 
 from .errors import (
@@ -83,13 +84,19 @@
         What all connections of the server share.
     stream : Stream
         The caller's connection.
+    unread_since_s : float
+        Its first request came after this moment, on the clock of `boot_time_s`.
     """
 
-    def __init__(self, serving: Serving, stream: Stream) -> None:
+    def __init__(
+        self, serving: Serving, stream: Stream, unread_since_s: float = math.inf
+    ) -> None:
         self._serving = serving
         self._limits = serving.limits
         self.stream = stream
         self._watch = Watch(stream)
+        self._passes = scheduler_passes()
+        self._unread_since_s = unread_since_s
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=serving.limits.header_bytes
         )
@@ -118,6 +125,7 @@
                 raise
             if not goes_on:
                 return
+            self._unread_since_s = math.inf
             self._parser.start_next_cycle()
 
     async def refuse(self, error: TeaseldykeError) -> None:
@@ -151,7 +159,12 @@
         if head is None:
             return None
         return Request(
-            self._parser, self.stream, head, self._limits, self._serving.stopping
+            self._parser,
+            self.stream,
+            head,
+            self._limits,
+            self._serving.stopping,
+            self._unread_since_s,
         )
 
     async def _rest_of_head(self) -> h11.Request | None:
@@ -173,7 +186,12 @@
                 return False
             self._serving.idle.add(self)
             self._watch.deadline_s = trio.current_time() + self._limits.idle_timeout_s
-            return await self._receive()
+            received = await self._receive()
+            # A new connection's request may have waited with it to be accepted.
+            self._unread_since_s = min(
+                self._unread_since_s, self._passes.unread_since_s
+            )
+            return received
         finally:
             self._watch.deadline_s = math.inf
             self._serving.idle.discard(self)
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import secrets
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -51,6 +52,9 @@
         Path and query exactly as the caller sent them.
     response_started : bool
         Whether an answer has been started.
+    unread_since_s : float
+        It arrived after this moment, on the clock of `boot_time_s`; what the process
+        did between the two polls before the read was done while it waited.
 
     Raises
     ------
@@ -66,11 +70,13 @@
         head: h11.Request,
         limits: ServerLimits,
         stopping: trio.Event,
+        unread_since_s: float = math.inf,
     ) -> None:
         self.id = secrets.token_hex(REQUEST_ID_BYTES)
         self.method = head.method.decode("ascii")
         self.headers: Headers = list(head.headers)
         self.response_started = False
+        self.unread_since_s = unread_since_s
         self.raw_target = head.target.decode("ascii")
         self.path, self._query = split_target(head.target)
         self.target = f"{self.path}?{self._query}" if self._query else self.path
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 from absl import logging
 
+from teaseldyke.timers import scheduler_passes
+
 from .connection import CallerConnection, Handler, Serving
 from .errors import TooManyConnections
 from .limits import ServerLimits
@@ -75,15 +79,18 @@
                 logging.warning("event=accept_failed error=%r", str(exc))
                 await trio.sleep(ACCEPT_RETRY_S)
                 continue
-            connections.start_soon(self.run_connection, take_over(stream))
+            since_s = scheduler_passes().unread_since_s
+            connections.start_soon(self.run_connection, take_over(stream), since_s)
 
-    async def run_connection(self, stream: Stream) -> None:
+    async def run_connection(
+        self, stream: Stream, unread_since_s: float = math.inf
+    ) -> None:
         self._open_connections += 1
         try:
             if self._open_connections > self._limits.connections:
                 await self._refuse_connection(stream)
                 return
-            await CallerConnection(self._serving, stream).run()
+            await CallerConnection(self._serving, stream, unread_since_s).run()
         except Exception as exc:
             logging.error("event=connection_failed error=%r", exc)
         finally:
--- a/libs/telemetry/src/teaseldyke/telemetry/decisions.py
+++ b/libs/telemetry/src/teaseldyke/telemetry/decisions.py
@@ -12,6 +12,7 @@
 
 PENDING_MAX_BYTES = 64 * 1024  # of a line that the reader has not taken yet
 BURST_S = 2.0  # of the stated rate that may come at once
+STATE_PART = 0.1  # of a burst, kept for lines that are not about one request
 
 _LEFT_OUT = counter("teaseldyke_log_lines_left_out_total", "Lines over the rate.")
 
@@ -37,13 +38,25 @@
         self._rest = b""
         self._bound = _LEFT_OUT.bind()
 
-    def msg(self, line: bytes) -> None:
-        """Write one line, or leave it out."""
+    def msg(self, line: bytes, of_request: bool = False) -> None:
+        """Write one line, or leave it out.
+
+        Parameters
+        ----------
+        line : bytes
+            Without its end.
+        of_request : bool
+            Whether it is about one request; changes of state are fewer and explain
+            more, so a flood of requests leaves room for them.
+        """
         now_s = time.monotonic()
         self._tokens += (now_s - self._filled_at_s) * self._lines_per_s
         self._tokens = min(self._tokens, self._lines_per_s * BURST_S)
         self._filled_at_s = now_s
-        if self._tokens < 1.0 or len(self._rest) > PENDING_MAX_BYTES:
+        needed = 1.0
+        if of_request:
+            needed += STATE_PART * BURST_S * self._lines_per_s
+        if self._tokens < needed or len(self._rest) > PENDING_MAX_BYTES:
             self.left_out += 1
             self._bound.add()
             return
@@ -80,11 +93,13 @@
 
     def render(
         _logger: object, _method: str, fields: structlog.typing.EventDict
-    ) -> bytes:
+    ) -> tuple[tuple[bytes], dict[str, bool]]:
         line = {"time_s": round(time.time(), 3), "instance": name, **fields}
         if output.left_out:
             line["left_out"] = output.left_out
-        return msgspec.json.encode(line, enc_hook=str)
+        return (msgspec.json.encode(line, enc_hook=str),), {
+            "of_request": "id" in fields
+        }
 
     structlog.configure(
         processors=[render],
--- a/libs/telemetry/tests/test_decisions.py
+++ b/libs/telemetry/tests/test_decisions.py
@@ -34,3 +34,12 @@
     output = NonBlockingOutput(writer, 100.0)
     output.msg(b"line")
     assert output.left_out == 1
+
+
+def test_a_flood_of_requests_leaves_room_for_changes_of_state() -> None:
+    reader, writer = os.pipe()
+    output = NonBlockingOutput(writer, 50.0)
+    for _ in range(200):
+        output.msg(b"request", of_request=True)
+    output.msg(b"state")
+    assert os.read(reader, 10_000).endswith(b"state\n")
--- /dev/null
+++ b/libs/timers/src/teaseldyke/timers/passes.py
@@ -0,0 +1,74 @@
+"""How late a process looks at its sockets."""
+
+from __future__ import annotations
+
+import trio
+
+from .clock import boot_time_s
+
+EMPTY_POLL_S = 0.0005  # a poll that waited longer found nothing at its start
+
+
+class SchedulerPasses(trio.abc.Instrument):
+    """Watches the passes of trio's scheduler.
+
+    In a pass trio runs every task that is ready, each until it waits, and then polls
+    the sockets. What arrives during a pass lies unread until the next poll.
+
+    Attributes
+    ----------
+    unread_since_s : float
+        On the clock of `boot_time_s`: what the last poll found came after this moment.
+    longest_s : float
+        Longest pass since the last call of `take_longest_s`.
+    """
+
+    def __init__(self) -> None:
+        now_s = boot_time_s()
+        self.unread_since_s = now_s
+        self.longest_s = 0.0
+        self._started_at_s = now_s
+        self._polled_at_s = now_s
+
+    def before_io_wait(self, _timeout: float) -> None:
+        """Note the end of a pass."""
+        self._polled_at_s = boot_time_s()
+        self.longest_s = max(self.longest_s, self._polled_at_s - self._started_at_s)
+
+    def after_io_wait(self, _timeout: float) -> None:
+        """Note the start of a pass."""
+        now_s = boot_time_s()
+        waited = now_s - self._polled_at_s > EMPTY_POLL_S
+        self.unread_since_s = now_s if waited else self._started_at_s
+        self._started_at_s = now_s
+
+    def take_longest_s(self) -> float:
+        """Return the longest pass since the last call, the current one included."""
+        current_s = boot_time_s() - self._started_at_s
+        longest_s = max(self.longest_s, current_s)
+        self.longest_s = 0.0
+        return longest_s
+
+
+_PASSES: trio.lowlevel.RunVar[SchedulerPasses] = trio.lowlevel.RunVar("passes")
+
+
+def scheduler_passes() -> SchedulerPasses:
+    """Return the watch of the current run of trio; the first call installs it.
+
+    Examples
+    --------
+    >>> async def main():
+    ...     passes = scheduler_passes()
+    ...     await trio.sleep(0.01)
+    ...     return scheduler_passes() is passes and passes.longest_s < 1.0
+    >>> trio.run(main)
+    True
+    """
+    try:
+        return _PASSES.get()
+    except LookupError:
+        passes = SchedulerPasses()
+        _PASSES.set(passes)
+        trio.lowlevel.add_instrument(passes)
+        return passes
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -16,6 +16,7 @@
 from teaseldyke.adapter.store import Page, StoredRow
 from teaseldyke.gateway import FeedDuty
 from teaseldyke.settings import Address
+from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer, PlatformUnavailable, RoutingTable
 
 WATCHED_S = 2.0
@@ -31,6 +32,8 @@
 
     def apply_evacuated(self, failure_domains: frozenset[str]) -> None: ...
 
+    def note_servers_current(self, as_of_s: float) -> None: ...
+
     def note_store(self, available: bool, reason: str) -> None: ...
 
     def apply_servers(self, servers: Sequence[AnnouncedServer]) -> None:
@@ -108,7 +111,7 @@
         told = directory()
         told._servers.replace(rows(4), 9)
         changes = Changes(after, version, [("key-4", version, b"{}")])
-        told.take_changes(msgspec.msgpack.encode(changes))
+        told.take_changes(msgspec.msgpack.encode(changes), boot_time_s())
         assert told._servers.followed == expected
         known = told._servers.rows["key-4"].version
         assert known == (version if expected == version != 9 else 4)
@@ -137,7 +140,9 @@
                     version, version + 1, [(f"new-{i}", version + 1, b"{}")]
                 )
                 if told:
-                    followed.take_changes(msgspec.msgpack.encode(changes))
+                    followed.take_changes(
+                        msgspec.msgpack.encode(changes), boot_time_s()
+                    )
             nursery.cancel_scope.cancel()
         assert least <= store.looks <= most
 
@@ -151,7 +156,8 @@
             for _ in range(round(10 * WATCHED_S)):
                 await trio.sleep(0.1)
                 version = told._servers.followed
-                told.take_changes(msgspec.msgpack.encode(Changes(version, version, [])))
+                news = msgspec.msgpack.encode(Changes(version, version, []))
+                told.take_changes(news, boot_time_s())
             nursery.cancel_scope.cancel()
         assert store.looks == 0
 
@@ -161,7 +167,7 @@
         teller.duty = FeedDuty.TELLS
 
         async def relay(data: bytes) -> None:
-            told.take_changes(data)
+            told.take_changes(data, boot_time_s())
 
         teller.relay = relay
         async with trio.open_nursery() as nursery:
