--- /dev/null
+++ b/libs/gateway/tests/test_receiving.py
@@ -0,0 +1,51 @@
+"""Datagrams of other instances, received by a busy process."""
+
+from __future__ import annotations
+
+import socket
+from typing import cast
+
+import msgspec
+import trio
+
+from teaseldyke.gateway.beliefs import FleetBeliefs
+from teaseldyke.gateway.interfaces import Directory, Peer
+from teaseldyke.gateway.sums import Relayed
+from teaseldyke.gateway.totals import TotalsExchange
+
+DATAGRAMS = 100
+
+
+class CountingDirectory:
+    def __init__(self) -> None:
+        self.taken = 0
+
+    def take_changes(self, data: bytes, as_of_s: float) -> None:
+        self.taken += 1
+
+
+async def test_waiting_datagrams_are_not_taken_one_in_each_pass(
+    beliefs: FleetBeliefs,
+) -> None:
+    """Passes are long while the process is busy, so news would be ever later."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.bind(("127.0.0.1", 0))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = probe.getsockname()
+        directory = CountingDirectory()
+        own = Peer("node-0", *address)
+        exchange = TotalsExchange(own, beliefs, cast(Directory, directory))
+        await exchange.open()
+        data = msgspec.msgpack.encode(Relayed(b"news"))
+        passes = 0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(exchange.receive)
+            for _ in range(DATAGRAMS):
+                sender.sendto(data, address)
+            while directory.taken < DATAGRAMS and passes < DATAGRAMS:
+                passes += 1
+                await trio.lowlevel.checkpoint()
+            nursery.cancel_scope.cancel()
+    assert directory.taken == DATAGRAMS
+    assert passes <= DATAGRAMS // 10
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import select
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -23,6 +24,8 @@
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 CLOSING_GET = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
+CALLERS = 100
+PASSES_OF_A_REQUEST = 10  # accepted, started, read, answered, each twice
 LIMITS = ServerLimits(
     header_bytes=2048,
     header_timeout_s=5.0,
@@ -42,6 +45,10 @@
     await request.respond(200, body)
 
 
+def is_readable(caller: socket.socket) -> bool:
+    return bool(select.select([caller], [], [], 0.0)[0])
+
+
 def _status(answer: bytes) -> int:
     return int(answer.split(b" ", 2)[1])
 
@@ -217,6 +224,26 @@
             assert sent_bytes < 20_000_000  # what socket buffers hold
 
 
+class TestBurst:
+    async def test_waiting_connections_are_not_taken_one_in_each_pass(
+        self, start_server: StartServer
+    ) -> None:
+        """Passes are long while the process is busy, so the queue would overflow."""
+        port = await start_server()
+        callers = [socket.create_connection((HOST, port)) for _ in range(CALLERS)]
+        answered = passes = 0
+        for caller in callers:
+            caller.sendall(GET)
+            caller.setblocking(False)
+        while answered < CALLERS and passes < CALLERS:
+            passes += 1
+            await trio.lowlevel.checkpoint()
+            answered = sum(is_readable(caller) for caller in callers)
+        for caller in callers:
+            caller.close()
+        assert passes <= PASSES_OF_A_REQUEST
+
+
 class TestAnswers:
     async def test_keep_alive_and_pipelining_keep_the_order(
         self, start_server: StartServer, exchange_bytes: ExchangeBytes
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -161,6 +161,21 @@
             nursery.cancel_scope.cancel()
         assert store.looks == 0
 
+    async def test_news_that_lay_unread_does_not_put_off_the_own_look(self) -> None:
+        """A late instance would go on sending to servers that leave."""
+        store = ChangingStore()
+        told = StoreDirectory(store, Noted())
+        told.duty = FeedDuty.IS_TOLD
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(told.run)
+            for _ in range(round(10 * WATCHED_S)):
+                await trio.sleep(0.1)
+                version = told._servers.followed
+                news = msgspec.msgpack.encode(Changes(version, version, []))
+                told.take_changes(news, boot_time_s() - FOLLOW_PAUSE_S)
+            nursery.cancel_scope.cancel()
+        assert store.looks > 0
+
     async def test_what_one_instance_reads_reaches_the_others(self) -> None:
         teller, told = StoreDirectory(ChangingStore(), Noted()), directory()
         told._servers.replace(rows(4), 9)
--- /dev/null
+++ b/tests/platform/test_late_instance.py
@@ -0,0 +1,110 @@
+"""An instance that has more callers than its processor serves (issue 16)."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import time
+from collections.abc import Callable
+
+import pytest
+import trio
+
+from teaseldyke.timers import scheduler_passes
+from tests.platform.conftest import HOST, Fleet
+
+CALLERS = 100
+SLOW_READ_S = 0.01  # added to each request; all together are a second
+# The instance must notice within half a second that a caller has left, and looks
+# every quarter of a second.
+PASS_MAX_S = 0.25
+
+
+def head(number: int) -> bytes:
+    lines = [
+        "POST /safe/a HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Teaseldyke-Request-Id: r-{number}",
+        "X-Teaseldyke-Deadline-Ms: 2500",
+        "Content-Length: 0",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def close(sock: socket.socket) -> None:
+    sock.close()
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+@pytest.mark.parametrize("leave", [close, reset])
+async def test_request_whose_caller_left_while_it_lay_unread_is_not_sent(
+    fleet: Fleet, leave: Callable[[socket.socket], None]
+) -> None:
+    address = fleet.gateways[0].settings.callers
+    for number in range(3):
+        sock = socket.create_connection((address.host, address.port))
+        sock.sendall(head(number))
+        leave(sock)
+    await trio.sleep(0.3)
+    assert fleet.gateways[0].calls.running == 0
+    assert fleet.arrivals == 0
+
+
+async def answers_of(sockets: list[socket.socket]) -> list[bytes]:
+    """Return the head of the answer on each connection."""
+    found = []
+    for sock in sockets:
+        sock.setblocking(False)
+        with trio.fail_after(10):
+            await trio.lowlevel.wait_readable(sock)
+        found.append(sock.recv(65536).partition(b"\r\n\r\n")[0].lower())
+        sock.setblocking(True)
+    return found
+
+
+async def test_burst_at_one_instance_does_not_stop_it(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What one pass of the scheduler can't begin is refused at once."""
+    gateway = fleet.gateways[0]
+    address = gateway.settings.callers
+    read_call = gateway.wire.read_call
+
+    def read_slowly(headers: list[tuple[bytes, bytes]]) -> object:
+        time.sleep(SLOW_READ_S)
+        return read_call(headers)
+
+    sockets = [
+        socket.create_connection((address.host, address.port)) for _ in range(CALLERS)
+    ]
+    for number, sock in enumerate(sockets):
+        sock.sendall(head(number))
+    for answer in await answers_of(sockets):
+        assert answer.startswith(b"http/1.1 200")
+    monkeypatch.setattr(gateway.wire, "read_call", read_slowly)
+    for number, sock in enumerate(sockets):
+        sock.sendall(head(CALLERS + number))
+    passes = scheduler_passes()
+    passes.take_longest_s()
+    answers = await answers_of(sockets)
+    longest_s = passes.take_longest_s()
+    refused = {
+        f"r-{CALLERS + number}": answer
+        for number, answer in enumerate(answers)
+        if answer.startswith(b"http/1.1 503")
+    }
+    served = [answer for answer in answers if answer.startswith(b"http/1.1 200")]
+    sent = [a for engine in fleet.engines.values() for a in engine.arrivals]
+    for sock in sockets:
+        sock.close()
+    assert len(served) + len(refused) == CALLERS
+    assert served
+    assert all(b"\r\nretry-after: 0." in answer for answer in refused.values())
+    assert not refused.keys() & {a.headers["x-teaseldyke-request-id"] for a in sent}
+    assert longest_s < PASS_MAX_S
+    monkeypatch.undo()
+    assert (await fleet.caller().ask("/safe/a")).status == 200
