Measure the burst's passes by a watch of the test's own

The gateway's report takes the longest pass of its watch each second, so the test saw the passes after it and passed on code that it should fail on.

--- a/tests/platform/test_late_instance.py
+++ b/tests/platform/test_late_instance.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 
-from teaseldyke.timers import scheduler_passes
+from teaseldyke.timers import SchedulerPasses
 from tests.platform.conftest import HOST, Fleet
 
 CALLERS = 100
@@ -88,8 +88,8 @@
     monkeypatch.setattr(gateway.wire, "read_call", read_slowly)
     for number, sock in enumerate(sockets):
         sock.sendall(head(CALLERS + number))
-    passes = scheduler_passes()
-    passes.take_longest_s()
+    passes = SchedulerPasses()
+    trio.lowlevel.add_instrument(passes)
     answers = await answers_of(sockets)
     longest_s = passes.take_longest_s()
     refused = {
