Accept all waiting connections in one pass of the scheduler

Cause: trio's accept gives way to all other tasks after each connection, so a busy process takes one connection in each pass of its scheduler. The busier it is, the longer a pass, and the fewer connections it takes: its queue grows until it overflows, and what is in it is served after its callers have left. Evidence: at the one saturated instance a request needed 4.7 s from its caller to an engine while waited_s, counted from the read, stayed below 0.1 s.

--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -12,9 +12,10 @@
 from .connection import CallerConnection, Handler, Serving
 from .errors import TooManyConnections
 from .limits import ServerLimits
-from .stream import Stream, accept_waiting, close_now, take_over
+from .stream import Stream, accept_waiting, close_now
 
 ACCEPT_RETRY_S = 0.1
+ACCEPTED_AT_ONCE = 256  # connections; a burst larger than that takes another pass
 REFUSED_AT_ONCE = 64  # connections above the limit that are answered side by side
 REFUSED_RETRY_AFTER_S = 1.0
 
@@ -57,8 +58,7 @@
                 await stopping.wait()
                 await trio.sleep(limits.stop_linger_s)
             accepting.cancel_scope.cancel()
-        for stream in accept_waiting(listener):
-            connections.start_soon(server.run_connection, stream)
+        server.take_waiting(listener, connections, limits.connections)
         await listener.aclose()
         serving.close_idle()
 
@@ -73,14 +73,25 @@
         self, listener: trio.SocketListener, connections: trio.Nursery
     ) -> None:
         while True:
-            try:
-                stream = await listener.accept()
-            except OSError as exc:  # such as no free file descriptor
-                logging.warning("event=accept_failed error=%r", str(exc))
+            await trio.lowlevel.wait_readable(listener.socket)
+            # trio's own accept takes one in each pass of the scheduler. Passes are
+            # long while the process is busy, and the queue would overflow.
+            if not self.take_waiting(listener, connections, ACCEPTED_AT_ONCE):
                 await trio.sleep(ACCEPT_RETRY_S)
-                continue
-            since_s = scheduler_passes().unread_since_s
-            connections.start_soon(self.run_connection, take_over(stream), since_s)
+
+    def take_waiting(
+        self, listener: trio.SocketListener, connections: trio.Nursery, most: int
+    ) -> bool:
+        """Serve connections that wait; return whether they could be accepted."""
+        try:
+            streams = accept_waiting(listener, most)
+        except OSError as exc:  # such as no free file descriptor
+            logging.warning("event=accept_failed error=%r", str(exc))
+            return False
+        unread_since_s = scheduler_passes().unread_since_s
+        for stream in streams:
+            connections.start_soon(self.run_connection, stream, unread_since_s)
+        return True
 
     async def run_connection(
         self, stream: Stream, unread_since_s: float = math.inf
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -148,29 +148,30 @@
     return not poll.poll(0)
 
 
-def take_over(stream: trio.SocketStream) -> Stream:
-    """Return a `TcpStream` of an accepted connection.
+def accept_waiting(listener: trio.SocketListener, most: int) -> list[Stream]:
+    """Return connections that are established but not accepted yet, at once.
 
-    Anything that only acts like trio's stream is returned as it is.
-    """
-    if type(stream) is not trio.SocketStream:
-        return stream
-    return TcpStream(socket.socket(fileno=stream.socket.detach()))
-
-
-def accept_waiting(listener: trio.SocketListener) -> list[Stream]:
-    """Return the connections that are established but not accepted yet.
+    Before a stopping server closes its listener it takes them too, since closing
+    would reset them, with the requests that they carry.
 
-    Closing the listener would reset them, with the requests that they carry.
+    Raises
+    ------
+    OSError
+        If none could be accepted for another reason than that none waits.
     """
     found: list[Stream] = []
     with socket.socket(fileno=os.dup(listener.socket.fileno())) as sock:
         sock.setblocking(False)
-        while True:
+        while len(found) < most:
             try:
                 found.append(TcpStream(sock.accept()[0]))
+            except (BlockingIOError, ConnectionAbortedError):
+                return found
             except OSError:
+                if not found:
+                    raise
                 return found
+    return found
 
 
 def notice_silence(sock: socket.socket) -> None:
