Take and send all datagrams of a round in one pass of the scheduler

Some 100 arrive in a second in a large fleet, so with passes over 10 ms the socket's buffer fills, what is read is ever older and the newest is dropped; a round to 15 peers took 15 passes. The socket is now read until it is empty, and a round is sent whole.

It also ends the interleaving in which a peer found while datagrams went out had ended an instance.

The test failed before: 100 datagrams needed more than 100 passes.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -114,7 +114,7 @@
         endpoints = Endpoints(lambda: self.is_ready, self.directory)
         callers = await _listen(settings.callers)
         async with trio.open_nursery() as nursery:
-            await self.totals.open()
+            self.totals.open()
             for address, handler in (
                 (settings.readiness, endpoints.readiness),
                 (settings.exchange, endpoints.exchange),
@@ -144,7 +144,7 @@
 
     async def _exchange(self) -> None:
         self.beliefs.refresh()
-        await self.totals.send(self.placing)
+        self.totals.send(self.placing)
         self.placing.settle()
 
     async def _report_lateness(self) -> None:
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import attrs
 import msgspec
 import trio
@@ -27,6 +29,7 @@
 DATAGRAMS_PER_S = 100
 ROUNDS_KEPT = 4.0  # rounds after which totals that didn't arrive anew count no more
 DATAGRAM_BYTES = 65536
+DATAGRAMS_AT_ONCE = 512  # several seconds of them in the largest fleet
 USAGE_ROUNDS = 4  # of a large fleet, in one of which the tokens given are told
 IDLE_SKIP_MAX = 2  # rounds left out in a row; then an idle instance is still alive
 
@@ -61,7 +64,9 @@
         self._summed_at_s = self._born_s
         self._oldest_s = 0.0
         self._last_content: tuple[object, ...] = ()
-        self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        self._decoder = msgspec.msgpack.Decoder(Message | Relayed)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
 
     @property
     def instances(self) -> int:
@@ -77,9 +82,9 @@
         """Return this instance's place among them for a key, from 0."""
         return self._membership.rank(key)
 
-    async def open(self) -> None:
+    def open(self) -> None:
         """Bind the socket."""
-        await self._socket.bind((self.own.host, self.own.port))
+        self._socket.bind((self.own.host, self.own.port))
 
     def add_peers(self, peers: list[Peer]) -> None:
         """Take listed instances into the exchange."""
@@ -89,30 +94,41 @@
 
     async def receive(self) -> None:
         """Take in datagrams until cancelled."""
-        decoder = msgspec.msgpack.Decoder(Message | Relayed)
-        passes = scheduler_passes()
         while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            # trio's own recvfrom takes one in each pass of the scheduler. Passes are
+            # long while the process is busy, and what is read would be ever older.
             try:
-                data, address = await self._socket.recvfrom(DATAGRAM_BYTES)
+                self._take_waiting()
             except OSError as exc:
                 log_decision("totals_not_received", error=str(exc))
                 await trio.sleep(EXCHANGE_S)
-                continue
+
+    def _take_waiting(self) -> None:
+        as_of_s = scheduler_passes().unread_since_s
+        for _ in range(DATAGRAMS_AT_ONCE):
             try:
-                message = decoder.decode(data)
-                if isinstance(message, Relayed):
-                    self._directory.take_changes(message.data, passes.unread_since_s)
-                    continue
+                data, address = self._socket.recvfrom(DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            try:
+                self._take(data, as_of_s)
             except (msgspec.DecodeError, ValueError) as exc:
                 log_decision("totals_unreadable", sender=address, error=str(exc))
-                continue
-            if not self._totals.take(message, boot_time_s()):
-                continue
-            if self._directory.is_behind(message.versions):
-                sender = Peer(message.name, message.host, message.port)
-                self.newer = (sender, message.versions)
-
-    async def send(self, placing: Placing) -> None:
+
+    def _take(self, data: bytes, as_of_s: float) -> None:
+        """Take in a datagram that arrived after a moment; raises `ValueError`."""
+        message = self._decoder.decode(data)
+        if isinstance(message, Relayed):
+            self._directory.take_changes(message.data, as_of_s)
+            return
+        if not self._totals.take(message, boot_time_s()):
+            return
+        if self._directory.is_behind(message.versions):
+            sender = Peer(message.name, message.host, message.port)
+            self.newer = (sender, message.versions)
+
+    def send(self, placing: Placing) -> None:
         """Send this instance's totals to the others, and add up theirs."""
         now_s = boot_time_s()
         self._membership.refresh(now_s)
@@ -129,12 +145,12 @@
         self._round_at_s = now_s + round_s - EXCHANGE_S / 2.0
         self._membership.alive_s = max(ALIVE_S, ROUNDS_KEPT * round_s)
         self._number += 1
-        await self._send_to(near, own, (0, 0), [])
+        self._send_to(near, own, (0, 0), [])
         if far:
             number = self._membership.number_of(self.own.name)
             key = (number, self._membership.neighbourhoods)
             members = self._membership.neighbours()
-            await self._send_to(far, add_up([own, *neighbours]), key, members)
+            self._send_to(far, add_up([own, *neighbours]), key, members)
 
     def _is_idle(self, sums: list[Sums], now_s: float) -> bool:
         """Return whether this round may be left out."""
@@ -170,9 +186,9 @@
     async def relay(self, data: bytes) -> None:
         """Tell the neighbours of changes of the backend servers' entries."""
         others = [peer for peer in self._membership.neighbours() if peer != self.own]
-        await self._send_data(others, msgspec.msgpack.encode(Relayed(data)))
+        self._send_data(others, msgspec.msgpack.encode(Relayed(data)))
 
-    async def _send_to(
+    def _send_to(
         self,
         peers: list[Peer],
         sums: Sums,
@@ -195,12 +211,12 @@
                 sums,
             )
         )
-        await self._send_data(peers, data)
+        self._send_data(peers, data)
 
-    async def _send_data(self, peers: list[Peer], data: bytes) -> None:
+    def _send_data(self, peers: list[Peer], data: bytes) -> None:
         for peer in peers:
             try:
-                await self._socket.sendto(data, (peer.host, peer.port))
+                self._socket.sendto(data, (peer.host, peer.port))
             except OSError as exc:
                 log_decision("totals_not_sent", peer=peer.name, error=str(exc))
 
--- a/libs/gateway/tests/test_receiving.py
+++ b/libs/gateway/tests/test_receiving.py
@@ -36,7 +36,7 @@
         directory = CountingDirectory()
         own = Peer("node-0", *address)
         exchange = TotalsExchange(own, beliefs, cast(Directory, directory))
-        await exchange.open()
+        exchange.open()
         data = msgspec.msgpack.encode(Relayed(b"news"))
         passes = 0
         async with trio.open_nursery() as nursery:
