Send no request whose caller has left

Whether a caller is there was looked at four times a second, from the moment a request was read: one that had lain unread, or waited at most a quarter of a second, was sent without a look. It is now looked at before a place is taken and right before the send.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -234,18 +234,23 @@
         if not scope.cancelled_caught:
             return
         if gone:
-            GONE.bind(route=call.route.name).add()
-            log_decision(
-                "caller_gone",
-                id=call.text_id,
-                sends=call.sends,
-                after_s=self._elapsed_s(call),
-            )
-            raise CallerGone("caller closed its connection")
+            raise self._caller_gone(call)
         if call.ran:
             raise TimedOut(f"no whole answer within {left_s:.3f} s")
         raise Overloaded(f"not sent within {left_s:.3f} s")
 
+    def _caller_gone(self, call: Call) -> CallerGone:
+        """Note that a caller has left; return the error that ends its request."""
+        GONE.bind(route=call.route.name).add()
+        log_decision(
+            "caller_gone",
+            id=call.text_id,
+            sends=call.sends,
+            unread_s=call.unread_s,
+            after_s=self._elapsed_s(call),
+        )
+        return CallerGone("caller closed its connection")
+
     async def _send_until_done(self, call: Call) -> None:
         budget = self._budget_of(call.service.name)
         budget.count_request(boot_time_s())
@@ -265,9 +270,16 @@
             RESENT.bind(cause=sent.outcome.value).add()
 
     async def _send(self, call: Call) -> Sent:
+        # The watch of the connection looks at intervals, and the request may have
+        # lain unread: the caller may have left before.
+        if call.request.has_caller_left():
+            raise self._caller_gone(call)
         placed = await self._placing.place(
             call.service, call.work, frozenset(call.avoid)
         )
+        if call.request.has_caller_left():
+            placed.end(None)
+            raise self._caller_gone(call)
         server_id = placed.state.server.id
         now_s = boot_time_s()
         left_s = call.work.deadline_at_s - now_s
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -15,7 +15,7 @@
 from .errors import CallerGone
 from .headers import Headers, MixedHeaders, encode_headers, first_header
 from .limits import ServerLimits
-from .stream import LISTEN_BYTES, Stream, TcpStream, close_with_reset
+from .stream import LISTEN_BYTES, Stream, TcpStream, close_with_reset, has_ended
 from .target import parse_query, split_target
 from .watchdog import DisconnectWatch
 
@@ -235,6 +235,10 @@
             self._connection.receive_data(data)
         await trio.sleep_forever()
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed its connection by now."""
+        return has_ended(self._stream)
+
     def on_disconnect(self, callback: Callable[[], None]) -> DisconnectWatch:
         """Return a block in which the callback is called if the caller goes away.
 
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -148,6 +148,16 @@
     return not poll.poll(0)
 
 
+def has_ended(stream: Stream) -> bool:
+    """Return whether the other side has ended or reset a connection by now."""
+    number = stream.socket.fileno()
+    if number < 0:
+        return True
+    poll = select.poll()
+    poll.register(number, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def accept_waiting(listener: trio.SocketListener, most: int) -> list[Stream]:
     """Return connections that are established but not accepted yet, at once.
 
