Close the socket of the totals when an instance ends

Nothing that a user has seen; a deployed process frees its ports by its end.

The test failed before: the port of an ended instance could not be bound.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -4,6 +4,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import closing
 
 import attrs
 import trio
@@ -110,11 +111,16 @@
 
     async def run(self) -> None:
         """Serve until a signal stops the process."""
+        callers = await _listen(self.settings.callers)
+        self.totals.open()
+        with closing(self.totals):
+            await self._serve(callers)
+        log_decision("stopped", running=self.calls.running)
+
+    async def _serve(self, callers: trio.SocketListener) -> None:
         settings = self.settings
         endpoints = Endpoints(lambda: self.is_ready, self.directory)
-        callers = await _listen(settings.callers)
         async with trio.open_nursery() as nursery:
-            self.totals.open()
             for address, handler in (
                 (settings.readiness, endpoints.readiness),
                 (settings.exchange, endpoints.exchange),
@@ -140,7 +146,6 @@
                 closing=self.closing,
             )
             nursery.cancel_scope.cancel()
-        log_decision("stopped", running=self.calls.running)
 
     async def _exchange(self) -> None:
         self.beliefs.refresh()
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -86,6 +86,10 @@
         """Bind the socket."""
         self._socket.bind((self.own.host, self.own.port))
 
+    def close(self) -> None:
+        """Free the socket's port."""
+        self._socket.close()
+
     def add_peers(self, peers: list[Peer]) -> None:
         """Take listed instances into the exchange."""
         now_s = boot_time_s()
--- a/tests/platform/test_late_instance.py
+++ b/tests/platform/test_late_instance.py
@@ -11,7 +11,7 @@
 import trio
 
 from teaseldyke.timers import SchedulerPasses
-from tests.platform.conftest import HOST, Fleet
+from tests.platform.conftest import HOST, Fleet, running_fleet
 
 CALLERS = 100
 SLOW_READ_S = 0.01  # added to each request; all together are a second
@@ -108,3 +108,11 @@
     assert longest_s < PASS_MAX_S
     monkeypatch.undo()
     assert (await fleet.caller().ask("/safe/a")).status == 200
+
+
+async def test_ended_instance_keeps_no_port() -> None:
+    """A gateway that starts at the same address finds it free."""
+    async with running_fleet() as fleet:
+        address = fleet.gateways[0].settings.exchange
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((address.host, address.port))
