Refuse at once what one pass of the scheduler can't begin

One organisation's callers stand at one instance (some 500 requests a second where 200 can be served); nothing limited what it took, so running streams, totals and entries of servers waited behind the rest.

A pass now begins requests for 30 ms. What it would begin later is refused before it is read, with 503 and a Retry-After of about a tenth of a second: the caller's next attempt reaches another instance. Events of running streams are not limited. Ruled out: a bound on how long a request lay unread, since after a single stall of an idle process serving is better than refusing.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -46,7 +46,7 @@
     Stopping,
     TimedOut,
 )
-from .interfaces import CallFacts, Fleet, Wire
+from .interfaces import CallFacts, Fleet, Headers, Wire
 from .placing import FULL_PAUSE_S, Placing
 from .relay import Relay
 from .settings import FleetBounds
@@ -67,6 +67,9 @@
 RESENT = counter("teaseldyke_resent_total", "Sends after the first, by cause.")
 GONE = counter("teaseldyke_callers_gone_total", "Callers that left early.")
 FIRST = histogram("teaseldyke_answer_seconds", "Time from arrival to the end.")
+UNREAD_REFUSED = counter(
+    "teaseldyke_unread_refused_total", "Refusals before a request was read, by code."
+)
 UNREAD = histogram(
     "teaseldyke_unread_seconds", "Longest time that a request may have lain unread."
 ).bind()
@@ -94,6 +97,8 @@
     ----------
     running, streams : int
         Requests, and streams among them, that have no final answer yet.
+    refused_unread : int
+        Requests refused before they were read, since the last report.
     ends_at_s : float
         When the process ends; answers that take longer are not begun.
     takes_streams : bool
@@ -111,6 +116,7 @@
     ) -> None:
         self.running = 0
         self.streams = 0
+        self.refused_unread = 0
         self.ends_at_s = math.inf
         self.takes_streams = True
         self._beliefs = beliefs
@@ -437,6 +443,20 @@
         if request.response_started:
             await request.abort()
             return
+        status, headers, body = self.describe(error, request_id)
+        await request.respond(status, body, headers)
+
+    def describe(
+        self, error: TeaseldykeError, request_id: bytes | None = None
+    ) -> tuple[int, Headers, bytes]:
+        """Return status, headers and body of an answer of the instance's own."""
         body = json.dumps({"code": error.code, "detail": error.detail}).encode()
         headers = self._wire.refusal_headers(request_id, error.retry_after_s)
-        await request.respond(error.status, body, headers)
+        return error.status, headers, body
+
+    def describe_unread(self, error: TeaseldykeError) -> tuple[int, Headers, bytes]:
+        """Count a refusal of what was not read as a request; return its answer."""
+        ANSWERED.bind(route="", status=str(error.status)).add()
+        UNREAD_REFUSED.bind(code=error.code).add()
+        self.refused_unread += 1
+        return self.describe(error)
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -40,6 +40,9 @@
 LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
 ANNOUNCE_RETRY_S = 1.0  # until the store has taken this instance's entry
 BACKLOG = 1024  # connections that wait to be accepted; a full queue costs seconds
+# In a pass of the scheduler. A pass also brings the events of running streams, which
+# callers wait for; together they stay below a tenth of a second.
+BEGIN_S = 0.03
 LATENESS_S = 1.0  # between reports of the longest pass of the scheduler
 LATE_PASS_S = 0.1  # callers and neighbours notice such a delay
 SIDE_LIMITS = ServerLimits(connections=128, idle_timeout_s=30.0)
@@ -137,13 +140,14 @@
             timers.every(EXCHANGE_S, self._exchange)
             timers.every(LATENESS_S, self._report_lateness)
             log_decision("started", callers=str(settings.callers))
-            limits = ServerLimits(connections=settings.connections_max)
+            limits = ServerLimits(connections=settings.connections_max, begin_s=BEGIN_S)
             await serve(
                 callers,
                 self.calls.handle,
                 limits,
                 stopping=self.stopping,
                 closing=self.closing,
+                describe=self.calls.describe_unread,
             )
             nursery.cancel_scope.cancel()
 
@@ -155,11 +159,14 @@
     async def _report_lateness(self) -> None:
         longest_s = scheduler_passes().take_longest_s()
         LONGEST_PASS.set(longest_s)
-        if longest_s < LATE_PASS_S:
+        refused = self.calls.refused_unread
+        self.calls.refused_unread = 0
+        if longest_s < LATE_PASS_S and not refused:
             return
         log_decision(
             "instance_late",
             longest_pass_s=round(longest_s, 3),
+            refused_unread=refused,
             running=self.calls.running,
             streams=self.calls.streams,
             waiting=self.placing.waiting,
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -14,6 +15,7 @@
 from teaseldyke.types import TeaseldykeError
 
 from .errors import (
+    Busy,
     CallerGone,
     HeaderTooLarge,
     MalformedRequest,
@@ -34,10 +36,12 @@
 from .watchdog import Watch
 
 Handler = Callable[[Request], Awaitable[None]]
+Describe = Callable[[TeaseldykeError], tuple[int, Headers, bytes]]
 
 SERVED_VERSIONS = (b"1.0", b"1.1")
 CLOSE_TIMEOUT_S = 1.0
 CLOSE_DISCARD_BYTES = 1024 * 1024
+BUSY_PAUSE_S = (0.05, 0.15)  # drawn; another instance may take the request at once
 
 
 @attrs.define
@@ -52,6 +56,8 @@
         Bounds of each caller.
     stopping : trio.Event
         Set when the server is to stop.
+    describe : callable
+        Returns status, headers and body that report an error before any request.
 
     Attributes
     ----------
@@ -64,6 +70,7 @@
     handler: Handler
     limits: ServerLimits
     stopping: trio.Event
+    describe: Describe = problem_response
     idle: set[CallerConnection] = attrs.field(factory=set)
     idle_closed: bool = False
 
@@ -130,7 +137,7 @@
 
     async def refuse(self, error: TeaseldykeError) -> None:
         """Answer with a problem and close."""
-        status, headers, body = problem_response(error)
+        status, headers, body = self._serving.describe(error)
         try:
             data = self._error_answer(status, headers, body)
             with trio.move_on_after(CLOSE_TIMEOUT_S):
@@ -153,6 +160,11 @@
         """Return the next request, or ``None`` when there will be none."""
         if not self._parser.trailing_data[0] and not await self._wait_first_byte():
             return None
+        if self._passes.elapsed_s > self._limits.begin_s:
+            raise Busy(
+                "more requests arrived at once than this instance can begin",
+                retry_after_s=random.uniform(*BUSY_PAUSE_S),
+            )
         head = self._parse_head()
         if head is None:
             head = await self._rest_of_head()
--- a/libs/http/src/teaseldyke/http/errors.py
+++ b/libs/http/src/teaseldyke/http/errors.py
@@ -45,6 +45,14 @@
     executed = "no"
 
 
+class Busy(TeaseldykeError):
+    """The process has as many requests at once as it can begin."""
+
+    code = "busy"
+    status = 503
+    executed = "no"
+
+
 class TooManyConnections(TeaseldykeError):
     """The server holds as many connections as it may."""
 
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -9,9 +9,10 @@
 
 from teaseldyke.timers import scheduler_passes
 
-from .connection import CallerConnection, Handler, Serving
+from .connection import CallerConnection, Describe, Handler, Serving
 from .errors import TooManyConnections
 from .limits import ServerLimits
+from .problem import problem_response
 from .stream import Stream, accept_waiting, close_now
 
 ACCEPT_RETRY_S = 0.1
@@ -27,6 +28,7 @@
     *,
     stopping: trio.Event | None = None,
     closing: trio.Event | None = None,
+    describe: Describe = problem_response,
 ) -> None:
     """Serve callers until ``stopping`` is set and running requests have finished.
 
@@ -45,9 +47,12 @@
     closing : trio.Event, optional
         Set by the caller, after ``stopping``, in place of that fixed time. Until then
         connections are taken, and each answer asks to close its connection.
+    describe : callable, optional
+        Returns status, headers and body of the answer to a connection whose request
+        is refused before the handler gets it; a problem by default.
     """
     stopping = trio.Event() if stopping is None else stopping
-    serving = Serving(handler, limits, stopping)
+    serving = Serving(handler, limits, stopping, describe)
     server = _Server(serving)
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
--- a/libs/timers/src/teaseldyke/timers/passes.py
+++ b/libs/timers/src/teaseldyke/timers/passes.py
@@ -30,6 +30,11 @@
         self._started_at_s = now_s
         self._polled_at_s = now_s
 
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the last poll, which the current pass has taken so far."""
+        return boot_time_s() - self._started_at_s
+
     def before_io_wait(self, _timeout: float) -> None:
         """Note the end of a pass."""
         self._polled_at_s = boot_time_s()
@@ -44,8 +49,7 @@
 
     def take_longest_s(self) -> float:
         """Return the longest pass since the last call, the current one included."""
-        current_s = boot_time_s() - self._started_at_s
-        longest_s = max(self.longest_s, current_s)
+        longest_s = max(self.longest_s, self.elapsed_s)
         self.longest_s = 0.0
         return longest_s
 
