Bound how long a removal is doubted while the store turns this instance away

A server whose entry is removed without a word of leaving was sent to for as long as this instance's own store was away, though its neighbours, whom the store serves, had told of the removal: an entry that vanishes while the store is away may only have lapsed, and no end was set to that.

The test failed before: 1.9 s after the news the server was still used.

--- a/libs/gateway/src/teaseldyke/gateway/beliefs.py
+++ b/libs/gateway/src/teaseldyke/gateway/beliefs.py
@@ -127,11 +127,14 @@
         self._on_change()
 
     def _may_return(self, server_id: str) -> bool:
-        """Whether an entry vanished only because the store was away."""
-        if not self.store_available:
-            return True
-        grace_ends_at_s = self._store_back_at_s + RETURN_GRACE_S
+        """Whether an entry may have vanished only because the store was away."""
         vanished_at_s = self._vanished_at_s[server_id]
+        back_at_s = self._store_back_at_s
+        if not self.store_available:
+            # Others told of it, so the store serves them and has been back for them
+            # since then at the latest.
+            back_at_s = max(back_at_s, vanished_at_s)
+        grace_ends_at_s = back_at_s + RETURN_GRACE_S
         return vanished_at_s < grace_ends_at_s and boot_time_s() < grace_ends_at_s
 
     def _forget_vanished(self, now_s: float) -> None:
--- a/libs/gateway/tests/test_beliefs.py
+++ b/libs/gateway/tests/test_beliefs.py
@@ -58,6 +58,23 @@
         beliefs.refresh()
         assert usable(beliefs) == expected
 
+    @pytest.mark.parametrize(("after_s", "expected"), [(1.0, ["a", "b"]), (1.9, ["b"])])
+    def test_removal_that_peers_tell_holds_while_the_store_turns_this_instance_away(
+        self,
+        clock: Clock,
+        beliefs: FleetBeliefs,
+        make_server: MakeServer,
+        after_s: float,
+        expected: list[str],
+    ) -> None:
+        beliefs.apply_servers([make_server("a"), make_server("b")])
+        beliefs.note_store(False, "turned away")
+        clock.now_s += 5.0
+        beliefs.apply_servers([make_server("b")])
+        clock.now_s += after_s
+        beliefs.refresh()
+        assert usable(beliefs) == expected
+
     def test_a_new_start_under_the_same_id_knows_nothing(
         self, beliefs: FleetBeliefs, make_server: MakeServer
     ) -> None:
