Let requests wait shortly to be begun, and ask for no more when they can't

- What a pass can't begin waits up to 0.1 s for the next ones (Admission); once one waited longer, the rest is refused at once for a second.
- An instance that refused so within 3 s isn't ready, so the platform's balancer gives new connections to others.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -10,6 +10,7 @@
 import trio
 
 from teaseldyke.http import (
+    Admission,
     BackendPool,
     HttpClient,
     Request,
@@ -40,9 +41,13 @@
 LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
 ANNOUNCE_RETRY_S = 1.0  # until the store has taken this instance's entry
 BACKLOG = 1024  # connections that wait to be accepted; a full queue costs seconds
-# In a pass of the scheduler. A pass also brings the events of running streams, which
-# callers wait for; together they stay below a tenth of a second.
+# In which a pass of the scheduler begins requests. A pass also brings the events of
+# running streams, which callers wait for; together they stay below a tenth of a second.
 BEGIN_S = 0.03
+BEGIN_WAIT_S = 0.1  # for a pass that does; about the target latency of a short request
+# After a request was refused because too many arrived. Callers come back to the same
+# instance as long as it is ready; balancers see it after two checks a second apart.
+READY_AGAIN_S = 3.0
 LATENESS_S = 1.0  # between reports of the longest pass of the scheduler
 LATE_PASS_S = 0.1  # callers and neighbours notice such a delay
 SIDE_LIMITS = ServerLimits(connections=128, idle_timeout_s=30.0)
@@ -83,9 +88,11 @@
     directory: Directory = attrs.field(init=False)
     totals: TotalsExchange = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
+    admission: Admission = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
+        self.admission = Admission(BEGIN_S, BEGIN_WAIT_S)
         self.beliefs = FleetBeliefs(lambda: self.placing.wake())
         self.directory = self.make_directory(self.beliefs)
         own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
@@ -110,7 +117,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether new connections are welcome."""
-        return self.beliefs.table is not None and not self.stopping.is_set()
+        if self.beliefs.table is None or self.stopping.is_set():
+            return False
+        return boot_time_s() - self.admission.refused_at_s >= READY_AGAIN_S
 
     async def run(self) -> None:
         """Serve until a signal stops the process."""
@@ -140,7 +149,7 @@
             timers.every(EXCHANGE_S, self._exchange)
             timers.every(LATENESS_S, self._report_lateness)
             log_decision("started", callers=str(settings.callers))
-            limits = ServerLimits(connections=settings.connections_max, begin_s=BEGIN_S)
+            limits = ServerLimits(connections=settings.connections_max)
             await serve(
                 callers,
                 self.calls.handle,
@@ -148,6 +157,7 @@
                 stopping=self.stopping,
                 closing=self.closing,
                 describe=self.calls.describe_unread,
+                admission=self.admission,
             )
             nursery.cancel_scope.cancel()
 
--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .admission import Admission
 from .backend import BackendPool
 from .client import HttpClient, Response
 from .errors import (
@@ -27,6 +28,7 @@
 from .server import serve
 
 __all__ = [
+    "Admission",
     "AnswerBroken",
     "AnswerTimedOut",
     "AnswerTooLarge",
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -14,6 +14,7 @@
 from teaseldyke.timers import scheduler_passes
 from teaseldyke.types import TeaseldykeError
 
+from .admission import Admission, Turn
 from .errors import (
     Busy,
     CallerGone,
@@ -58,6 +59,8 @@
         Set when the server is to stop.
     describe : callable
         Returns status, headers and body that report an error before any request.
+    admission : Admission
+        Which requests are begun.
 
     Attributes
     ----------
@@ -71,6 +74,7 @@
     limits: ServerLimits
     stopping: trio.Event
     describe: Describe = problem_response
+    admission: Admission = attrs.field(factory=Admission)
     idle: set[CallerConnection] = attrs.field(factory=set)
     idle_closed: bool = False
 
@@ -160,11 +164,7 @@
         """Return the next request, or ``None`` when there will be none."""
         if not self._parser.trailing_data[0] and not await self._wait_first_byte():
             return None
-        if self._passes.elapsed_s > self._limits.begin_s:
-            raise Busy(
-                "more requests arrived at once than this instance can begin",
-                retry_after_s=random.uniform(*BUSY_PAUSE_S),
-            )
+        await self._wait_turn()
         head = self._parse_head()
         if head is None:
             head = await self._rest_of_head()
@@ -179,6 +179,18 @@
             self._unread_since_s,
         )
 
+    async def _wait_turn(self) -> None:
+        while True:
+            turn = self._serving.admission.turn(self._unread_since_s)
+            if turn is Turn.NOW:
+                return
+            if turn is Turn.REFUSED:
+                raise Busy(
+                    "more requests arrive than this instance can begin",
+                    retry_after_s=random.uniform(*BUSY_PAUSE_S),
+                )
+            await trio.lowlevel.checkpoint()
+
     async def _rest_of_head(self) -> h11.Request | None:
         head = None
         with trio.move_on_after(self._limits.header_timeout_s) as scope:
--- a/libs/http/src/teaseldyke/http/limits.py
+++ b/libs/http/src/teaseldyke/http/limits.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 import attrs
 
 KIB = 1024  # bytes
@@ -33,10 +31,6 @@
         Connections held at once; further ones are answered with 503.
     stop_linger_s : float
         How long a stopping server still takes requests that were already under way.
-    begin_s : float
-        Requests that a pass of the scheduler would begin later than this after its
-        poll are refused. Without a bound a process with more callers than it can
-        serve looks at its sockets ever later, and all that it does comes late.
     """
 
     header_bytes: int = 32 * KIB
@@ -48,4 +42,3 @@
     send_timeout_s: float = 30.0
     connections: int = 4096
     stop_linger_s: float = 0.2
-    begin_s: float = math.inf
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -9,6 +9,7 @@
 
 from teaseldyke.timers import scheduler_passes
 
+from .admission import Admission
 from .connection import CallerConnection, Describe, Handler, Serving
 from .errors import TooManyConnections
 from .limits import ServerLimits
@@ -29,6 +30,7 @@
     stopping: trio.Event | None = None,
     closing: trio.Event | None = None,
     describe: Describe = problem_response,
+    admission: Admission | None = None,
 ) -> None:
     """Serve callers until ``stopping`` is set and running requests have finished.
 
@@ -50,9 +52,11 @@
     describe : callable, optional
         Returns status, headers and body of the answer to a connection whose request
         is refused before the handler gets it; a problem by default.
+    admission : Admission, optional
+        Which requests are begun; all by default.
     """
     stopping = trio.Event() if stopping is None else stopping
-    serving = Serving(handler, limits, stopping, describe)
+    serving = Serving(handler, limits, stopping, describe, admission or Admission())
     server = _Server(serving)
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
--- /dev/null
+++ b/libs/http/tests/test_admission.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from teaseldyke.http import admission as module
+from teaseldyke.http.admission import OVERLOAD_S, Admission, Turn
+
+BEGIN_S = 0.03
+WAIT_S = 0.1
+
+
+class Clock:
+    now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class Passes:
+    elapsed_s = 0.0
+
+
+@pytest.fixture
+def passes(monkeypatch: pytest.MonkeyPatch) -> Passes:
+    passes = Passes()
+    monkeypatch.setattr(module, "scheduler_passes", lambda: passes)
+    return passes
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(module, "boot_time_s", clock)
+    return clock
+
+
+@pytest.mark.parametrize(
+    ("elapsed_s", "unread_s", "expected"),
+    [
+        (0.0, 0.0, Turn.NOW),
+        (0.0, 5.0, Turn.NOW),  # after a stall of an idle process
+        (0.04, 0.0, Turn.LATER),
+        (0.04, 0.09, Turn.LATER),
+        (0.04, 0.11, Turn.REFUSED),
+    ],
+)
+def test_turn_of_a_request(
+    passes: Passes, clock: Clock, elapsed_s: float, unread_s: float, expected: Turn
+) -> None:
+    admission = Admission(BEGIN_S, WAIT_S)
+    passes.elapsed_s = elapsed_s
+    assert admission.turn(clock.now_s - unread_s) is expected
+    refused_at_s = clock.now_s if expected is Turn.REFUSED else -math.inf
+    assert admission.refused_at_s == refused_at_s
+
+
+def test_nobody_waits_after_one_has_waited_too_long(
+    passes: Passes, clock: Clock
+) -> None:
+    admission = Admission(BEGIN_S, WAIT_S)
+    passes.elapsed_s = 0.04
+    admission.turn(clock.now_s - 1.0)
+    clock.now_s += 0.9 * OVERLOAD_S
+    assert admission.turn(clock.now_s) is Turn.REFUSED
+    clock.now_s += 0.2 * OVERLOAD_S
+    assert admission.turn(clock.now_s) is Turn.LATER
+
+
+def test_without_bounds_all_begin(passes: Passes, clock: Clock) -> None:
+    passes.elapsed_s = 100.0
+    assert Admission().turn(0.0) is Turn.NOW
