Refuse a flooding caller before those who share its instance

While overloaded, callers (by address) that asked less than the mean of the last one or two seconds are now begun first, in at most twice the time; the rest is refused as before. If a balancer hides the addresses, all are one caller and nothing changes.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -177,6 +177,7 @@
             "instance_late",
             longest_pass_s=round(longest_s, 3),
             refused_unread=refused,
+            callers=self.admission.asked.callers,
             running=self.calls.running,
             streams=self.calls.streams,
             waiting=self.placing.waiting,
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -11,7 +11,7 @@
 import trio
 from absl import logging
 
-from teaseldyke.timers import scheduler_passes
+from teaseldyke.timers import boot_time_s, scheduler_passes
 from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission, Turn
@@ -97,10 +97,16 @@
         The caller's connection.
     unread_since_s : float
         Its first request came after this moment, on the clock of `boot_time_s`.
+    caller : str
+        Address of the other side.
     """
 
     def __init__(
-        self, serving: Serving, stream: Stream, unread_since_s: float = math.inf
+        self,
+        serving: Serving,
+        stream: Stream,
+        unread_since_s: float = math.inf,
+        caller: str = "",
     ) -> None:
         self._serving = serving
         self._limits = serving.limits
@@ -108,6 +114,7 @@
         self._watch = Watch(stream)
         self._passes = scheduler_passes()
         self._unread_since_s = unread_since_s
+        self._caller = caller
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=serving.limits.header_bytes
         )
@@ -180,8 +187,10 @@
         )
 
     async def _wait_turn(self) -> None:
+        admission = self._serving.admission
+        admission.asked.count(self._caller, boot_time_s())
         while True:
-            turn = self._serving.admission.turn(self._unread_since_s)
+            turn = admission.turn(self._unread_since_s, self._caller)
             if turn is Turn.NOW:
                 return
             if turn is Turn.REFUSED:
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 import trio
 from absl import logging
 
@@ -98,19 +96,20 @@
             logging.warning("event=accept_failed error=%r", str(exc))
             return False
         unread_since_s = scheduler_passes().unread_since_s
-        for stream in streams:
-            connections.start_soon(self.run_connection, stream, unread_since_s)
+        for stream, caller in streams:
+            connections.start_soon(self.run_connection, stream, unread_since_s, caller)
         return True
 
     async def run_connection(
-        self, stream: Stream, unread_since_s: float = math.inf
+        self, stream: Stream, unread_since_s: float, caller: str
     ) -> None:
         self._open_connections += 1
         try:
             if self._open_connections > self._limits.connections:
                 await self._refuse_connection(stream)
                 return
-            await CallerConnection(self._serving, stream, unread_since_s).run()
+            connection = CallerConnection(self._serving, stream, unread_since_s, caller)
+            await connection.run()
         except Exception as exc:
             logging.error("event=connection_failed error=%r", exc)
         finally:
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -158,23 +158,27 @@
     return bool(poll.poll(0))
 
 
-def accept_waiting(listener: trio.SocketListener, most: int) -> list[Stream]:
+def accept_waiting(
+    listener: trio.SocketListener, most: int
+) -> list[tuple[Stream, str]]:
     """Return connections that are established but not accepted yet, at once.
 
     Before a stopping server closes its listener it takes them too, since closing
-    would reset them, with the requests that they carry.
+    would reset them, with the requests that they carry. Each comes with the address
+    of its other side.
 
     Raises
     ------
     OSError
         If none could be accepted for another reason than that none waits.
     """
-    found: list[Stream] = []
+    found: list[tuple[Stream, str]] = []
     with socket.socket(fileno=os.dup(listener.socket.fileno())) as sock:
         sock.setblocking(False)
         while len(found) < most:
             try:
-                found.append(TcpStream(sock.accept()[0]))
+                connected, address = sock.accept()
+                found.append((TcpStream(connected), str(address[0])))
             except (BlockingIOError, ConnectionAbortedError):
                 return found
             except OSError:
--- a/libs/http/tests/test_admission.py
+++ b/libs/http/tests/test_admission.py
@@ -5,7 +5,13 @@
 import pytest
 
 from teaseldyke.http import admission as module
-from teaseldyke.http.admission import OVERLOAD_S, Admission, Turn
+from teaseldyke.http.admission import (
+    OVERLOAD_S,
+    WINDOW_S,
+    Admission,
+    AskedLately,
+    Turn,
+)
 
 BEGIN_S = 0.03
 WAIT_S = 0.1
@@ -51,7 +57,7 @@
 ) -> None:
     admission = Admission(BEGIN_S, WAIT_S)
     passes.elapsed_s = elapsed_s
-    assert admission.turn(clock.now_s - unread_s) is expected
+    assert admission.turn(clock.now_s - unread_s, "a") is expected
     refused_at_s = clock.now_s if expected is Turn.REFUSED else -math.inf
     assert admission.refused_at_s == refused_at_s
 
@@ -61,13 +67,45 @@
 ) -> None:
     admission = Admission(BEGIN_S, WAIT_S)
     passes.elapsed_s = 0.04
-    admission.turn(clock.now_s - 1.0)
+    admission.turn(clock.now_s - 1.0, "a")
     clock.now_s += 0.9 * OVERLOAD_S
-    assert admission.turn(clock.now_s) is Turn.REFUSED
+    assert admission.turn(clock.now_s, "a") is Turn.REFUSED
     clock.now_s += 0.2 * OVERLOAD_S
-    assert admission.turn(clock.now_s) is Turn.LATER
+    assert admission.turn(clock.now_s, "a") is Turn.LATER
 
 
 def test_without_bounds_all_begin(passes: Passes, clock: Clock) -> None:
     passes.elapsed_s = 100.0
-    assert Admission().turn(0.0) is Turn.NOW
+    assert Admission().turn(0.0, "a") is Turn.NOW
+
+
+@pytest.mark.parametrize(
+    ("elapsed_s", "caller", "expected"),
+    [
+        (0.04, "flood", Turn.REFUSED),
+        (0.04, "modest", Turn.NOW),
+        (0.07, "modest", Turn.LATER),
+    ],
+)
+def test_flooding_caller_is_refused_before_the_others(
+    passes: Passes, clock: Clock, elapsed_s: float, caller: str, expected: Turn
+) -> None:
+    admission = Admission(BEGIN_S, WAIT_S)
+    for number in range(100):
+        admission.asked.count("modest" if number % 20 == 0 else "flood", clock.now_s)
+    passes.elapsed_s = 0.04
+    admission.turn(clock.now_s - 1.0, "flood")
+    passes.elapsed_s = elapsed_s
+    assert admission.turn(clock.now_s, caller) is expected
+
+
+def test_what_callers_asked_is_forgotten(clock: Clock) -> None:
+    asked = AskedLately()
+    for caller in ("flood", "flood", "modest"):
+        asked.count(caller, clock.now_s)
+    assert not asked.is_modest("flood")
+    assert asked.is_modest("modest")
+    asked.count("modest", clock.now_s + WINDOW_S)
+    assert asked.callers == 2
+    asked.count("modest", clock.now_s + 4 * WINDOW_S)
+    assert asked.callers == 1
