Let a server wrap accepted connections, for the stand-ins' extra bytes

The stand-in now gives the server what it puts in place of a connection. The tests are the same and pass; in the gateway nothing is wrapped, so that what is deployed behaves as before.

--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -26,6 +26,7 @@
 from .problem import problem_response
 from .request import Request
 from .server import serve
+from .stream import Stream
 
 __all__ = [
     "Admission",
@@ -48,6 +49,7 @@
     "Response",
     "ServerConnection",
     "ServerLimits",
+    "Stream",
     "TooManyConnections",
     "TransferCodingUnsupported",
     "end_to_end_headers",
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 from absl import logging
 
@@ -29,6 +31,7 @@
     closing: trio.Event | None = None,
     describe: Describe = problem_response,
     admission: Admission | None = None,
+    wrap: Callable[[Stream], Stream] | None = None,
 ) -> None:
     """Serve callers until ``stopping`` is set and running requests have finished.
 
@@ -52,10 +55,12 @@
         is refused before the handler gets it; a problem by default.
     admission : Admission, optional
         Which requests are begun; all by default.
+    wrap : callable, optional
+        Returns what is used of an accepted connection in its place.
     """
     stopping = trio.Event() if stopping is None else stopping
     serving = Serving(handler, limits, stopping, describe, admission or Admission())
-    server = _Server(serving)
+    server = _Server(serving, wrap)
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
             accepting.start_soon(server.accept, listener, connections)
@@ -71,8 +76,11 @@
 
 
 class _Server:
-    def __init__(self, serving: Serving) -> None:
+    def __init__(
+        self, serving: Serving, wrap: Callable[[Stream], Stream] | None
+    ) -> None:
         self._serving = serving
+        self._wrap = wrap
         self._limits = serving.limits
         self._open_connections = 0
 
@@ -96,7 +104,8 @@
             logging.warning("event=accept_failed error=%r", str(exc))
             return False
         unread_since_s = scheduler_passes().unread_since_s
-        for stream, caller in streams:
+        for accepted, caller in streams:
+            stream = accepted if self._wrap is None else self._wrap(accepted)
             connections.start_soon(self.run_connection, stream, unread_since_s, caller)
         return True
 
--- a/libs/standins/src/teaseldyke/standins/faults.py
+++ b/libs/standins/src/teaseldyke/standins/faults.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, cast
 
 import attrs
-import trio
 
+from teaseldyke.http import Stream
 from teaseldyke.types import TeaseldykeError
 
 EVERY_REQUEST = -1
@@ -82,7 +83,7 @@
 class _TamperedStream:
     """A connection whose writes get extra bytes when told so."""
 
-    def __init__(self, stream: trio.SocketStream, extra: ExtraBytes) -> None:
+    def __init__(self, stream: Stream, extra: ExtraBytes) -> None:
         self._stream = stream
         self._extra = extra
 
@@ -94,22 +95,11 @@
         await self._stream.send_all(data + self._extra.take())
 
 
-class _TamperedListener:
-    """A listener whose connections are `_TamperedStream`."""
-
-    def __init__(self, listener: trio.SocketListener, extra: ExtraBytes) -> None:
-        self._listener = listener
-        self._extra = extra
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._listener, name)
-
-    async def accept(self) -> _TamperedStream:
-        """Return the next connection."""
-        return _TamperedStream(await self._listener.accept(), self._extra)
+def tampering(extra: ExtraBytes) -> Callable[[Stream], Stream]:
+    """Return what makes connections send extra bytes when told so."""
 
+    def wrap(stream: Stream) -> Stream:
+        # A server uses only what is passed on here.
+        return cast(Stream, _TamperedStream(stream, extra))
 
-def tampered(listener: trio.SocketListener, extra: ExtraBytes) -> trio.SocketListener:
-    """Return a listener whose connections send extra bytes when told so."""
-    # trio's socket classes are final; a server uses only what is passed on here.
-    return cast(trio.SocketListener, _TamperedListener(listener, extra))
+    return wrap
--- a/libs/standins/src/teaseldyke/standins/process.py
+++ b/libs/standins/src/teaseldyke/standins/process.py
@@ -14,7 +14,7 @@
 
 from .announcing import announce_until
 from .backend import BackendState
-from .faults import tampered
+from .faults import tampering
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 IDLE_POLL_S = 0.05
@@ -85,9 +85,13 @@
                 nursery.start_soon(self._end_on_signals, signals, leaving, stopping)
                 nursery.start_soon(self._announce, port, leaving)
                 print_ready(settings.name, listener)
-                serving = tampered(listener, self.state.extra)
-                server_limits = limits(settings.connections)
-                await serve(serving, self.handler, server_limits, stopping=stopping)
+                await serve(
+                    listener,
+                    self.handler,
+                    limits(settings.connections),
+                    stopping=stopping,
+                    wrap=tampering(self.state.extra),
+                )
                 nursery.cancel_scope.cancel()
 
     async def _announce(self, port: int, leaving: trio.Event) -> None:
--- a/libs/standins/tests/conftest.py
+++ b/libs/standins/tests/conftest.py
@@ -1,11 +1,19 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import pytest
 import trio
 
-from teaseldyke.http import HttpClient, Request, Response, ServerLimits, serve
+from teaseldyke.http import (
+    HttpClient,
+    Request,
+    Response,
+    ServerLimits,
+    Stream,
+    serve,
+)
 
 Handler = Callable[[Request], Awaitable[None]]
 
@@ -30,12 +38,11 @@
 def start(nursery: trio.Nursery) -> Callable[..., Awaitable[Served]]:
     async def start(
         handler: Handler,
-        wrap: Callable[[trio.SocketListener], trio.SocketListener] | None = None,
+        wrap: Callable[[Stream], Stream] | None = None,
     ) -> Served:
         listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
         served = Served(listener.socket.getsockname()[1])
-        serving = listener if wrap is None else wrap(listener)
-        nursery.start_soon(serve, serving, handler, ServerLimits())
+        nursery.start_soon(partial(serve, listener, handler, ServerLimits(), wrap=wrap))
         return served
 
     return start
--- a/libs/standins/tests/test_engine.py
+++ b/libs/standins/tests/test_engine.py
@@ -2,7 +2,6 @@
 
 import json
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any
 
 import pytest
@@ -11,7 +10,7 @@
 from teaseldyke.http import CrossedAnswer, ExchangeBroken
 from teaseldyke.settings import Address
 from teaseldyke.standins import Engine, EngineSettings
-from teaseldyke.standins.faults import tampered
+from teaseldyke.standins.faults import tampering
 
 Start = Callable[..., Awaitable[Any]]
 CHAT = "/v1/chat/completions"
@@ -127,7 +126,7 @@
         self, start: Start, stream: bool
     ) -> None:
         engine = _engine()
-        served = await start(engine.handle, partial(tampered, extra=engine.state.extra))
+        served = await start(engine.handle, tampering(engine.state.extra))
         await served.call("PUT", "/standin/faults", b'{"extra_bytes": 7}')
         raw = await trio.open_tcp_stream("127.0.0.1", served.port)
         body = _body(2, stream)
