--- a/tests/processes/ports.py
+++ b/tests/processes/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import os
+import random
 import socket
 
 from teaseldyke.settings import Address
@@ -17,7 +17,8 @@
     return Address(HOST, free_port())
 
 
-_next_port = PORT_FIRST + os.getpid() * 50 % PORT_COUNT
+# Runs side by side must not take the same ports, nor share the seed of a run.
+_next_port = random.SystemRandom().randrange(PORT_COUNT)
 
 
 def free_port() -> int:
