--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -14,8 +14,12 @@
 @pytest.mark.promise("cold-backend-server")
 @pytest.mark.parametrize(
     "seed",
-    [4, 71008],
-    ids=["hold-links-and-kill-router", "kill-router-and-restart-engine"],
+    [4, 71008, 71025],
+    ids=[
+        "hold-links-and-kill-router",
+        "kill-router-and-restart-engine",
+        "freeze-router-and-restart-engine",
+    ],
 )
 async def test_two_faults_at_a_time(tmp_path: Path, seed: int) -> None:
     await run_round(seed, tmp_path)
