--- a/tests/platform/test_late_instance.py
+++ b/tests/platform/test_late_instance.py
@@ -129,3 +129,14 @@
     answer = await HttpClient().request("GET", address.host, address.port, "/-/ready")
     assert (answer.status == 200) is ready
     assert (await fleet.caller().ask("/safe/a")).status == 200
+
+
+async def test_malformed_request_does_not_count_as_overload(fleet: Fleet) -> None:
+    gateway = fleet.gateways[0]
+    address = gateway.settings.callers
+    with socket.create_connection((address.host, address.port)) as sock:
+        sock.sendall(b"rubbish\r\n\r\n")
+        (answer,) = await answers_of([sock])
+    assert answer.startswith(b"http/1.1 400")
+    assert gateway.admission.take_refused() == 0
+    assert gateway.is_ready
