--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -31,6 +31,7 @@
 from .interfaces import Fleet
 from .placed import Placed
 from .settings import FleetBounds
+from .share_log import ShareLog
 
 MISSES_MAX = 24  # requests tried without success before the rest must wait on
 PUMP_PAUSE_S = 0.004  # between two looks at what waits, at least
@@ -83,6 +84,7 @@
         self._fleet = fleet
         self.bounds = bounds
         self._failure_domain = failure_domain
+        self._share_log = ShareLog(standings)
         self._lines: dict[str, WaitingLine[_Ticket]] = {}
         self._changed = trio.Event()
 
@@ -122,6 +124,19 @@
         self.standings.settle(self.waiting_tokens(), now_s)
         self.wake()
 
+    def report_shares(self) -> None:
+        """Log what organisations asked for and got; called at a fixed interval."""
+        table = self._beliefs.table
+        if table is None:
+            return
+        states = [
+            state
+            for name, service in table.services.items()
+            if service.is_engine
+            for state in self._beliefs.states_of(name)
+        ]
+        self._share_log.report(states, self.waiting_tokens(), boot_time_s())
+
     async def place(
         self, service: ServiceDescription, work: Work, avoid: frozenset[str]
     ) -> Placed:
@@ -135,6 +150,8 @@
             If no backend server may get it.
         """
         states = self._beliefs.states_of(service.name)
+        if not avoid and service.is_engine:
+            self._share_log.note_asked(work)
         if self._beliefs.servers_known and not states:
             raise self._no_server(service, work)
         if all(state.server.id in avoid for state in states):
@@ -163,7 +180,7 @@
         if ticket.placed is not None:
             return ticket.placed
         reason = ticket.reason
-        REFUSED.bind(reason=reason).add()
+        self._count_refused(service, work, reason)
         left_s = work.deadline_at_s - boot_time_s()
         raise Overloaded(
             f"no room within {last_s - now_s:.3f} s: {reason}",
@@ -198,14 +215,21 @@
         refusal = refusal_of(work, expected_s, now_s, random.random())
         if refusal is None:
             return
-        REFUSED.bind(reason=refusal.reason).add()
+        self._count_refused(service, work, refusal.reason)
         raise Overloaded(
             f"{refusal.reason}: {expected_s:.3f} s",
             retry_after_s=refusal.retry_after_s,
         )
 
+    def _count_refused(
+        self, service: ServiceDescription, work: Work, reason: str
+    ) -> None:
+        REFUSED.bind(reason=reason).add()
+        if service.is_engine:
+            self._share_log.note_refused(work, boot_time_s())
+
     def _no_server(self, service: ServiceDescription, work: Work) -> NoServer:
-        REFUSED.bind(reason="no server").add()
+        self._count_refused(service, work, "no server")
         left_s = work.deadline_at_s - boot_time_s()
         return NoServer(
             f"service {service.name} has no backend server that may get requests",
@@ -223,6 +247,7 @@
             choice = self._choose(ticket.service, waiter.work, ticket.avoid, now_s)
             if choice.state is None:
                 misses += 1
+                self._share_log.note_miss(choice.reason)
                 if choice.awaited is not None:
                     tokens = instances * choice.uncached_tokens
                     choice.awaited.awaited_tokens += tokens
@@ -299,6 +324,7 @@
         if service.is_engine:
             state.note_parts(work, now_s)
             self.standings.charge(work.organisation, work.cost_tokens, now_s)
+            self._share_log.note_sent(work, now_s)
         WAITED.bind(service=service.name).observe(now_s - work.arrived_at_s)
         return placed
 
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -30,6 +30,7 @@
 from .placing import Placing
 from .sending import Sender
 from .settings import GatewaySettings
+from .share_log import REPORT_S
 from .totals import EXCHANGE_S, TotalsExchange
 
 CONNECT_TIMEOUT_S = 0.5  # to a backend server; several round trips between domains
@@ -151,6 +152,7 @@
             timers = Timers(nursery)
             timers.every(EXCHANGE_S, self._exchange)
             timers.every(LATENESS_S, self._report_lateness)
+            timers.every(REPORT_S, self._report_shares)
             log_decision("started", callers=str(settings.callers))
             limits = ServerLimits(connections=settings.connections_max)
             await serve(
@@ -185,6 +187,9 @@
             waiting=self.placing.waiting,
         )
 
+    async def _report_shares(self) -> None:
+        self.placing.report_shares()
+
     async def _announce(self) -> None:
         """Enter this instance into the store and learn of the others."""
         while True:
--- /dev/null
+++ b/libs/gateway/tests/test_share_log.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from teaseldyke.gateway import share_log as module
+from teaseldyke.gateway.share_log import ShareLog
+from teaseldyke.placement import Standings, Work
+
+
+def work(organisation: str, tokens: int = 100) -> Work:
+    return Work(organisation, 0.0, 1.0, 1.0, 1.0, prompt_tokens=tokens)
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
+    written: list[dict[str, Any]] = []
+
+    def log(event: str, **fields: Any) -> None:
+        written.append({"event": event, **fields})
+
+    monkeypatch.setattr(module, "log_decision", log)
+    return written
+
+
+def test_line_tells_what_an_organisation_asked_for_and_got(
+    lines: list[dict[str, Any]],
+) -> None:
+    standings = Standings(tokens_per_s=10.0)
+    standings.foreign_waiting = {"small": 70.0}
+    log = ShareLog(standings)
+    for _ in range(3):
+        log.note_asked(work("small"))
+    log.note_sent(work("small"), 0.0)
+    log.note_refused(work("small"), 0.0)
+    log.note_miss("engines full")
+    log.report([], {"small": 100.0}, 0.0)
+    (line,) = lines
+    assert line["event"] == "shares"
+    assert line["misses"] == {"engines full": 1}
+    (organisation,) = line["organisations"]
+    assert organisation["name"] == "small"
+    assert organisation["asked_tokens"] == 300
+    assert organisation["sent_tokens"] == 100
+    assert organisation["refused_tokens"] == 100
+    assert organisation["waiting_tokens"] == 100
+    assert organisation["waiting_elsewhere_tokens"] == 70
+
+
+@pytest.mark.parametrize(
+    ("refused", "waiting", "expected"),
+    [(False, {}, 0), (True, {}, 1), (False, {"small": 1.0}, 1)],
+    ids=["all-served", "refused", "waits"],
+)
+def test_line_is_written_only_if_somebody_is_not_served(
+    refused: bool,
+    waiting: dict[str, float],
+    expected: int,
+    lines: list[dict[str, Any]],
+) -> None:
+    log = ShareLog(Standings())
+    log.note_asked(work("small"))
+    log.note_sent(work("small"), 0.0)
+    if refused:
+        log.note_refused(work("small"), 0.0)
+    log.report([], waiting, 0.0)
+    assert len(lines) == expected
+
+
+def test_line_is_bounded_and_names_who_lacks_most(
+    lines: list[dict[str, Any]],
+) -> None:
+    log = ShareLog(Standings())
+    for number in range(100):
+        log.note_refused(work(f"o-{number}", 10 + number), 0.0)
+    log.report([], {}, 0.0)
+    names = [organisation["name"] for organisation in lines[0]["organisations"]]
+    assert len(names) == module.ORGANISATIONS_MAX
+    assert names[0] == "o-99"
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -77,16 +77,35 @@
     ----------
     tokens_per_s : float
         What the engines produce together.
+
+    Attributes
+    ----------
+    capacity_tokens : float
+        What was shared out when shares were last worked out.
+    given_tokens : float
+        What the fleet had given lately by then.
     """
 
     tokens_per_s: float = 0.0
     foreign_usage: dict[str, float] = attrs.field(factory=dict)
     foreign_waiting: dict[str, float] = attrs.field(factory=dict)
+    capacity_tokens: float = attrs.field(default=0.0, init=False)
+    given_tokens: float = attrs.field(default=0.0, init=False)
     _own: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
     _level: float = attrs.field(default=math.inf, init=False)
     _demands: dict[str, float] = attrs.field(factory=dict, init=False)
     _others_wait: bool = attrs.field(default=False, init=False)
 
+    @property
+    def level_tokens(self) -> int | None:
+        """What an organisation gets that asks for more; `None` if all fits."""
+        return None if self._level == math.inf else int(self._level)
+
+    @property
+    def demand_tokens(self) -> float:
+        """What all organisations together got lately or wait for."""
+        return sum(self._demands.values())
+
     def charge(self, organisation: str, tokens: float, now_s: float) -> None:
         """Count tokens that an organisation was given."""
         self._own.setdefault(organisation, DecayingSum()).add(tokens, now_s)
@@ -115,7 +134,9 @@
         stated = self.tokens_per_s * USAGE_TIME_S
         given = sum(self.usage(name, now_s) for name in names)
         self._demands = demands
-        self._level = water_level(demands, max(stated, given))
+        self.given_tokens = given
+        self.capacity_tokens = max(stated, given)
+        self._level = water_level(demands, self.capacity_tokens)
         self._others_wait = any(
             demands[name] > self.usage(name, now_s) and not self.is_over(name, now_s)
             for name in names
