--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -182,6 +182,8 @@
             result = Result(arrival)
             self.results.append(result)
         instance = self._random.choice(self._instances)
+        if arrival.organisation == self.pattern.narrow_organisation:
+            instance = self._instances[0]
         ask = _Ask(arrival, result, instance)
         work = arrival.work
         if not len(instance.line) and self._try(ask):
--- a/libs/patterns/src/teaseldyke/patterns/load.py
+++ b/libs/patterns/src/teaseldyke/patterns/load.py
@@ -122,6 +122,8 @@
         Whose requests these are; empty for all.
     loss : Loss or None
         Engines that are lost.
+    narrow_organisation : str
+        Whose callers all stand at one instance; empty if everybody's stand at all.
     """
 
     name: str
@@ -129,6 +131,7 @@
     hot_part: float = 0.0
     hot_organisation: str = ""
     loss: Loss | None = None
+    narrow_organisation: str = ""
 
 
 def _in_trouble(at_s: float) -> bool:
@@ -152,6 +155,13 @@
     return 4.0 if by == "middle" and asked.name == "dossier" else 1.0
 
 
+def _wide_and_narrow(_asked: Kind, by: str, at_s: float) -> float:
+    """Return floods of two organisations, each of more than half of the engines."""
+    if not _in_trouble(at_s):
+        return 1.0
+    return {"large": 4.0, "middle": 6.0}.get(by, 1.0)
+
+
 def _mixed(asked: Kind, _by: str, at_s: float) -> float:
     """Return long prompts and long answers by turns."""
     if not _in_trouble(at_s) or asked.name == "tag":
@@ -170,6 +180,13 @@
         Pattern("engine-loss", _times(1.2), loss=Loss(6.0, 0.25, 60.0)),
         Pattern("cold-return", _times(1.2), loss=Loss(6.0, 0.25, 9.0)),
         Pattern("mixed-lengths", _mixed),
+        Pattern("narrow-entry", _wide_and_narrow, narrow_organisation="middle"),
+        Pattern(
+            "narrow-entry-loss",
+            _wide_and_narrow,
+            loss=Loss(9.0, 0.25, 11.0),
+            narrow_organisation="middle",
+        ),
     )
 }
 
--- a/libs/patterns/tests/test_patterns.py
+++ b/libs/patterns/tests/test_patterns.py
@@ -10,6 +10,8 @@
 
 FAIR_PART = 0.5  # of what it asked or of what the best served got, in six seconds
 
+LARGE_FLEET_DELAY_S = 0.3  # two rounds of totals among 70 to 90 instances
+
 
 def play(name: str, seed: int = 1, *, keeps_places: bool = True) -> Outcome:
     spec = FleetSpec(instances=6, engines=6, keeps_places=keeps_places)
@@ -35,6 +37,13 @@
         outcome = play("held-engine", seed=2, keeps_places=keeps_places)
         assert (outcome.least_share() >= FAIR_PART) is fair
 
+    @pytest.mark.parametrize("name", ["narrow-entry", "narrow-entry-loss"])
+    def test_organisation_at_one_instance_is_not_crowded_out(self, name: str) -> None:
+        """Another floods the engines from all instances, which know of it late."""
+        spec = FleetSpec(instances=16, engines=8, totals_delay_s=LARGE_FLEET_DELAY_S)
+        outcome = ModelFleet(spec, PATTERNS[name], 1).play()
+        assert outcome.least_share() >= FAIR_PART
+
     def test_a_seed_gives_the_same_day(self) -> None:
         first, second = play("hot-part", 7), play("hot-part", 7)
         assert first.table() == second.table()
