Bound what is read of an answer that never ends

Callers of an engine that sends bytes without end got 502 or 504 at the end of their time, though another engine was sound and nothing had run; a dozen such answers could fill a small instance. Cause: what is read of an answer was bounded only by 16 MB (256 MB on streams) each and by the request's deadline, also where the head already says that it isn't passed on; an answer over the limit ended the request instead of the send; a stream's bytes counted as progress though no event came of them, and events without an id were passed on.

Now the body of a failure is read for 64 KiB or 0.05 s and then left, which costs the connection; a too large answer is a broken send; a stream needs a whole event, with an id, within the pause that a send may make; answers that are held until they are whole share 32 MiB, beyond which one larger than 256 KiB is broken off.

Heads without end (first line, header, 1xx answers) were bounded already: these rows passed before. The other nine rows and the test of many at once failed before (504 after 2.5 s; over 64 MiB held) and pass now. Ruled out: starvation of other tasks, each read waits in the scheduler.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -5,8 +5,10 @@
 from enum import Enum
 
 import attrs
+import trio
 
 from teaseldyke.http import (
+    AnswerTooLarge,
     BackendPool,
     ConnectFailed,
     Exchange,
@@ -18,11 +20,13 @@
 
 from .interfaces import AnswerFacts, CallFacts, Headers, Wire
 from .placed import Placed
-from .relay import PLAIN_ANSWER_MAX_BYTES, Relay
+from .relay import PLAIN_ANSWER_MAX_BYTES, Relay, StreamBroken
 
 STREAM_ANSWER_MAX_BYTES = 256 * 1024 * 1024
 KEPT_PART_REPEATABLE = 0.8  # of a server's keep-alive, after which a send may cross
 KEPT_PART_ONCE = 0.5  # its end; requests that may run once keep well inside
+DISCARD_MAX_BYTES = 64 * 1024  # of a failure's body; a new connection costs less
+DISCARD_MAX_S = 0.05  # a body that belongs to a refusal arrives with its head
 PATIENT_S = 3600.0  # where only the request's deadline bounds a wait
 
 
@@ -143,7 +147,7 @@
             self.sent = True
             await exchange.start(request, self.limits.first_s)
             return await self._read(connection, exchange, resumed_after)
-        except ExchangeBroken as exc:
+        except (ExchangeBroken, AnswerTooLarge) as exc:
             return Sent(Outcome.BROKEN, exc.detail)
         finally:
             self.pool.give_back(connection, exchange)
@@ -158,7 +162,7 @@
         facts = self.wire.read_answer(status, exchange.headers)
         connection.kept_s = facts.kept_s
         if facts.not_run or status == 421:
-            await exchange.read()
+            await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             outcome = Outcome.OTHER_SERVER if status == 421 else Outcome.NOT_RUN
             return Sent(outcome, f"server answered {status}, not run", status)
         fault = self._fault_of(status, facts)
@@ -166,7 +170,7 @@
             exchange.complete = False
             return Sent(Outcome.BROKEN, fault, status)
         if status >= 500 and not self.limits.passes_failures:
-            await exchange.read()
+            await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             return Sent(Outcome.FAILED, f"server answered {status}", status)
         headers = self.wire.answer_headers(exchange.headers)
         if self.route.kind is RouteKind.STREAMING and status == 200:
@@ -195,13 +199,18 @@
     ) -> None:
         expected_id = None if resumed_after is None else resumed_after + 1
         fresh = True
+        event_due_s = trio.current_time() + self.limits.first_s
         async for data in exchange.chunks():
             if fresh:
                 fresh = False
                 self.placed.note_first()
                 exchange.idle_timeout_s = self.limits.pause_s
                 await self.relay.start_stream(exchange, headers)
+            now_s = trio.current_time()
             if await self.relay.pass_block(data, expected_id):
                 expected_id = None
+                event_due_s = now_s + self.limits.pause_s
+            elif now_s > event_due_s:
+                raise StreamBroken("bytes arrive, but no whole event in time")
         await self.relay.start_stream(exchange, headers)
         await self.relay.end_stream()
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -18,7 +18,7 @@
 from .call import Call, organisation_of, pick_service, work_of
 from .errors import NotConfigured, Overloaded, RouteUnknown, Stopping, TimedOut
 from .interfaces import CallFacts, Headers, Wire
-from .relay import Relay
+from .relay import AnswerMemory, Relay
 from .sending import Sender, caller_gone
 
 CONFIGURATION_WAIT_S = 0.5  # told to callers before the first configuration
@@ -67,6 +67,7 @@
         self._beliefs = beliefs
         self._sender = sender
         self._wire = wire
+        self._memory = AnswerMemory()
         self._longest_patience_s: dict[str, float] = {}
 
     async def handle(self, request: Request) -> None:
@@ -127,7 +128,7 @@
             organisation,
             body,
             work,
-            Relay(request, self._wire),
+            Relay(request, self._wire, self._memory),
             version=table.version,
         )
         self.streams += is_stream
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from teaseldyke.http import Exchange, ExchangeBroken, Request
+from teaseldyke.http import AnswerTooLarge, Exchange, ExchangeBroken, Request
 
 from .interfaces import Headers, Wire
 
@@ -14,6 +14,8 @@
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
 EVENT_MAX_BYTES = 1024 * 1024  # an event that never ends must not fill the memory
 PLAIN_ANSWER_MAX_BYTES = 16 * 1024 * 1024
+HELD_MAX_BYTES = 32 * 1024 * 1024  # of all answers; a quarter of a small instance
+HELD_ALWAYS_BYTES = 256 * 1024  # of one answer, also when there are too many
 
 
 class StreamBroken(ExchangeBroken):
@@ -22,6 +24,47 @@
     code = "stream_broken"
 
 
+@attrs.define(eq=False)
+class AnswerMemory:
+    """Bounds what is held of answers that are passed on only as a whole.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Of all answers.
+    """
+
+    held_bytes: int = 0
+
+    async def read(self, exchange: Exchange) -> bytes:
+        """Return a whole body.
+
+        Raises
+        ------
+        AnswerTooLarge
+            If all answers together are too large, and this one isn't small.
+        ExchangeBroken
+            As `Exchange.chunks` does.
+        """
+        parts: list[bytes] = []
+        own_bytes = 0
+        try:
+            async for chunk in exchange.chunks():
+                parts.append(chunk)
+                own_bytes += len(chunk)
+                self.held_bytes += len(chunk)
+                if own_bytes <= HELD_ALWAYS_BYTES:
+                    continue
+                if self.held_bytes > HELD_MAX_BYTES:
+                    raise AnswerTooLarge(
+                        f"{self.held_bytes} bytes of answers are held, "
+                        f"{own_bytes} of them of this one"
+                    )
+        finally:
+            self.held_bytes -= own_bytes
+        return b"".join(parts)
+
+
 @attrs.define(eq=False)
 class Relay:
     """What the caller has got of its answer, over all sends of its request.
@@ -32,6 +75,8 @@
         The caller's.
     wire : Wire
         Formats of answers.
+    memory : AnswerMemory
+        Of the instance.
 
     Attributes
     ----------
@@ -41,6 +86,7 @@
 
     request: Request
     wire: Wire
+    memory: AnswerMemory
     events: int = 0
     _tail: bytes = b""
     _last_block: bytes = b""
@@ -58,7 +104,7 @@
 
     async def pass_whole(self, exchange: Exchange, headers: Headers) -> None:
         """Pass an answer on after it has arrived as a whole."""
-        body = await exchange.read()
+        body = await self.memory.read(exchange)
         await self.request.respond(exchange.status, body, headers)
 
     async def start_stream(self, exchange: Exchange, headers: Headers) -> None:
@@ -79,7 +125,8 @@
         Raises
         ------
         StreamBroken
-            If a resumed stream goes on at another event, or an event has no end.
+            If a resumed stream goes on at another event, or an event has no end or
+            no id.
         """
         if self._tail:
             data = self._tail + data
@@ -92,6 +139,8 @@
         end += len(EVENT_END)
         self._tail = data[end:]
         block = data[:end] if self._tail else data
+        if len(EVENT_ID.findall(block)) < block.count(EVENT_END):
+            raise StreamBroken("an event has no id")
         if expected_id is not None:
             found = EVENT_ID.search(block)
             if found is None or int(found[1]) != expected_id:
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -277,6 +277,19 @@
             parts.append(chunk)
         return b"".join(parts)
 
+    async def discard(self, limit_bytes: int, timeout_s: float) -> None:
+        """Read the rest of a body that nobody needs, so that the connection is kept.
+
+        A longer or slower one is left unread, which spoils the connection only.
+        """
+        self._answer_limit_bytes = self._body_bytes + limit_bytes
+        with trio.move_on_after(timeout_s):
+            try:
+                async for _ in self.chunks():
+                    pass
+            except (ExchangeBroken, AnswerTooLarge):
+                self.complete = False
+
     def close_watch(self) -> None:
         """End the time limits; the exchange is over."""
         self._watch.stop()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -14,6 +14,7 @@
 from teaseldyke.http import Request, ServerLimits, serve
 
 HISTORY_GONE = 410
+PIECE_BYTES = 16 * 1024  # of an answer without end, written at once
 
 
 @attrs.define(eq=False)
@@ -154,6 +155,8 @@
         What came.
     closed : int
         Connections that the other side closed during an answer.
+    poured_bytes : int
+        Bytes of answers without end that the other side took.
     """
 
     id: str
@@ -161,6 +164,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     connections: int = 0
     closed: int = 0
+    poured_bytes: int = 0
     port: int = 0
 
     def entry(self, service: str, zone: str = "zone-a", **fields: object) -> Any:
@@ -321,6 +325,21 @@
     return script
 
 
+def endless(begin: Callable[[Arrival], bytes], piece: bytes) -> Script:
+    """Return a script that writes pieces until the other side closes."""
+
+    async def script(
+        engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+    ) -> bool:
+        await stream.send_all(begin(arrival))
+        block = piece * max(1, PIECE_BYTES // len(piece))
+        while True:
+            await stream.send_all(block)
+            engine.poured_bytes += len(block)
+
+    return script
+
+
 def stream_of(
     first: int, last: int, *, cut_after: int | None = None, partial: bytes = b""
 ) -> Script:
