Close idle connections on which an engine goes on sending

An engine that sends bytes after its whole answer fills the receive buffer of a kept connection: nothing looked at idle connections until the next request took one, up to 4 s later or never, and received bytes count as the instance's memory. They are looked at twice a second now. The test failed before: the connection stayed open. Other idle connections are untouched.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -50,6 +50,7 @@
 # After a request was refused because too many arrived. Callers come back to the same
 # instance as long as it is ready; balancers see it after two checks a second apart.
 READY_AGAIN_S = 3.0
+SPOILED_CHECK_S = 0.5  # between looks at idle connections to backend servers
 LATENESS_S = 1.0  # between reports of the longest pass of the scheduler
 LATE_PASS_S = 0.1  # callers and neighbours notice such a delay
 SIDE_LIMITS = ServerLimits(connections=128, idle_timeout_s=30.0)
@@ -89,6 +90,7 @@
     placing: Placing = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
     totals: TotalsExchange = attrs.field(init=False)
+    pool: BackendPool = attrs.field(init=False)
     sender: Sender = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
     admission: Admission = attrs.field(init=False)
@@ -108,10 +110,11 @@
             settings.bounds,
             settings.failure_domain,
         )
+        self.pool = BackendPool(CONNECT_TIMEOUT_S)
         self.sender = Sender(
             self.beliefs,
             self.placing,
-            BackendPool(CONNECT_TIMEOUT_S),
+            self.pool,
             self.wire,
             settings.bounds,
             self.totals,
@@ -153,6 +156,7 @@
             timers.every(EXCHANGE_S, self._exchange)
             timers.every(LATENESS_S, self._report_lateness)
             timers.every(REPORT_S, self._report_shares)
+            timers.every(SPOILED_CHECK_S, self._close_spoiled)
             log_decision("started", callers=str(settings.callers))
             limits = ServerLimits(connections=settings.connections_max)
             await serve(
@@ -190,6 +194,9 @@
     async def _report_shares(self) -> None:
         self.placing.report_shares()
 
+    async def _close_spoiled(self) -> None:
+        self.pool.close_spoiled()
+
     async def _announce(self) -> None:
         """Enter this instance into the store and learn of the others."""
         while True:
--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -146,6 +146,21 @@
             connection.close()
         return ServerConnection(await self._open(host, port), host, port)
 
+    def close_spoiled(self) -> None:
+        """Close idle connections on which something unexpected has arrived.
+
+        An engine may go on sending after its answer; what it sends would fill the
+        receive buffer for as long as the connection is kept.
+        """
+        for key, connections in list(self._idle.items()):
+            kept = deque(c for c in connections if c.is_quiet())
+            for connection in connections:
+                if connection not in kept:
+                    connection.close()
+            self._idle[key] = kept
+            if not kept:
+                del self._idle[key]
+
     def close_idle(self) -> None:
         """Close every connection that is not in use."""
         for connections in self._idle.values():
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -17,6 +17,7 @@
     event,
     head_of,
     stream_of,
+    whole,
 )
 
 SMALLEST_INSTANCE_BYTES = 128 * 1024 * 1024
@@ -48,6 +49,10 @@
     return head_of(arrival)
 
 
+def whole_answer(arrival: Arrival) -> bytes:
+    return whole(arrival, b"answer")
+
+
 async def ask(fleet: Fleet, target: str) -> Answer:
     with trio.fail_after(3.0):  # the routes' time limit
         return await fleet.caller().ask(target)
@@ -111,6 +116,16 @@
         poured = sum(engine.poured_bytes for engine in fleet.engines.values())
         assert poured <= limit_bytes + BUFFERED_BYTES
 
+    async def test_bytes_after_an_answer_end_with_its_connection(
+        self, fleet: Fleet
+    ) -> None:
+        script_all(fleet, endless(whole_answer, b"x"))
+        answer = await ask(fleet, "/safe/a")
+        assert (answer.status, answer.body) == (200, b"answer")
+        await until(lambda: sum(e.closed for e in fleet.engines.values()) == 1)
+        poured = sum(engine.poured_bytes for engine in fleet.engines.values())
+        assert poured <= BUFFERED_BYTES
+
     async def test_many_at_once_leave_half_of_the_smallest_instance(
         self, fleet: Fleet
     ) -> None:
