Share an engine's free room by organisation, not by instance

Cause: every instance took all of the room that it saw at an engine, and learnt 0.2 to 0.4 s later what the others had taken. Up to 37 sends from 28 instances reached one engine of 12 slots within 0.1 s, 121 from 50 one of 16; the margins that keep places for those under their share were overrun, and an organisation at all instances had as many chances as there are instances. Shares ordered what waits at one instance only.

Now an instance takes a part of the free places and of the reading room for one round, until the others know of its sends. The part is what has its turn next there: the next 0.3 s of production go to the organisations with the least usage, in proportion to where their requests wait. Parts of all instances add up to one; a part of a place is rounded by a number drawn for each engine and round. A twentieth is for the rest, so that room which nobody in turn wants is taken. A few requests compete only with what waits elsewhere for their engines.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -159,13 +159,15 @@
         line = self._lines.setdefault(service.name, WaitingLine())
         now_s = boot_time_s()
         if not len(line):
-            choice = self._choose(service, work, avoid, now_s)
+            part = self.standings.room_part(1, len(states), work, now_s)
+            choice = self._choose(service, work, avoid, part, now_s)
             if choice.state is not None:
                 return self._begin(service, work, choice, now_s)
         self._refuse_hopeless(service, work, line, now_s)
         ticket = _Ticket(service, avoid)
         waiter = Waiter(work, ticket)
         line.add(waiter)
+        self.standings.count_waiting(work, now_s)
         self.wake()
         last_s = last_send_s(work, now_s)
         try:
@@ -240,11 +242,15 @@
         now_s = boot_time_s()
         misses = 0
         instances = self._fleet.instances
-        for state in self._beliefs.states_of(name):
+        states = self._beliefs.states_of(name)
+        room_part = self.standings.room_part(len(line), len(states), None, now_s)
+        for state in states:
             state.awaited_tokens = 0.0
         for waiter in list(line.in_order(self.standings, now_s)):
             ticket = waiter.token
-            choice = self._choose(ticket.service, waiter.work, ticket.avoid, now_s)
+            choice = self._choose(
+                ticket.service, waiter.work, ticket.avoid, room_part, now_s
+            )
             if choice.state is None:
                 misses += 1
                 self._share_log.note_miss(choice.reason)
@@ -264,6 +270,7 @@
         service: ServiceDescription,
         work: Work,
         avoid: frozenset[str],
+        room_part: float,
         now_s: float,
     ) -> Choice:
         states = self._beliefs.states_of(service.name)
@@ -287,6 +294,7 @@
             work,
             now_s,
             standing=self.standings.standing(work.organisation, now_s),
+            room_part=room_part,
             avoid=avoid,
             may_warm=may_warm,
         )
@@ -322,6 +330,7 @@
         own.pending_tokens += choice.uncached_tokens
         own.memory_tokens += work.memory_tokens
         if service.is_engine:
+            state.round_sends.add(choice.uncached_tokens)
             state.note_parts(work, now_s)
             self.standings.charge(work.organisation, work.cost_tokens, now_s)
             self._share_log.note_sent(work, now_s)
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 import attrs
 import msgspec
 import trio
 
-from teaseldyke.placement import Load, Standings
+from teaseldyke.placement import Load, RoundSends, Standings
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s, scheduler_passes
 
@@ -31,6 +32,8 @@
 DATAGRAM_BYTES = 65536
 DATAGRAMS_AT_ONCE = 512  # several seconds of them in the largest fleet
 USAGE_ROUNDS = 4  # of a large fleet, in one of which the tokens given are told
+# Rounds until the others know of a send: one to the neighbours, one from them to all.
+KNOWN_ROUNDS = 2
 IDLE_SKIP_MAX = 2  # rounds left out in a row; then an idle instance is still alive
 
 
@@ -61,6 +64,8 @@
         self._number = 0
         self._skipped = 0
         self._round_at_s = 0.0
+        self._round_s = EXCHANGE_S
+        self._shared_at_s = 0.0
         self._summed_at_s = self._born_s
         self._oldest_s = 0.0
         self._last_content: tuple[object, ...] = ()
@@ -141,11 +146,13 @@
         foreign = add_up([*neighbours, *self._totals.of_others(now_s)])
         self._summed_at_s, self._oldest_s = now_s, self._totals.oldest_s(now_s)
         self._put_in_force(foreign, placing.standings)
+        self._share_room(now_s)
         own = self._own_sums(placing, now_s)
         if self._is_idle([own, *neighbours], now_s):
             return
         near, far = self._membership.receivers(now_s)
         round_s = max(EXCHANGE_S, (len(near) + len(far)) / DATAGRAMS_PER_S)
+        self._round_s = round_s
         self._round_at_s = now_s + round_s - EXCHANGE_S / 2.0
         self._membership.alive_s = max(ALIVE_S, ROUNDS_KEPT * round_s)
         self._number += 1
@@ -224,6 +231,15 @@
             except OSError as exc:
                 log_decision("totals_not_sent", peer=peer.name, error=str(exc))
 
+    def _share_room(self, now_s: float) -> None:
+        """Begin a round of sends once the others know of those of the last one."""
+        rounds = KNOWN_ROUNDS if self._membership.neighbourhoods > 1 else 1
+        if now_s - self._shared_at_s < rounds * self._round_s - EXCHANGE_S / 2.0:
+            return
+        self._shared_at_s = now_s
+        for server in self._beliefs.all_states():
+            server.round_sends = RoundSends(rounding=random.random())
+
     def _put_in_force(self, foreign: Sums, standings: Standings) -> None:
         """Replace what the others have at each backend server and gave out."""
         for server in self._beliefs.all_states():
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -17,6 +17,7 @@
 from teaseldyke.placement import (
     ColdAllowance,
     Load,
+    RoundSends,
     ServerState,
     Standing,
     Standings,
@@ -82,6 +83,7 @@
     states: dict[str, ServerState]
     standings: Standings
     line: WaitingLine[_Ask] = attrs.field(factory=WaitingLine)
+    round_at_s: float = 0.0
 
 
 class ModelFleet:
@@ -104,6 +106,7 @@
         self.results: list[Result] = []
         self.reread_tokens = 0
         self._random = Random(seed)
+        self._roundings = Random(seed)
         self._seed = seed
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -186,8 +189,11 @@
             instance = self._instances[0]
         ask = _Ask(arrival, result, instance)
         work = arrival.work
-        if not len(instance.line) and self._try(ask):
-            return
+        if not len(instance.line):
+            engines = len(instance.states)
+            part = instance.standings.room_part(1, engines, work, self.now_s)
+            if self._try(ask, part):
+                return
         rate = sum(state.rate_tokens_per_s for state in instance.states.values())
         ahead = instance.line.tokens_ahead(work, instance.standings, self.now_s)
         refusal = refusal_of(work, ahead / rate, self.now_s, self._random.random())
@@ -196,6 +202,7 @@
             return
         waiter = Waiter(work, ask)
         instance.line.add(waiter)
+        instance.standings.count_waiting(work, self.now_s)
         self._at(work.first_due_s, lambda: self._give_up(waiter))
 
     def _give_up(self, waiter: Waiter[_Ask]) -> None:
@@ -223,18 +230,19 @@
         arrival = attrs.evolve(ask.arrival, work=again)
         self._at(back_at_s, lambda: self._arrive(arrival, ask.result))
 
-    def _try(self, ask: _Ask) -> bool:
+    def _try(self, ask: _Ask, room_part: float) -> bool:
         """Send a request if an engine has room for it."""
         instance, work = ask.instance, ask.arrival.work
         standing = instance.standings.standing(work.organisation, self.now_s)
         if not self.spec.keeps_places:
-            standing = Standing.FAIR
+            standing, room_part = Standing.FAIR, 1.0
         choice = choose_engine(
             list(instance.states.values()),
             self.service,
             work,
             self.now_s,
             standing=standing,
+            room_part=room_part,
             may_warm=lambda state: state.cold.is_free(self.now_s),
         )
         state = choice.state
@@ -247,6 +255,7 @@
             state.cold.take(self.now_s, self.spec.instances)
         ask.state, ask.uncached_tokens = state, choice.uncached_tokens
         ask.is_reading = True
+        state.round_sends.add(choice.uncached_tokens)
         state.own.running += 1
         state.own.pending_tokens += choice.uncached_tokens
         state.own.memory_tokens += work.memory_tokens
@@ -345,8 +354,11 @@
         for state in instance.states.values():
             state.awaited_tokens = 0.0
         misses = 0
+        part = instance.standings.room_part(
+            len(instance.line), len(instance.states), None, self.now_s
+        )
         for waiter in list(instance.line.in_order(instance.standings, self.now_s)):
-            if self._try(waiter.token):
+            if self._try(waiter.token, part):
                 instance.line.remove(waiter)
                 continue
             misses += 1
@@ -378,10 +390,20 @@
                     sum(load.running for load in loads),
                     sum(load.memory_tokens for load in loads),
                 )
+            self._share_room(instance)
             instance.standings.foreign_usage = _sum(usage for _, usage, _ in others)
             instance.standings.foreign_waiting = _sum(waits for _, _, waits in others)
             self._pump(instance)
 
+    def _share_room(self, instance: _Instance) -> None:
+        """Begin a round of sends once the others know of those of the last one."""
+        round_s = max(EXCHANGE_S, self.spec.totals_delay_s)
+        if self.now_s - instance.round_at_s < round_s - EXCHANGE_S / 2.0:
+            return
+        instance.round_at_s = self.now_s
+        for state in instance.states.values():
+            state.round_sends = RoundSends(rounding=self._roundings.random())
+
 
 def _sum(parts: Iterable[dict[str, float]]) -> dict[str, float]:
     total: dict[str, float] = {}
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -118,6 +118,7 @@
     now_s: float,
     *,
     standing: Standing = Standing.FAIR,
+    room_part: float = 1.0,
     avoid: frozenset[str] = frozenset(),
     may_warm: Callable[[ServerState], bool] = lambda state: True,
 ) -> Choice:
@@ -135,6 +136,9 @@
         Engines of the service that may get work.
     standing : Standing
         Where the organisation stands against its fair share.
+    room_part : float
+        Part of an engine's free room that this instance may take; all instances see
+        the same room, and learn late who took it.
     avoid : frozenset of str
         Ids of engines that this request was sent to before.
     may_warm : callable
@@ -167,7 +171,7 @@
         memory_tokens = state.memory_tokens + work_memory_tokens
         is_full = (
             now_s < state.slots_free_at_s
-            or state.running + 1 > slot_margin * state.server.slots
+            or not state.has_place(slot_margin * state.server.slots, room_part)
             or (
                 state.running > 0
                 and memory_tokens > memory_margin * service.memory_tokens
@@ -177,11 +181,13 @@
         limit_s = queue_max_s
         if cached >= shared_tokens > 0 and not over_share:
             limit_s = max(limit_s, HOME_QUEUE_PART * slack_s)
-        must_wait = is_full or state.pending_tokens > limit_s * rate
         copied = 0
         if source is not None and source is not state:
             copied = max(0, shared_tokens - cached)
         uncached = float(work.prompt_tokens - cached - copied)
+        must_wait = is_full or not state.has_reading_room(
+            limit_s * rate, uncached, room_part
+        )
         first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
         first_s += RUNNING_S * state.running + state.awaited_tokens / rate
         if is_full:
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -48,6 +48,34 @@
     memory_tokens: float = 0.0
 
 
+@attrs.define
+class RoundSends:
+    """What this instance sent to a backend server in the current round.
+
+    A round lasts until the other instances know of these sends. In it, the instances
+    take parts of the same free places, which add up to the whole.
+
+    Attributes
+    ----------
+    requests : int
+        Requests sent.
+    tokens : float
+        Prompt tokens of theirs that the server must read.
+    rounding : float
+        Drawn from 0 to 1; a part of a place is taken by as many instances, on
+        average, as make it a whole one.
+    """
+
+    requests: int = 0
+    tokens: float = 0.0
+    rounding: float = 0.0
+
+    def add(self, uncached_tokens: float) -> None:
+        """Count a send."""
+        self.requests += 1
+        self.tokens += uncached_tokens
+
+
 @attrs.define(eq=False)
 class ServerState:
     """A backend server, with what is known of its load and health.
@@ -63,6 +91,8 @@
 
     Attributes
     ----------
+    round_sends : RoundSends
+        Sends of this instance that the others don't know of yet.
     awaited_tokens : float
         Prompt tokens of requests here that wait for this server rather than go
         elsewhere, with an even part for the other instances.
@@ -80,6 +110,7 @@
     probing: bool = False
     slots_free_at_s: float = 0.0
     awaited_tokens: float = 0.0
+    round_sends: RoundSends = attrs.field(factory=RoundSends)
     parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
 
     @property
@@ -97,6 +128,45 @@
         """Tokens that the requests of the whole fleet hold at their end."""
         return self.own.memory_tokens + self.foreign.memory_tokens
 
+    def has_place(self, places: float, room_part: float) -> bool:
+        """Return whether this instance may take a place.
+
+        Parameters
+        ----------
+        places : float
+            Requests that the whole fleet may have at the server.
+        room_part : float
+            Part of the free places that this instance may take in a round.
+        """
+        sends = self.round_sends
+        free = places - self.running + sends.requests
+        if room_part < 1.0:
+            free = free * room_part + sends.rounding
+        return sends.requests + 1 <= free
+
+    def has_reading_room(
+        self, limit_tokens: float, uncached_tokens: float, room_part: float
+    ) -> bool:
+        """Return whether this instance may send a prompt.
+
+        Parameters
+        ----------
+        limit_tokens : float
+            Prompt tokens of the whole fleet that may be queued; the last prompt may
+            exceed them.
+        uncached_tokens : float
+            What the server must read of the prompt.
+        room_part : float
+            Part of the free room that this instance may take in a round.
+        """
+        sends = self.round_sends
+        free_tokens = limit_tokens - self.pending_tokens + sends.tokens
+        if free_tokens < 0.0:
+            return False
+        rounding = sends.rounding if room_part < 1.0 else 1.0
+        needed_tokens = sends.tokens + (1.0 - rounding) * uncached_tokens
+        return needed_tokens <= free_tokens * room_part
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is cold and bears only a stated rate."""
         return now_s < self.cold_until_s and self.cold.rate_per_s > 0.0
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -12,7 +12,11 @@
 
 import attrs
 
+from .work import Work
+
 USAGE_TIME_S = 4.0  # the window in which the operator settles shares
+CLAIM_S = 0.3  # of production; until the instances know what the others took
+CLAIM_REST_PART = 0.05  # of it, for what waits beyond; takes what has no other use
 UNDER_PART = 0.6  # of the fair share; unfair is less than half, and beliefs are late
 
 
@@ -69,6 +73,48 @@
     return math.inf
 
 
+def turn_level(
+    waiting: Mapping[str, float], usage: Mapping[str, float], tokens: float
+) -> float:
+    """Return the usage up to which organisations have their turn next.
+
+    Tokens go to whoever has the least usage until what waits of it is served.
+    Infinite if all that waits is served.
+
+    Parameters
+    ----------
+    waiting, usage : mapping
+        Tokens by organisation.
+    tokens : float
+        What is given next.
+
+    Examples
+    --------
+    >>> turn_level({"a": 50.0, "b": 50.0}, {"a": 0.0, "b": 30.0}, 40.0)
+    35.0
+    >>> turn_level({"a": 10.0, "b": 50.0}, {"a": 0.0, "b": 30.0}, 40.0)
+    60.0
+    >>> turn_level({"a": 10.0}, {"a": 0.0}, 40.0)
+    inf
+    """
+    if sum(waiting.values()) <= tokens:
+        return math.inf
+    steps: list[tuple[float, int]] = []
+    for name, queued in waiting.items():
+        steps.append((usage[name], 1))
+        steps.append((usage[name] + queued, -1))
+    steps.sort()
+    given, served, level = 0.0, 0, 0.0
+    for at, change in steps:
+        rise = served * (at - level)
+        if served and given + rise >= tokens:
+            return level + (tokens - given) / served
+        given += rise
+        level = at
+        served += change
+    return math.inf
+
+
 @attrs.define
 class Standings:
     """Usage of each organisation over the whole fleet against its fair share.
@@ -94,6 +140,10 @@
     _own: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
     _level: float = attrs.field(default=math.inf, init=False)
     _demands: dict[str, float] = attrs.field(factory=dict, init=False)
+    _turn_level: float = attrs.field(default=math.inf, init=False)
+    _rest_part: float = attrs.field(default=1.0, init=False)
+    _own_claims: float = attrs.field(default=0.0, init=False)
+    _foreign_claims: float = attrs.field(default=0.0, init=False)
     _others_wait: bool = attrs.field(default=False, init=False)
 
     @property
@@ -137,11 +187,74 @@
         self.given_tokens = given
         self.capacity_tokens = max(stated, given)
         self._level = water_level(demands, self.capacity_tokens)
+        self._settle_claims(waiting, now_s)
         self._others_wait = any(
             demands[name] > self.usage(name, now_s) and not self.is_over(name, now_s)
             for name in names
         )
 
+    def _settle_claims(self, waiting: Mapping[str, float], now_s: float) -> None:
+        """Work out which part of what waits has its turn next, here and elsewhere."""
+        total: dict[str, float] = dict(self.foreign_waiting)
+        for name, tokens in waiting.items():
+            total[name] = total.get(name, 0.0) + tokens
+        usage = {name: self.usage(name, now_s) for name in total}
+        next_tokens = self.capacity_tokens * CLAIM_S / USAGE_TIME_S
+        self._turn_level = turn_level(total, usage, next_tokens)
+        in_turn = sum(self._in_turn(name, total[name], now_s) for name in total)
+        rest_tokens = sum(total.values()) - in_turn
+        self._rest_part = 1.0
+        if rest_tokens > 0.0:
+            self._rest_part = min(1.0, CLAIM_REST_PART * next_tokens / rest_tokens)
+        self._own_claims = self._foreign_claims = 0.0
+        for name, tokens in total.items():
+            if tokens <= 0.0:
+                continue
+            claim = self._claim(name, tokens, now_s)
+            own_part = waiting.get(name, 0.0) / tokens
+            self._own_claims += claim * own_part
+            self._foreign_claims += claim * (1.0 - own_part)
+
+    def _in_turn(self, organisation: str, tokens: float, now_s: float) -> float:
+        lacking = max(0.0, self._turn_level - self.usage(organisation, now_s))
+        return min(tokens, lacking)
+
+    def _claim(self, organisation: str, tokens: float, now_s: float) -> float:
+        in_turn = self._in_turn(organisation, tokens, now_s)
+        return in_turn + self._rest_part * (tokens - in_turn)
+
+    def _claim_of(self, work: Work, now_s: float) -> float:
+        return self._claim(work.organisation, work.cost_tokens, now_s)
+
+    def count_waiting(self, work: Work, now_s: float) -> None:
+        """Count a request that begins to wait here after shares were worked out."""
+        self._own_claims += self._claim_of(work, now_s)
+
+    def room_part(
+        self, requests: int, engines: int, arrived: Work | None, now_s: float
+    ) -> float:
+        """Return the part of an engine's free room that this instance may take.
+
+        It is the part of what has its turn next, by the organisations' usage, that
+        waits here. An organisation thus gets as much whether its requests wait at one
+        instance or at all.
+
+        Parameters
+        ----------
+        requests : int
+            How many wait here, the arrived one included; few of them compete for few
+            engines, while what waits elsewhere waits for all.
+        engines : int
+            How many there are.
+        arrived : Work or None
+            A request that doesn't wait yet and is to be counted.
+        """
+        own = self._own_claims
+        if arrived is not None:
+            own += self._claim_of(arrived, now_s)
+        competing = self._foreign_claims * min(1.0, requests / max(1, engines))
+        return own / (own + competing) if competing > 0.0 else 1.0
+
     def is_over(self, organisation: str, now_s: float) -> bool:
         """Return whether an organisation has more than its fair share."""
         if self._level == math.inf:
--- a/libs/placement/tests/test_servers.py
+++ b/libs/placement/tests/test_servers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from teaseldyke.placement import ServerState, Work, usable
+from teaseldyke.placement import Load, RoundSends, ServerState, Work, usable
 
 MakeState = Callable[..., ServerState]
 MakeWork = Callable[..., Work]
@@ -50,6 +50,51 @@
         assert usable(states, 1.0) == states[1:]
 
 
+class TestRoomOfManyInstances:
+    """Each instance takes its part of a round before it hears of the others."""
+
+    @pytest.mark.parametrize("instances", [1, 7, 20, 70])
+    @pytest.mark.parametrize("free", [0, 1, 5, 12])
+    def test_free_places_are_taken_once(
+        self, make_state: MakeState, instances: int, free: int
+    ) -> None:
+        taken = 0
+        for number in range(instances):
+            state = make_state("a", slots=12)
+            state.foreign = Load(running=12 - free)
+            state.round_sends = RoundSends(rounding=(number + 0.5) / instances)
+            while state.has_place(12.0, 1.0 / instances):
+                state.own.running += 1
+                state.round_sends.add(0.0)
+                taken += 1
+        assert taken == free
+
+    @pytest.mark.parametrize("instances", [1, 7, 70])
+    def test_reading_is_exceeded_by_one_prompt_at_most(
+        self, make_state: MakeState, instances: int
+    ) -> None:
+        limit_tokens, prompt_tokens = 20_000.0, 6_000.0
+        read_tokens = 0.0
+        for number in range(instances):
+            state = make_state("a")
+            state.round_sends = RoundSends(rounding=(number + 0.5) / instances)
+            while state.has_reading_room(limit_tokens, prompt_tokens, 1.0 / instances):
+                state.own.pending_tokens += prompt_tokens
+                state.round_sends.add(prompt_tokens)
+                read_tokens += prompt_tokens
+        assert limit_tokens - prompt_tokens <= read_tokens
+        assert read_tokens <= limit_tokens + prompt_tokens
+
+    def test_a_full_server_has_no_place_in_any_round(
+        self, make_state: MakeState
+    ) -> None:
+        state = make_state("a", slots=12)
+        state.foreign = Load(running=12, pending_tokens=50_000.0)
+        state.round_sends = RoundSends(rounding=0.999)
+        assert not state.has_place(12.0, 0.5)
+        assert not state.has_reading_room(40_000.0, 10.0, 0.5)
+
+
 class TestCachedTokens:
     @pytest.mark.parametrize(
         ("known", "is_home", "expected"),
--- a/libs/placement/tests/test_shares.py
+++ b/libs/placement/tests/test_shares.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from teaseldyke.placement import DecayingSum, Standing, Standings, water_level
+from teaseldyke.placement import (
+    DecayingSum,
+    Standing,
+    Standings,
+    Work,
+    water_level,
+)
 
 
 @pytest.mark.parametrize(
@@ -92,3 +98,75 @@
         assert standings.standing("hot", 0.0) is Standing.FAIR
         standings.settle({"hot": 2000.0, "small": 200.0}, 0.0)
         assert standings.standing("hot", 0.0) is Standing.OVER
+
+
+def settled(
+    own: dict[str, float],
+    foreign: dict[str, float],
+    usage: dict[str, float] | None = None,
+) -> Standings:
+    standings = Standings(tokens_per_s=100.0)
+    standings.foreign_waiting = foreign
+    standings.foreign_usage = usage or {}
+    standings.settle(own, 0.0)
+    return standings
+
+
+# Of 400 tokens in 4 s, 30 have their turn in 0.3 s, and 1.5 are for the rest.
+IN_TURN = 30.0 + 1.5 * 470.0 / 970.0
+REST = 1.5 * 500.0 / 970.0
+
+
+class TestRoomPart:
+    """The part of free room that an instance takes, by what organisations lack."""
+
+    @pytest.mark.parametrize(
+        ("own", "foreign", "usage", "expected"),
+        [
+            ({"a": 100.0}, {}, {}, 1.0),
+            ({"a": 100.0}, {"a": 300.0}, {}, 0.25),
+            ({"a": 100.0}, {"b": 100.0}, {}, 0.5),
+            ({}, {"a": 100.0}, {}, 0.0),
+            ({"a": 500.0}, {"b": 500.0}, {"a": 0.0, "b": 400.0}, IN_TURN / 31.5),
+            ({"b": 500.0}, {"a": 500.0}, {"a": 0.0, "b": 400.0}, REST / 31.5),
+        ],
+        ids=[
+            "alone",
+            "fourth-of-its-waiting",
+            "two-alike",
+            "nothing-waits",
+            "lacks-all",
+            "has-its-share",
+        ],
+    )
+    def test_it_follows_what_waits_and_what_is_lacking(
+        self,
+        own: dict[str, float],
+        foreign: dict[str, float],
+        usage: dict[str, float],
+        expected: float,
+    ) -> None:
+        standings = settled(own, foreign, usage)
+        assert standings.room_part(50, 10, None, 0.0) == pytest.approx(expected)
+
+    def test_organisation_gets_as_much_at_one_instance_as_at_many(self) -> None:
+        """Of 40 instances, one has all that waits of an organisation."""
+        wide, narrow = {"wide": 50.0}, {"narrow": 2000.0}
+        at_one = settled(narrow, {"wide": 2000.0}).room_part(50, 10, None, 0.0)
+        elsewhere = {"wide": 1950.0, "narrow": 2000.0}
+        at_many = settled(wide, elsewhere).room_part(50, 10, None, 0.0)
+        assert at_one == pytest.approx(0.5)
+        assert 40 * at_many == pytest.approx(0.5)
+
+    def test_few_requests_don_t_compete_with_what_waits_for_other_engines(
+        self,
+    ) -> None:
+        work = Work("a", 0.0, 1.0, 1.0, 1.0, prompt_tokens=100)
+        standings = settled({}, {"b": 28.0})
+        assert standings.room_part(1, 7, work, 0.0) == pytest.approx(100.0 / 104.0)
+
+    def test_request_that_begins_to_wait_is_counted_at_once(self) -> None:
+        work = Work("a", 0.0, 1.0, 1.0, 1.0, prompt_tokens=100)
+        standings = settled({}, {"b": 100.0})
+        standings.count_waiting(work, 0.0)
+        assert standings.room_part(1, 1, None, 0.0) == pytest.approx(0.5)
