Look at all that waits, not at 24 requests for one full engine

Cause: a look ends after 24 requests without a place, in an order by organisation and time; the same 24, waiting for full engines, came first each time. A request is now looked at again only when the engine that it waits for may have room: less runs or is queued there, or a new round has begun. Until then it counts as waiting there, and neither costs a choice nor uses up the look.

test_requests_for_a_full_engine_do_not_hold_back_the_rest failed before (nothing placed in 0.5 s). Ruled out: a higher number of looks, which takes the processor that serves the rest.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -9,6 +9,7 @@
 
 from teaseldyke.placement import (
     FAILURE_SHARE_MAX,
+    Awaited,
     Choice,
     ServerState,
     Standings,
@@ -244,19 +245,24 @@
         instances = self._fleet.instances
         states = self._beliefs.states_of(name)
         room_part = self.standings.room_part(len(line), len(states), None, now_s)
+        available = set(states)
         for state in states:
             state.awaited_tokens = 0.0
         for waiter in list(line.in_order(self.standings, now_s)):
             ticket = waiter.token
+            awaited = waiter.waits_on(available)
+            if awaited is not None:
+                awaited.add_to_server(instances)
+                continue
             choice = self._choose(
                 ticket.service, waiter.work, ticket.avoid, room_part, now_s
             )
             if choice.state is None:
                 misses += 1
                 self._share_log.note_miss(choice.reason)
-                if choice.awaited is not None:
-                    tokens = instances * choice.uncached_tokens
-                    choice.awaited.awaited_tokens += tokens
+                waiter.awaited = Awaited.of(choice)
+                if waiter.awaited is not None:
+                    waiter.awaited.add_to_server(instances)
                 ticket.reason = choice.reason
                 if misses >= MISSES_MAX:
                     return
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 import attrs
 import pytest
@@ -12,9 +13,14 @@
 from teaseldyke.gateway import placing as module
 from teaseldyke.gateway.beliefs import FleetBeliefs
 from teaseldyke.gateway.placing import Placing
-from teaseldyke.placement import Choice, Standings, Work
+from teaseldyke.placement import Choice, Load, Standings, Work, weight
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import RoutingTable
+from teaseldyke.types import (
+    AnnouncedServer,
+    CallerBounds,
+    RoutingTable,
+    ServiceDescription,
+)
 
 WAITING = 40
 CHOICE_S = 0.0005  # of a slow instance
@@ -62,3 +68,58 @@
         elapsed_s = boot_time_s() - started_at_s
         nursery.cancel_scope.cancel()
     assert 0.0 < spent_s < 0.4 * elapsed_s
+
+
+async def test_requests_for_a_full_engine_do_not_hold_back_the_rest(
+    make_server: Callable[..., AnnouncedServer],
+) -> None:
+    """More than a look tries wait for one engine; the last one wants another."""
+    service = ServiceDescription("llm", 600, 3.0, 20.0, slots=12, memory_tokens=10**6)
+    table = RoutingTable(1, (), (service,), (), CallerBounds(tokens_per_s=10**6))
+    beliefs = FleetBeliefs(lambda: None)
+    beliefs.note_store(True, "test")
+    beliefs.apply_routing(table)
+    beliefs.apply_servers(
+        [make_server(name, service="llm", slots=12) for name in ("e-1", "e-2")]
+    )
+    bounds = FleetBounds(0.2, 10.0, 10.0, 1.5, 5.0, 8.0)
+    placing = Placing(beliefs, Standings(), OneInstance(), bounds, "a")
+    now_s = boot_time_s()
+
+    def work(subject: str, on_time_s: float) -> Work:
+        parts = ((subject, 5000), ("own", 100))
+        on_time_until_s = now_s + on_time_s
+        last_s = now_s + 9.0
+        return Work("o", now_s, on_time_until_s, last_s, last_s, 5100, 10, parts)
+
+    subjects: dict[str, str] = {}
+    for number in range(100):
+        home = placing_home(beliefs, f"subject-{number}")
+        subjects.setdefault(home, f"subject-{number}")
+    full = beliefs.state("e-1")
+    assert full is not None
+    full.foreign = Load(running=12)
+    placed: list[str] = []
+
+    async def wait(subject: str, on_time_s: float) -> None:
+        place = await placing.place(service, work(subject, on_time_s), frozenset())
+        placed.append(place.state.server.id)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(placing.run)
+        for _ in range(WAITING):
+            nursery.start_soon(wait, subjects["e-1"], 1.0)
+        await trio.sleep(0.05)
+        nursery.start_soon(wait, subjects["e-2"], 2.0)
+        with trio.move_on_after(WATCHED_S):
+            while not placed:
+                placing.wake()
+                await trio.sleep(0.005)
+        nursery.cancel_scope.cancel()
+    assert placed == ["e-2"]
+
+
+def placing_home(beliefs: FleetBeliefs, subject: str) -> str:
+    """Return the engine that all instances send a subject to."""
+    names = [state.server.id for state in beliefs.states_of("llm")]
+    return max(names, key=lambda name: weight(subject, name))
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -15,6 +15,7 @@
 import attrs
 
 from teaseldyke.placement import (
+    Awaited,
     ColdAllowance,
     Load,
     RoundSends,
@@ -75,6 +76,7 @@
     run: Run | None = None
     uncached_tokens: float = 0.0
     is_reading: bool = False
+    awaited: Awaited | None = None
     is_over: bool = False
 
 
@@ -247,9 +249,9 @@
         )
         state = choice.state
         if state is None:
-            if choice.awaited is not None:
-                tokens = self.spec.instances * choice.uncached_tokens
-                choice.awaited.awaited_tokens += tokens
+            ask.awaited = Awaited.of(choice)
+            if ask.awaited is not None:
+                ask.awaited.add_to_server(self.spec.instances)
             return False
         if state.is_cold(self.now_s):
             state.cold.take(self.now_s, self.spec.instances)
@@ -354,13 +356,19 @@
         for state in instance.states.values():
             state.awaited_tokens = 0.0
         misses = 0
+        available = set(instance.states.values())
         part = instance.standings.room_part(
             len(instance.line), len(instance.states), None, self.now_s
         )
         for waiter in list(instance.line.in_order(instance.standings, self.now_s)):
+            awaited = waiter.waits_on(available)
+            if awaited is not None:
+                awaited.add_to_server(self.spec.instances)
+                continue
             if self._try(waiter.token, part):
                 instance.line.remove(waiter)
                 continue
+            waiter.awaited = waiter.token.awaited
             misses += 1
             if misses >= MISSES_MAX:
                 return
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -6,12 +6,13 @@
 from .refusal import Refusal, refusal_of, return_pause_s, service_time_s
 from .servers import FAILURE_SHARE_MAX, Load, RoundSends, ServerState, usable
 from .shares import DecayingSum, Standing, Standings, water_level
-from .waiting import Waiter, WaitingLine
+from .waiting import Awaited, Waiter, WaitingLine
 from .window_budget import ColdAllowance, RetryBudget, cold_senders
 from .work import Work
 
 __all__ = [
     "FAILURE_SHARE_MAX",
+    "Awaited",
     "Choice",
     "ColdAllowance",
     "DecayingSum",
--- a/libs/placement/src/teaseldyke/placement/waiting.py
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import Generic, TypeVar
 
 import attrs
 
+from .choice import Choice
+from .servers import RoundSends, ServerState
 from .shares import Standings
 from .work import Work
 
@@ -19,12 +21,73 @@
 LATE_TURN = 8  # one in so many turns goes to late requests, so that none starves
 
 
+@attrs.frozen
+class Awaited:
+    """The backend server that a request waits for, as it was when last looked at."""
+
+    state: ServerState
+    uncached_tokens: float
+    running: int
+    pending_tokens: float
+    round_sends: RoundSends
+
+    @classmethod
+    def of(cls, choice: Choice) -> Awaited | None:
+        """Return what a choice that found no place waits for."""
+        state = choice.awaited
+        if state is None:
+            return None
+        return cls(
+            state,
+            choice.uncached_tokens,
+            state.running,
+            state.pending_tokens,
+            state.round_sends,
+        )
+
+    def add_to_server(self, instances: int) -> None:
+        """Count the request, with an even part for each instance, as waiting there."""
+        self.state.awaited_tokens += instances * self.uncached_tokens
+
+    @property
+    def has_new_room(self) -> bool:
+        """Whether the server may have a place that it had not."""
+        return (
+            self.state.round_sends is not self.round_sends
+            or self.state.running < self.running
+            or self.state.pending_tokens < self.pending_tokens
+        )
+
+
 @attrs.define(eq=False)
 class Waiter(Generic[T]):
-    """A waiting request and what to wake when its turn comes."""
+    """A waiting request and what to wake when its turn comes.
+
+    Attributes
+    ----------
+    awaited : Awaited or None
+        What it waits for, if it was looked at and waits for one server.
+    """
 
     work: Work
     token: T
+    awaited: Awaited | None = None
+
+    def waits_on(self, states: Container[ServerState]) -> Awaited | None:
+        """Return what the request still waits for, so that no look finds a place.
+
+        Looks are dear and their number is bounded, so requests that wait for a full
+        server must not use them up.
+
+        Parameters
+        ----------
+        states : container of ServerState
+            Servers that may get requests.
+        """
+        awaited = self.awaited
+        if awaited is None or awaited.state not in states or awaited.has_new_room:
+            return None
+        return awaited
 
 
 @attrs.define
