Let an engine have what it works off until others know of free room

With parts of the room shared out, engines idled while work waited: a place or a prompt that an engine works off is seen by the others one or two rounds later, and 0.2 s of queued prompts don't last for a round of 0.34 s.

Room now counts what is worked off meanwhile: prompts of one lag, and places by the time that a request holds one. What has no turn next gets a fifth in place of a twentieth. The test of the choice failed before (no room at 61 of 64 places and at 25,000 queued tokens whatever the lag).

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -151,6 +151,11 @@
         """How many they are, this one included."""
         ...
 
+    @property
+    def lag_s(self) -> float:
+        """Time until the other instances know of a send of this one."""
+        ...
+
     @property
     def totals_age_s(self) -> float:
         """Age of the oldest totals of other instances that are in force."""
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -301,6 +301,7 @@
             now_s,
             standing=self.standings.standing(work.organisation, now_s),
             room_part=room_part,
+            lag_s=self._fleet.lag_s,
             avoid=avoid,
             may_warm=may_warm,
         )
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -78,6 +78,12 @@
         """Instances that share the fleet's bounds, this one included."""
         return self._membership.instances
 
+    @property
+    def lag_s(self) -> float:
+        """Time until the other instances know of a send, by the length of a round."""
+        rounds = KNOWN_ROUNDS if self._membership.neighbourhoods > 1 else 1
+        return rounds * self._round_s if self._membership.instances > 1 else 0.0
+
     @property
     def totals_age_s(self) -> float:
         """Age of the oldest totals of other instances that are in force."""
@@ -233,8 +239,7 @@
 
     def _share_room(self, now_s: float) -> None:
         """Begin a round of sends once the others know of those of the last one."""
-        rounds = KNOWN_ROUNDS if self._membership.neighbourhoods > 1 else 1
-        if now_s - self._shared_at_s < rounds * self._round_s - EXCHANGE_S / 2.0:
+        if now_s - self._shared_at_s < self.lag_s - EXCHANGE_S / 2.0:
             return
         self._shared_at_s = now_s
         for server in self._beliefs.all_states():
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -31,6 +31,7 @@
 class OneInstance:
     instances: int = 1
     totals_age_s: float = 0.0
+    lag_s: float = 0.0
 
     def rank(self, key: str) -> int:
         return 0
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -245,6 +245,7 @@
             self.now_s,
             standing=standing,
             room_part=room_part,
+            lag_s=max(EXCHANGE_S, self.spec.totals_delay_s),
             may_warm=lambda state: state.cold.is_free(self.now_s),
         )
         state = choice.state
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -26,6 +26,7 @@
 OVER_SHARE_QUEUE_MAX_S = 0.1  # the same, for organisations over their fair share
 OVER_SHARE_SLOT_MARGIN = 0.9  # the same for the margins below: room for who waits
 OVER_SHARE_MEMORY_MARGIN = 0.85
+PLACE_HELD_S = 2.0  # a request holds its place at a loaded engine for about that
 LAST_WAIT_S = 0.1  # before the end of being on time; a start takes about that
 SLOT_MARGIN = 0.95  # part of the slots that is filled; other instances' sends are late
 MEMORY_MARGIN = 0.9  # part of the engine's memory; preempted requests are read again
@@ -119,6 +120,7 @@
     *,
     standing: Standing = Standing.FAIR,
     room_part: float = 1.0,
+    lag_s: float = 0.0,
     avoid: frozenset[str] = frozenset(),
     may_warm: Callable[[ServerState], bool] = lambda state: True,
 ) -> Choice:
@@ -139,6 +141,9 @@
     room_part : float
         Part of an engine's free room that this instance may take; all instances see
         the same room, and learn late who took it.
+    lag_s : float
+        Until they know of a send. An engine gets as much more as it works off
+        meanwhile, or it would idle until the next round.
     avoid : frozenset of str
         Ids of engines that this request was sent to before.
     may_warm : callable
@@ -171,7 +176,9 @@
         memory_tokens = state.memory_tokens + work_memory_tokens
         is_full = (
             now_s < state.slots_free_at_s
-            or not state.has_place(slot_margin * state.server.slots, room_part)
+            or not state.has_place(
+                (slot_margin + lag_s / PLACE_HELD_S) * state.server.slots, room_part
+            )
             or (
                 state.running > 0
                 and memory_tokens > memory_margin * service.memory_tokens
@@ -186,7 +193,7 @@
             copied = max(0, shared_tokens - cached)
         uncached = float(work.prompt_tokens - cached - copied)
         must_wait = is_full or not state.has_reading_room(
-            limit_s * rate, uncached, room_part
+            (limit_s + lag_s) * rate, uncached, room_part
         )
         first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
         first_s += RUNNING_S * state.running + state.awaited_tokens / rate
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -16,7 +16,7 @@
 
 USAGE_TIME_S = 4.0  # the window in which the operator settles shares
 CLAIM_S = 0.3  # of production; until the instances know what the others took
-CLAIM_REST_PART = 0.05  # of it, for what waits beyond; takes what has no other use
+CLAIM_REST_PART = 0.2  # of it, for what waits beyond; takes what has no other use
 UNDER_PART = 0.6  # of the fair share; unfair is less than half, and beliefs are late
 
 
--- a/libs/placement/tests/test_choice.py
+++ b/libs/placement/tests/test_choice.py
@@ -217,6 +217,34 @@
         assert (choice.state is other) is leaves
         assert leaves or choice.awaited is home
 
+    @pytest.mark.parametrize(
+        ("lag_s", "running", "pending_tokens", "finds_room"),
+        [
+            (0.0, 61, 0.0, False),
+            (0.4, 61, 0.0, True),
+            (0.4, 73, 0.0, False),
+            (0.0, 0, 25_000.0, False),
+            (0.4, 0, 25_000.0, True),
+            (0.4, 0, 65_000.0, False),
+        ],
+        ids=["full", "turns-over", "overfull", "reads", "reads-on", "reads-for-long"],
+    )
+    def test_engine_does_not_idle_until_others_know_of_free_room(
+        self,
+        make_state: MakeState,
+        make_work: MakeWork,
+        engines: ServiceDescription,
+        lag_s: float,
+        running: int,
+        pending_tokens: float,
+        finds_room: bool,
+    ) -> None:
+        state = make_state("a")
+        state.foreign = Load(pending_tokens, running)
+        work = make_work(parts=(), own_tokens=500)
+        choice = choose_engine([state], engines, work, 0.0, lag_s=lag_s)
+        assert (choice.state is state) is finds_room
+
     def test_avoided_engines_are_not_chosen_again(
         self, make_state: MakeState, make_work: MakeWork, engines: ServiceDescription
     ) -> None:
--- a/libs/placement/tests/test_shares.py
+++ b/libs/placement/tests/test_shares.py
@@ -112,9 +112,9 @@
     return standings
 
 
-# Of 400 tokens in 4 s, 30 have their turn in 0.3 s, and 1.5 are for the rest.
-IN_TURN = 30.0 + 1.5 * 470.0 / 970.0
-REST = 1.5 * 500.0 / 970.0
+# Of 400 tokens in 4 s, 30 have their turn in 0.3 s, and 6 are for the rest.
+IN_TURN = 30.0 + 6.0 * 470.0 / 970.0
+REST = 6.0 * 500.0 / 970.0
 
 
 class TestRoomPart:
@@ -127,8 +127,8 @@
             ({"a": 100.0}, {"a": 300.0}, {}, 0.25),
             ({"a": 100.0}, {"b": 100.0}, {}, 0.5),
             ({}, {"a": 100.0}, {}, 0.0),
-            ({"a": 500.0}, {"b": 500.0}, {"a": 0.0, "b": 400.0}, IN_TURN / 31.5),
-            ({"b": 500.0}, {"a": 500.0}, {"a": 0.0, "b": 400.0}, REST / 31.5),
+            ({"a": 500.0}, {"b": 500.0}, {"a": 0.0, "b": 400.0}, IN_TURN / 36.0),
+            ({"b": 500.0}, {"a": 500.0}, {"a": 0.0, "b": 400.0}, REST / 36.0),
         ],
         ids=[
             "alone",
