Give each organisation a part of its own of an engine's free room

The part is now the organisation's own at each instance, with a rounding of its own, so what it leaves unused makes the free room larger for all instances. What is for the rest goes by what organisations lack of their share; one over it claims a twentieth of the share.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -11,6 +11,7 @@
     FAILURE_SHARE_MAX,
     Awaited,
     Choice,
+    RoomPart,
     ServerState,
     Standings,
     Waiter,
@@ -160,15 +161,16 @@
         line = self._lines.setdefault(service.name, WaitingLine())
         now_s = boot_time_s()
         if not len(line):
-            part = self.standings.room_part(1, len(states), work, now_s)
-            choice = self._choose(service, work, avoid, part, now_s)
+            room = self.standings.room_part(
+                work.organisation, work.cost_tokens, 1, len(states), now_s
+            )
+            choice = self._choose(service, work, avoid, room, now_s)
             if choice.state is not None:
                 return self._begin(service, work, choice, now_s)
         self._refuse_hopeless(service, work, line, now_s)
         ticket = _Ticket(service, avoid)
         waiter = Waiter(work, ticket)
         line.add(waiter)
-        self.standings.count_waiting(work, now_s)
         self.wake()
         last_s = last_send_s(work, now_s)
         try:
@@ -244,7 +246,7 @@
         misses = 0
         instances = self._fleet.instances
         states = self._beliefs.states_of(name)
-        room_part = self.standings.room_part(len(line), len(states), None, now_s)
+        rooms: dict[str, RoomPart] = {}
         available = set(states)
         for state in states:
             state.awaited_tokens = 0.0
@@ -254,8 +256,15 @@
             if awaited is not None:
                 awaited.add_to_server(instances)
                 continue
+            organisation = waiter.work.organisation
+            room = rooms.get(organisation)
+            if room is None:
+                requests, tokens = line.waits_of(organisation)
+                room = rooms[organisation] = self.standings.room_part(
+                    organisation, tokens, requests, len(states), now_s
+                )
             choice = self._choose(
-                ticket.service, waiter.work, ticket.avoid, room_part, now_s
+                ticket.service, waiter.work, ticket.avoid, room, now_s
             )
             if choice.state is None:
                 misses += 1
@@ -276,7 +285,7 @@
         service: ServiceDescription,
         work: Work,
         avoid: frozenset[str],
-        room_part: float,
+        room: RoomPart,
         now_s: float,
     ) -> Choice:
         states = self._beliefs.states_of(service.name)
@@ -300,7 +309,7 @@
             work,
             now_s,
             standing=self.standings.standing(work.organisation, now_s),
-            room_part=room_part,
+            room=room,
             lag_s=self._fleet.lag_s,
             avoid=avoid,
             may_warm=may_warm,
@@ -337,7 +346,7 @@
         own.pending_tokens += choice.uncached_tokens
         own.memory_tokens += work.memory_tokens
         if service.is_engine:
-            state.round_sends.add(choice.uncached_tokens)
+            state.round_sends.add(work.organisation, choice.uncached_tokens)
             state.note_parts(work, now_s)
             self.standings.charge(work.organisation, work.cost_tokens, now_s)
             self._share_log.note_sent(work, now_s)
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -18,6 +18,7 @@
     Awaited,
     ColdAllowance,
     Load,
+    RoomPart,
     RoundSends,
     ServerState,
     Standing,
@@ -193,8 +194,10 @@
         work = arrival.work
         if not len(instance.line):
             engines = len(instance.states)
-            part = instance.standings.room_part(1, engines, work, self.now_s)
-            if self._try(ask, part):
+            room = instance.standings.room_part(
+                work.organisation, work.cost_tokens, 1, engines, self.now_s
+            )
+            if self._try(ask, room):
                 return
         rate = sum(state.rate_tokens_per_s for state in instance.states.values())
         ahead = instance.line.tokens_ahead(work, instance.standings, self.now_s)
@@ -204,7 +207,6 @@
             return
         waiter = Waiter(work, ask)
         instance.line.add(waiter)
-        instance.standings.count_waiting(work, self.now_s)
         self._at(work.first_due_s, lambda: self._give_up(waiter))
 
     def _give_up(self, waiter: Waiter[_Ask]) -> None:
@@ -232,19 +234,19 @@
         arrival = attrs.evolve(ask.arrival, work=again)
         self._at(back_at_s, lambda: self._arrive(arrival, ask.result))
 
-    def _try(self, ask: _Ask, room_part: float) -> bool:
+    def _try(self, ask: _Ask, room: RoomPart) -> bool:
         """Send a request if an engine has room for it."""
         instance, work = ask.instance, ask.arrival.work
         standing = instance.standings.standing(work.organisation, self.now_s)
         if not self.spec.keeps_places:
-            standing, room_part = Standing.FAIR, 1.0
+            standing, room = Standing.FAIR, RoomPart()
         choice = choose_engine(
             list(instance.states.values()),
             self.service,
             work,
             self.now_s,
             standing=standing,
-            room_part=room_part,
+            room=room,
             lag_s=max(EXCHANGE_S, self.spec.totals_delay_s),
             may_warm=lambda state: state.cold.is_free(self.now_s),
         )
@@ -258,7 +260,7 @@
             state.cold.take(self.now_s, self.spec.instances)
         ask.state, ask.uncached_tokens = state, choice.uncached_tokens
         ask.is_reading = True
-        state.round_sends.add(choice.uncached_tokens)
+        state.round_sends.add(work.organisation, choice.uncached_tokens)
         state.own.running += 1
         state.own.pending_tokens += choice.uncached_tokens
         state.own.memory_tokens += work.memory_tokens
@@ -358,15 +360,19 @@
             state.awaited_tokens = 0.0
         misses = 0
         available = set(instance.states.values())
-        part = instance.standings.room_part(
-            len(instance.line), len(instance.states), None, self.now_s
-        )
+        rooms: dict[str, RoomPart] = {}
         for waiter in list(instance.line.in_order(instance.standings, self.now_s)):
             awaited = waiter.waits_on(available)
             if awaited is not None:
                 awaited.add_to_server(self.spec.instances)
                 continue
-            if self._try(waiter.token, part):
+            name = waiter.work.organisation
+            if name not in rooms:
+                requests, tokens = instance.line.waits_of(name)
+                rooms[name] = instance.standings.room_part(
+                    name, tokens, requests, len(available), self.now_s
+                )
+            if self._try(waiter.token, rooms[name]):
                 instance.line.remove(waiter)
                 continue
             waiter.awaited = waiter.token.awaited
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -18,7 +18,7 @@
 
 from teaseldyke.types import ServiceDescription
 
-from .servers import ServerState, usable
+from .servers import ALL_ROOM, RoomPart, ServerState, usable
 from .shares import Standing
 from .work import Work
 
@@ -119,7 +119,7 @@
     now_s: float,
     *,
     standing: Standing = Standing.FAIR,
-    room_part: float = 1.0,
+    room: RoomPart = ALL_ROOM,
     lag_s: float = 0.0,
     avoid: frozenset[str] = frozenset(),
     may_warm: Callable[[ServerState], bool] = lambda state: True,
@@ -138,9 +138,9 @@
         Engines of the service that may get work.
     standing : Standing
         Where the organisation stands against its fair share.
-    room_part : float
-        Part of an engine's free room that this instance may take; all instances see
-        the same room, and learn late who took it.
+    room : RoomPart
+        Part of an engine's free room that the organisation may take here; all
+        instances see the same room, and learn late who took it.
     lag_s : float
         Until they know of a send. An engine gets as much more as it works off
         meanwhile, or it would idle until the next round.
@@ -177,7 +177,7 @@
         is_full = (
             now_s < state.slots_free_at_s
             or not state.has_place(
-                (slot_margin + lag_s / PLACE_HELD_S) * state.server.slots, room_part
+                (slot_margin + lag_s / PLACE_HELD_S) * state.server.slots, room
             )
             or (
                 state.running > 0
@@ -193,7 +193,7 @@
             copied = max(0, shared_tokens - cached)
         uncached = float(work.prompt_tokens - cached - copied)
         must_wait = is_full or not state.has_reading_room(
-            (limit_s + lag_s) * rate, uncached, room_part
+            (limit_s + lag_s) * rate, uncached, room
         )
         first_s = (state.pending_tokens + uncached) / rate + FIRST_TOKEN_S
         first_s += RUNNING_S * state.running + state.awaited_tokens / rate
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -10,6 +10,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from zlib import crc32
 
 import attrs
 
@@ -52,28 +53,62 @@
 class RoundSends:
     """What this instance sent to a backend server in the current round.
 
-    A round lasts until the other instances know of these sends. In it, the instances
-    take parts of the same free places, which add up to the whole.
+    A round lasts until the other instances know of these sends. In it, organisations
+    take parts of the same free places at the instances where their requests wait,
+    which add up to the whole.
 
     Attributes
     ----------
+    rounding : float
+        Drawn from 0 to 1; a part of a place is taken by as many instances, on
+        average, as make it a whole one.
     requests : int
         Requests sent.
     tokens : float
         Prompt tokens of theirs that the server must read.
-    rounding : float
-        Drawn from 0 to 1; a part of a place is taken by as many instances, on
-        average, as make it a whole one.
     """
 
+    rounding: float = 0.0
     requests: int = 0
     tokens: float = 0.0
-    rounding: float = 0.0
+    _by_organisation: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
-    def add(self, uncached_tokens: float) -> None:
+    def add(self, organisation: str, uncached_tokens: float) -> None:
         """Count a send."""
         self.requests += 1
         self.tokens += uncached_tokens
+        requests, tokens = self.of(organisation)
+        self._by_organisation[organisation] = requests + 1, tokens + uncached_tokens
+
+    def of(self, organisation: str) -> tuple[int, float]:
+        """Return the requests and tokens sent for an organisation."""
+        return self._by_organisation.get(organisation, (0, 0.0))
+
+    def rounding_of(self, organisation: str) -> float:
+        """Return the number by which an organisation's part is rounded.
+
+        Organisations have different ones, or all would take a place at once.
+        """
+        return (self.rounding + crc32(organisation.encode()) / 2**32) % 1.0
+
+
+@attrs.frozen
+class RoomPart:
+    """Part of the free room at an engine that an organisation may take here.
+
+    Parameters
+    ----------
+    organisation : str
+        Whose requests wait.
+    part : float
+        Of a round, from 0 to 1; all at 1.
+    """
+
+    organisation: str = ""
+    part: float = 1.0
+
+
+ALL_ROOM = RoomPart()
 
 
 @attrs.define(eq=False)
@@ -128,26 +163,30 @@
         """Tokens that the requests of the whole fleet hold at their end."""
         return self.own.memory_tokens + self.foreign.memory_tokens
 
-    def has_place(self, places: float, room_part: float) -> bool:
-        """Return whether this instance may take a place.
+    def has_place(self, places: float, room: RoomPart) -> bool:
+        """Return whether a request may take a place.
 
         Parameters
         ----------
         places : float
             Requests that the whole fleet may have at the server.
-        room_part : float
-            Part of the free places that this instance may take in a round.
+        room : RoomPart
+            What the request's organisation may take in a round.
         """
+        free = places - self.running
+        if room.part >= 1.0:
+            return free >= 1.0
         sends = self.round_sends
-        free = places - self.running + sends.requests
-        if room_part < 1.0:
-            free = free * room_part + sends.rounding
-        return sends.requests + 1 <= free
+        requests, _ = sends.of(room.organisation)
+        part = (free + sends.requests) * room.part
+        return free > 0.0 and requests + 1 <= part + sends.rounding_of(
+            room.organisation
+        )
 
     def has_reading_room(
-        self, limit_tokens: float, uncached_tokens: float, room_part: float
+        self, limit_tokens: float, uncached_tokens: float, room: RoomPart
     ) -> bool:
-        """Return whether this instance may send a prompt.
+        """Return whether a prompt may be sent.
 
         Parameters
         ----------
@@ -156,16 +195,17 @@
             exceed them.
         uncached_tokens : float
             What the server must read of the prompt.
-        room_part : float
-            Part of the free room that this instance may take in a round.
+        room : RoomPart
+            What the request's organisation may take in a round.
         """
+        free_tokens = limit_tokens - self.pending_tokens
+        if room.part >= 1.0 or free_tokens < 0.0:
+            return free_tokens >= 0.0
         sends = self.round_sends
-        free_tokens = limit_tokens - self.pending_tokens + sends.tokens
-        if free_tokens < 0.0:
-            return False
-        rounding = sends.rounding if room_part < 1.0 else 1.0
-        needed_tokens = sends.tokens + (1.0 - rounding) * uncached_tokens
-        return needed_tokens <= free_tokens * room_part
+        _, tokens = sends.of(room.organisation)
+        rounding = sends.rounding_of(room.organisation)
+        needed_tokens = tokens + (1.0 - rounding) * uncached_tokens
+        return needed_tokens <= (free_tokens + sends.tokens) * room.part
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is cold and bears only a stated rate."""
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -12,11 +12,12 @@
 
 import attrs
 
-from .work import Work
+from .servers import RoomPart
 
 USAGE_TIME_S = 4.0  # the window in which the operator settles shares
 CLAIM_S = 0.3  # of production; until the instances know what the others took
 CLAIM_REST_PART = 0.2  # of it, for what waits beyond; takes what has no other use
+OVER_CLAIM_PART = 0.05  # of the fair share; what who has it all may claim beyond
 UNDER_PART = 0.6  # of the fair share; unfair is less than half, and beliefs are late
 
 
@@ -142,8 +143,7 @@
     _demands: dict[str, float] = attrs.field(factory=dict, init=False)
     _turn_level: float = attrs.field(default=math.inf, init=False)
     _rest_part: float = attrs.field(default=1.0, init=False)
-    _own_claims: float = attrs.field(default=0.0, init=False)
-    _foreign_claims: float = attrs.field(default=0.0, init=False)
+    _claims: float = attrs.field(default=0.0, init=False)
     _others_wait: bool = attrs.field(default=False, init=False)
 
     @property
@@ -194,46 +194,46 @@
         )
 
     def _settle_claims(self, waiting: Mapping[str, float], now_s: float) -> None:
-        """Work out which part of what waits has its turn next, here and elsewhere."""
+        """Work out how much of what waits of each organisation has its turn next."""
         total: dict[str, float] = dict(self.foreign_waiting)
         for name, tokens in waiting.items():
             total[name] = total.get(name, 0.0) + tokens
         usage = {name: self.usage(name, now_s) for name in total}
         next_tokens = self.capacity_tokens * CLAIM_S / USAGE_TIME_S
         self._turn_level = turn_level(total, usage, next_tokens)
-        in_turn = sum(self._in_turn(name, total[name], now_s) for name in total)
-        rest_tokens = sum(total.values()) - in_turn
+        rests = {name: self._rest(name, total[name], now_s) for name in total}
+        rest_tokens = sum(rests.values())
         self._rest_part = 1.0
         if rest_tokens > 0.0:
             self._rest_part = min(1.0, CLAIM_REST_PART * next_tokens / rest_tokens)
-        self._own_claims = self._foreign_claims = 0.0
-        for name, tokens in total.items():
-            if tokens <= 0.0:
-                continue
-            claim = self._claim(name, tokens, now_s)
-            own_part = waiting.get(name, 0.0) / tokens
-            self._own_claims += claim * own_part
-            self._foreign_claims += claim * (1.0 - own_part)
+        self._claims = sum(self._claim(name, total[name], now_s) for name in total)
 
     def _in_turn(self, organisation: str, tokens: float, now_s: float) -> float:
         lacking = max(0.0, self._turn_level - self.usage(organisation, now_s))
         return min(tokens, lacking)
 
+    def _rest(self, organisation: str, tokens: float, now_s: float) -> float:
+        """Return what waits beyond the turn, up to what is lacking of the share."""
+        rest = tokens - self._in_turn(organisation, tokens, now_s)
+        if self._level == math.inf:
+            return rest
+        lacking = self._level - self.usage(organisation, now_s)
+        return min(rest, max(lacking, OVER_CLAIM_PART * self._level))
+
     def _claim(self, organisation: str, tokens: float, now_s: float) -> float:
+        rest = self._rest(organisation, tokens, now_s)
         in_turn = self._in_turn(organisation, tokens, now_s)
-        return in_turn + self._rest_part * (tokens - in_turn)
-
-    def _claim_of(self, work: Work, now_s: float) -> float:
-        return self._claim(work.organisation, work.cost_tokens, now_s)
-
-    def count_waiting(self, work: Work, now_s: float) -> None:
-        """Count a request that begins to wait here after shares were worked out."""
-        self._own_claims += self._claim_of(work, now_s)
+        return in_turn + self._rest_part * rest
 
     def room_part(
-        self, requests: int, engines: int, arrived: Work | None, now_s: float
-    ) -> float:
-        """Return the part of an engine's free room that this instance may take.
+        self,
+        organisation: str,
+        own_tokens: float,
+        requests: int,
+        engines: int,
+        now_s: float,
+    ) -> RoomPart:
+        """Return the part of an engine's free room that an organisation may take here.
 
         It is the part of what has its turn next, by the organisations' usage, that
         waits here. An organisation thus gets as much whether its requests wait at one
@@ -241,19 +241,22 @@
 
         Parameters
         ----------
+        own_tokens : float
+            What waits here of the organisation.
         requests : int
-            How many wait here, the arrived one included; few of them compete for few
-            engines, while what waits elsewhere waits for all.
+            How many requests that is; few of them compete for few engines, while what
+            waits elsewhere waits for all.
         engines : int
             How many there are.
-        arrived : Work or None
-            A request that doesn't wait yet and is to be counted.
         """
-        own = self._own_claims
-        if arrived is not None:
-            own += self._claim_of(arrived, now_s)
-        competing = self._foreign_claims * min(1.0, requests / max(1, engines))
-        return own / (own + competing) if competing > 0.0 else 1.0
+        everywhere = own_tokens + self.foreign_waiting.get(organisation, 0.0)
+        if everywhere <= 0.0:
+            return RoomPart(organisation, 1.0)
+        claim = self._claim(organisation, everywhere, now_s)
+        own = claim * own_tokens / everywhere
+        competing = max(0.0, self._claims - own) * min(1.0, requests / max(1, engines))
+        part = own / (own + competing) if competing > 0.0 else 1.0
+        return RoomPart(organisation, part)
 
     def is_over(self, organisation: str, now_s: float) -> bool:
         """Return whether an organisation has more than its fair share."""
--- a/libs/placement/src/teaseldyke/placement/waiting.py
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -146,6 +146,13 @@
             return
         self._sums[name].add(waiter.work, self._summed_at_s, -1.0)
 
+    def waits_of(self, organisation: str) -> tuple[int, float]:
+        """Return how many requests of an organisation wait, and their cost."""
+        sums = self._sums.get(organisation)
+        if sums is None:
+            return 0, 0.0
+        return len(self._waiters[organisation]), sums.cost
+
     def waiting_tokens(self) -> dict[str, float]:
         """Return the cost of what waits, by organisation."""
         return {name: sums.cost for name, sums in self._sums.items()}
