--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -177,53 +177,50 @@
         parts of prompts that engines keep are given without being produced again.
         """
         names = {*self._own, *self.foreign_usage, *waiting, *self.foreign_waiting}
-        demands: dict[str, float] = {}
-        for name in names:
-            queued = waiting.get(name, 0.0) + self.foreign_waiting.get(name, 0.0)
-            demands[name] = self.usage(name, now_s) + queued
+        usage = {name: self.usage(name, now_s) for name in names}
+        queued = dict(self.foreign_waiting)
+        for name, tokens in waiting.items():
+            queued[name] = queued.get(name, 0.0) + tokens
+        demands = {name: used + queued.get(name, 0.0) for name, used in usage.items()}
         stated = self.tokens_per_s * USAGE_TIME_S
-        given = sum(self.usage(name, now_s) for name in names)
+        given = sum(usage.values())
         self._demands = demands
         self.given_tokens = given
         self.capacity_tokens = max(stated, given)
         self._level = water_level(demands, self.capacity_tokens)
-        self._settle_claims(waiting, now_s)
+        self._settle_claims(queued, usage)
         self._others_wait = any(
-            demands[name] > self.usage(name, now_s) and not self.is_over(name, now_s)
-            for name in names
+            tokens > 0.0 and usage[name] <= self._level
+            for name, tokens in queued.items()
         )
 
-    def _settle_claims(self, waiting: Mapping[str, float], now_s: float) -> None:
+    def _settle_claims(
+        self, queued: Mapping[str, float], usage: Mapping[str, float]
+    ) -> None:
         """Work out how much of what waits of each organisation has its turn next."""
-        total: dict[str, float] = dict(self.foreign_waiting)
-        for name, tokens in waiting.items():
-            total[name] = total.get(name, 0.0) + tokens
-        usage = {name: self.usage(name, now_s) for name in total}
         next_tokens = self.capacity_tokens * CLAIM_S / USAGE_TIME_S
-        self._turn_level = turn_level(total, usage, next_tokens)
-        rests = {name: self._rest(name, total[name], now_s) for name in total}
-        rest_tokens = sum(rests.values())
+        self._turn_level = turn_level(queued, usage, next_tokens)
+        in_turn_tokens = rest_tokens = 0.0
+        for name, tokens in queued.items():
+            in_turn, rest = self._claims_of(tokens, usage[name])
+            in_turn_tokens += in_turn
+            rest_tokens += rest
         self._rest_part = 1.0
         if rest_tokens > 0.0:
             self._rest_part = min(1.0, CLAIM_REST_PART * next_tokens / rest_tokens)
-        self._claims = sum(self._claim(name, total[name], now_s) for name in total)
+        self._claims = in_turn_tokens + self._rest_part * rest_tokens
 
-    def _in_turn(self, organisation: str, tokens: float, now_s: float) -> float:
-        lacking = max(0.0, self._turn_level - self.usage(organisation, now_s))
-        return min(tokens, lacking)
+    def _claims_of(self, queued: float, usage: float) -> tuple[float, float]:
+        """Return what has its turn of what waits, and what may claim the rest.
 
-    def _rest(self, organisation: str, tokens: float, now_s: float) -> float:
-        """Return what waits beyond the turn, up to what is lacking of the share."""
-        rest = tokens - self._in_turn(organisation, tokens, now_s)
+        Beyond its turn, an organisation claims up to what it lacks of its share.
+        """
+        in_turn = min(queued, max(0.0, self._turn_level - usage))
+        beyond = queued - in_turn
         if self._level == math.inf:
-            return rest
-        lacking = self._level - self.usage(organisation, now_s)
-        return min(rest, max(lacking, OVER_CLAIM_PART * self._level))
-
-    def _claim(self, organisation: str, tokens: float, now_s: float) -> float:
-        rest = self._rest(organisation, tokens, now_s)
-        in_turn = self._in_turn(organisation, tokens, now_s)
-        return in_turn + self._rest_part * rest
+            return in_turn, beyond
+        lacking = max(self._level - usage, OVER_CLAIM_PART * self._level)
+        return in_turn, min(beyond, lacking)
 
     def room_part(
         self,
@@ -252,8 +249,9 @@
         everywhere = own_tokens + self.foreign_waiting.get(organisation, 0.0)
         if everywhere <= 0.0:
             return RoomPart(organisation, 1.0)
-        claim = self._claim(organisation, everywhere, now_s)
-        own = claim * own_tokens / everywhere
+        usage = self.usage(organisation, now_s)
+        in_turn, rest = self._claims_of(everywhere, usage)
+        own = (in_turn + self._rest_part * rest) * own_tokens / everywhere
         competing = max(0.0, self._claims - own) * min(1.0, requests / max(1, engines))
         part = own / (own + competing) if competing > 0.0 else 1.0
         return RoomPart(organisation, part)
