--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -153,13 +153,13 @@
         receive buffer for as long as the connection is kept.
         """
         for key, connections in list(self._idle.items()):
-            kept = deque(c for c in connections if c.is_quiet())
+            kept: deque[ServerConnection] = deque()
             for connection in connections:
-                if connection not in kept:
-                    connection.close()
+                if connection.is_quiet():
+                    kept.append(connection)
+                    continue
+                connection.close()
             self._idle[key] = kept
-            if not kept:
-                del self._idle[key]
 
     def close_idle(self) -> None:
         """Close every connection that is not in use."""
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -101,7 +101,7 @@
     organisation : str
         Whose requests wait.
     part : float
-        Of a round, from 0 to 1; all at 1.
+        Of the room in a round, from 0 to 1; 1 if nobody else competes for it.
     """
 
     organisation: str = ""
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -100,6 +100,8 @@
     """
     if sum(waiting.values()) <= tokens:
         return math.inf
+    # At a rising level, each organisation is served from its usage up to the end of
+    # what waits of it.
     steps: list[tuple[float, int]] = []
     for name, queued in waiting.items():
         steps.append((usage[name], 1))
