Hand out test ports that are free for streams and for datagrams

Cause: free_address() of tests/platform/conftest.py freed an ephemeral TCP port and looked at TCP only. The gateway binds the datagram port of the same number too, later, when another socket may have it.

Change: tests/platform use the ports of tests/processes, which lie below the ephemeral range, and a port counts as free only if both kinds can be bound.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -29,10 +29,10 @@
     BOUNDS,
     Caller,
     configuration,
-    free_address,
     wait_until_listening,
 )
 from tests.platform.standins import EngineStandin, StoreStandin, stream_of
+from tests.processes.ports import free_address
 
 CALLERS = 8
 PLAIN_REQUESTS = 4000
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -20,17 +19,12 @@
 )
 from teaseldyke.settings import Address
 from tests.platform.standins import EngineStandin, Script, StoreStandin
+from tests.processes.ports import free_address
 
 HOST = "a.example"
 BOUNDS = FleetBounds(0.2, 54.0, 10.0, 1.5, 5.0, 8.0)
 
 
-def free_address() -> Address:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", sock.getsockname()[1])
-
-
 def route(name: str, kind: str, service: str, **fields: object) -> dict[str, Any]:
     return {
         "name": name,
--- a/tests/processes/ports.py
+++ b/tests/processes/ports.py
@@ -23,14 +23,19 @@
 
 
 def free_port() -> int:
-    """Return a port of this machine that nothing listens on."""
+    """Return a port of this machine that is free for streams and for datagrams."""
     global _next_port
     while True:
         _next_port += 1
         port = PORT_FIRST + _next_port % PORT_COUNT
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        return port
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+            return port
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
