Send nothing to a backend server during the pause that it asked for

Callers and engines saw: an engine that refused a request with 503 and Retry-After got the next one after 0.05 s (FULL_SERVER_BACKOFF_S), however long it had asked for.

The state of the server holds the end of the pause, and no choice, affinity included, takes a server before it. When all servers of a service pause, the first end counts as expected wait: requests that can't wait for it are refused at once, with a return no earlier than that end where the caller's time allows; queued ones leave the queue.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -176,6 +176,7 @@
         status = exchange.status
         facts = self.wire.read_answer(status, exchange.headers)
         connection.keep_alive_s = facts.keep_alive_s
+        self.reservation.record_statements(status, facts)
         if facts.not_run or status == 421:
             await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             outcome = Outcome.OTHER_SERVER if status == 421 else Outcome.NOT_RUN
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -21,6 +21,7 @@
     choose_engine,
     choose_plain,
     cold_senders_max,
+    next_accepting_in_s,
     retry_delay_s,
     service_time_s,
 )
@@ -53,9 +54,11 @@
 
     service: ServiceDescription
     avoid: frozenset[str]
+    latest_at_s: float
     ready: trio.Event = attrs.field(factory=trio.Event)
     reservation: Reservation | None = None
     reason: str = "others wait"
+    retry_after_s: float = 0.0
 
 
 class Placer:
@@ -170,11 +173,11 @@
             if choice.state is not None:
                 return self._reserve(service, work, choice, now_s)
         self._refuse_if_late(service, work, queue, now_s)
-        pending = _PendingReservation(service, avoid)
+        latest_at_s = latest_send_at_s(work, now_s)
+        pending = _PendingReservation(service, avoid, latest_at_s)
         queued = QueuedRequest(work, pending)
         queue.add(queued)
         self.wake()
-        latest_at_s = latest_send_at_s(work, now_s)
         try:
             with trio.move_on_after(max(0.0, latest_at_s - now_s)):
                 await pending.ready.wait()
@@ -192,9 +195,13 @@
         raise Overloaded(
             f"no capacity at a backend server within {latest_at_s - now_s:.3f} s: "
             f"{reason}",
-            retry_after_s=retry_delay_s(0.0, left_s, random.random()),
+            retry_after_s=retry_delay_s(pending.retry_after_s, left_s, random.random()),
         )
 
+    def next_accepting_in_s(self, service: str) -> float:
+        """Return the time until a server of a service accepts requests again."""
+        return next_accepting_in_s(self._view.states_of(service), boot_time_s())
+
     def expected_wait_s(
         self,
         service: ServiceDescription,
@@ -203,20 +210,24 @@
     ) -> float:
         """Return the expected queueing time of a new request, by prefill rate.
 
-        Ejected engines don't count; 0 while no rate is known and for plain services.
+        Ejected engines and engines that asked for a pause don't count; while all
+        servers pause, it is at least the time until the first pause ends. Otherwise 0
+        while no rate is known and for plain services.
         """
-        if not service.is_engine:
-            return 0.0
         now_s = boot_time_s()
+        states = self._view.states_of(service.name)
+        pause_s = next_accepting_in_s(states, now_s)
+        if not service.is_engine:
+            return pause_s
         rate = sum(
             state.rate_tokens_per_s
-            for state in self._view.states_of(service.name)
-            if not state.is_ejected(now_s)
+            for state in states
+            if not state.is_ejected(now_s) and state.accepts_requests(now_s)
         )
         if rate <= 0.0:
-            return 0.0
+            return pause_s
         ahead_tokens = queue.tokens_ahead(work, self.fair_shares, now_s)
-        return ahead_tokens / rate
+        return max(pause_s, ahead_tokens / rate)
 
     def _refuse_if_late(
         self,
@@ -257,7 +268,10 @@
         instances = self._fleet.instances
         states = self._view.states_of(name)
         quotas: dict[str, CapacityQuota] = {}
-        available = set(states)
+        available = {state for state in states if state.accepts_requests(now_s)}
+        if states and not available:
+            self._end_waits_for(queue, next_accepting_in_s(states, now_s), now_s)
+            return
         for state in states:
             state.backlog_tokens = 0.0
         for queued in list(queue.in_order(self.fair_shares, now_s)):
@@ -292,6 +306,19 @@
             )
             pending.ready.set()
 
+    def _end_waits_for(
+        self, queue: RequestQueue[_PendingReservation], pause_s: float, now_s: float
+    ) -> None:
+        """End the waits of requests whose last moment comes before a pause ends."""
+        for queued in list(queue.in_order(self.fair_shares, now_s)):
+            pending = queued.payload
+            if now_s + pause_s <= pending.latest_at_s:
+                continue
+            pending.reason = "all servers asked for a pause"
+            pending.retry_after_s = pause_s
+            queue.remove(queued)
+            pending.ready.set()
+
     def _choose(
         self,
         service: ServiceDescription,
--- a/libs/gateway/src/teaseldyke/gateway/reservation.py
+++ b/libs/gateway/src/teaseldyke/gateway/reservation.py
@@ -7,11 +7,20 @@
 import attrs
 
 from teaseldyke.placement import ServerState, Work
+from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
 
+from .interfaces import AnswerFacts
+
 # Smaller samples are no measure of the prefill rate: request set-up dominates them.
 MEASURED_FIRST_EVENT_MIN_S = 0.02
 MEASURED_TOKENS_MIN = 2000.0
+REFUSING_STATUSES = (429, 503)
+
+PAUSES = counter(
+    "teaseldyke_server_pauses_total",
+    "Pauses that backend servers asked for, by service.",
+)
 
 
 @attrs.define(eq=False)
@@ -62,6 +71,20 @@
             self.state.record_rate(tokens / first_s)
         self._end_prefill()
 
+    def record_statements(self, status: int, facts: AnswerFacts) -> None:
+        """Record what the header of the server's answer says of the server itself.
+
+        The answer of another server at its address (421) says nothing of it.
+        """
+        if status == 421:
+            return
+        state = self.state
+        server = state.server
+        if facts.retry_after_s is not None and status in REFUSING_STATUSES:
+            state.record_pause(facts.retry_after_s, boot_time_s())
+            PAUSES.bind(service=server.service).add()
+            log_decision("server_paused", server=server.id, for_s=facts.retry_after_s)
+
     def record_answer(self) -> None:
         """Record the latency of a plain server's complete answer."""
         self.state.record_latency(boot_time_s() - self.sent_at_s)
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -234,8 +234,10 @@
         if call.possible_runs:
             raise ServerBroke(result.detail)
         left_s = call.work.deadline_at_s - now_s
+        pause_s = self._placer.next_accepting_in_s(call.service.name)
         raise NoServer(
-            result.detail, retry_after_s=retry_delay_s(0.0, left_s, random.random())
+            result.detail,
+            retry_after_s=retry_delay_s(pause_s, left_s, random.random()),
         )
 
     def _budget_of(self, service: str) -> RetryBudget:
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -10,6 +10,7 @@
     Load,
     RoundSends,
     ServerState,
+    next_accepting_in_s,
     usable,
 )
 from .shares import DecayingSum, FairShares, Standing, water_level
@@ -38,6 +39,7 @@
     "choose_engine",
     "choose_plain",
     "cold_senders_max",
+    "next_accepting_in_s",
     "rendezvous_weight",
     "retry_delay_s",
     "service_time_s",
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -155,7 +155,11 @@
     may_use_cold : callable
         Returns whether this instance may send to a cold engine now.
     """
-    candidates = [state for state in states if state.server.id not in avoid]
+    candidates = [
+        state
+        for state in states
+        if state.server.id not in avoid and state.accepts_requests(now_s)
+    ]
     if not candidates:
         return Choice(None, reason="no engine")
     names = tuple([state.server.id for state in candidates])
@@ -251,7 +255,11 @@
     failure_domain : str
         Failure domain of this instance; its servers are preferred on a tie.
     """
-    candidates = [state for state in states if state.server.id not in avoid]
+    candidates = [
+        state
+        for state in states
+        if state.server.id not in avoid and state.accepts_requests(now_s)
+    ]
     if not candidates:
         return Choice(None, reason="no server")
     best = Choice(None, reason="servers full")
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -1,15 +1,15 @@
 """Load, health and cache state of backend servers, as one instance knows them.
 
 Load patterns: engines that fail a fraction of their requests while otherwise healthy
-(`srv_grey`), run slowly (`srv_slow`), are cold after a start (`cold_return`), or crash
-and leave their address to another server (`srv_crash`). Replayed in
-``tests/test_servers.py``.
+(`srv_grey`), run slowly (`srv_slow`), are cold after a start (`cold_return`), crash
+and leave their address to another server (`srv_crash`), or are full and ask for a
+pause. Replayed in ``tests/test_servers.py``.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from zlib import crc32
 
 import attrs
@@ -25,6 +25,8 @@
 FAILURE_RATE_MAX = 0.4  # above it a server is ejected; healthy services reach 0.14
 EJECTION_TIME_S = 2.0  # one request then probes the server
 REPLACED_EJECTION_S = 5.0  # until the list entry of a replaced server expires
+# Longer than any caller waits; a wrong value must not leave an engine idle for good.
+PAUSE_MAX_S = 120.0
 RATE_SMOOTHING = 0.1  # weight of the newest observation in the prefill rate
 LATENCY_SMOOTHING = 0.1  # weight of the newest observation in the latency
 INITIAL_LATENCY_S = 0.05  # before any response
@@ -131,6 +133,8 @@
     backlog_tokens : float
         Prompt tokens of requests queued for this server in the fleet, estimated as this
         instance's multiplied by the number of instances.
+    paused_until_s : float
+        End of the pause that the server asked for when it refused a request.
     """
 
     server: AnnouncedServer
@@ -144,6 +148,7 @@
     ejected_until_s: float = 0.0
     probing: bool = False
     full_until_s: float = 0.0
+    paused_until_s: float = 0.0
     backlog_tokens: float = 0.0
     round_sends: RoundSends = attrs.field(factory=RoundSends)
     cached_parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
@@ -215,6 +220,10 @@
         """Return whether the server is ejected, or a probe of it is in flight."""
         return now_s < self.ejected_until_s or self.probing
 
+    def accepts_requests(self, now_s: float) -> bool:
+        """Return whether the server has not asked for a pause."""
+        return now_s >= self.paused_until_s
+
     def cached_tokens(self, work: Work, has_affinity: bool, now_s: float) -> int:
         """Return the prompt tokens that the engine is expected to have cached.
 
@@ -262,6 +271,11 @@
         """Record until when the server, which refused a request, counts as full."""
         self.full_until_s = max(self.full_until_s, until_s)
 
+    def record_pause(self, pause_s: float, now_s: float) -> None:
+        """Record for how long the server wants no requests from this instance."""
+        until_s = now_s + min(pause_s, PAUSE_MAX_S)
+        self.paused_until_s = max(self.paused_until_s, until_s)
+
     def record_rate(self, tokens_per_s: float) -> None:
         """Update the prefill rate with an observation."""
         if self.rate_tokens_per_s <= 0.0:
@@ -283,3 +297,13 @@
     all_states = list(states)
     healthy = [state for state in all_states if not state.is_ejected(now_s)]
     return healthy if 2 * len(healthy) >= len(all_states) else all_states
+
+
+def next_accepting_in_s(states: Sequence[ServerState], now_s: float) -> float:
+    """Return the time until a server accepts requests again.
+
+    0 if one does now or none is known.
+    """
+    if not states:
+        return 0.0
+    return min(max(0.0, state.paused_until_s - now_s) for state in states)
--- a/libs/placement/tests/test_choice.py
+++ b/libs/placement/tests/test_choice.py
@@ -322,3 +322,34 @@
         # Five standard deviations of a uniform choice.
         assert min(counts.values()) > 1000 - 5 * 31
         assert max(counts.values()) < 1000 + 5 * 31
+
+
+@pytest.mark.parametrize("statement", ["pause"], ids=["asked-for-a-pause"])
+class TestStatements:
+    def test_cached_prompt_is_no_reason_to_go_back(
+        self,
+        make_state: MakeState,
+        make_work: MakeWork,
+        engines: ServiceDescription,
+        statement: str,
+    ) -> None:
+        states = [make_state("a"), make_state("b")]
+        work = make_work()
+        out = states[0]
+        out.record_prompt(work, 0.0)
+        assert choose_engine(states, engines, work, 0.0).state is out
+        if statement == "pause":
+            out.record_pause(1.0, 0.0)
+        choice = choose_engine(states, engines, work, 0.5)
+        assert choice.state is states[1]
+        assert choice.awaited_server is None
+
+    def test_plain_server_is_not_chosen(
+        self, make_state: MakeState, statement: str
+    ) -> None:
+        states = [make_state("a"), make_state("b")]
+        if statement == "pause":
+            states[0].record_pause(1.0, 0.0)
+        assert choose_plain(states, 0.5, failure_domain="a").state is states[1]
+        only = choose_plain(states[:1], 0.5, failure_domain="a")
+        assert only.state is None
--- a/libs/placement/tests/test_servers.py
+++ b/libs/placement/tests/test_servers.py
@@ -10,8 +10,10 @@
     RoundSends,
     ServerState,
     Work,
+    next_accepting_in_s,
     usable,
 )
+from teaseldyke.placement.servers import PAUSE_MAX_S
 
 MakeState = Callable[..., ServerState]
 MakeWork = Callable[..., Work]
@@ -150,3 +152,34 @@
         state.record_prompt(work, 0.0)
         assert state.cached_tokens(work, False, 1.0) > 0
         assert state.cached_tokens(work, False, 60.0) == 0
+
+
+class TestStatements:
+    @pytest.mark.parametrize(
+        ("pauses_s", "expected_s"),
+        [
+            ((), 0.0),
+            ((0.0, 2.0), 0.0),
+            ((1.0, 2.0), 1.0),
+            ((1e30, 1e30), PAUSE_MAX_S),
+        ],
+    )
+    def test_time_until_a_server_accepts_requests(
+        self,
+        make_state: MakeState,
+        pauses_s: tuple[float, ...],
+        expected_s: float,
+    ) -> None:
+        states = [make_state(str(i)) for i in range(len(pauses_s))]
+        for state, pause_s in zip(states, pauses_s, strict=True):
+            state.record_pause(pause_s, 10.0)
+        assert next_accepting_in_s(states, 10.0) == expected_s
+
+    def test_shorter_pause_does_not_end_a_longer_one(
+        self, make_state: MakeState
+    ) -> None:
+        state = make_state("a")
+        state.record_pause(3.0, 10.0)
+        state.record_pause(0.1, 10.5)
+        assert not state.accepts_requests(12.9)
+        assert state.accepts_requests(13.0)
--- /dev/null
+++ b/tests/platform/test_server_statements.py
@@ -0,0 +1,118 @@
+"""What backend servers say of themselves in their answers."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from teaseldyke.adapter import HeaderWire
+from teaseldyke.timers import boot_time_s
+from tests.platform.conftest import Fleet, running_fleet, script_all, wait_until
+from tests.platform.standins import answer_with, not_run
+
+PAUSE_S = 0.6
+REFUSAL = answer_with(503, "X-Teaseldyke-Not-Run: 1", f"Retry-After: {PAUSE_S}")
+RFC_DATE = b"Fri, 04 Dec 2026 10:00:00 GMT"
+
+
+async def send_some(fleet: Fleet, count: int, prefix: str = "r") -> list[int]:
+    """Send requests one after another and return the statuses of the answers."""
+    statuses = []
+    for i in range(count):
+        answer = await fleet.caller().request("/safe/a", request_id=f"{prefix}-{i}")
+        statuses.append(answer.status)
+    return statuses
+
+
+class TestPause:
+    async def test_paused_engine_gets_no_requests_until_its_pause_ends(
+        self, fleet: Fleet
+    ) -> None:
+        """Before, it got one again after 0.05 s, however long it had asked for."""
+        paused = fleet.engines["e-0"]
+        paused.scripts = [REFUSAL]
+        with trio.fail_after(5):
+            while not paused.arrivals:
+                await send_some(fleet, 1)
+        ends_at_s = trio.current_time() + PAUSE_S
+        while trio.current_time() < ends_at_s - 0.1:
+            assert await send_some(fleet, 3) == [200] * 3
+            await trio.sleep(0.02)
+        assert len(paused.arrivals) == 1
+        await trio.sleep(0.2)
+        fleet.engines["e-1"].scripts = [not_run()]
+        assert await send_some(fleet, 1) == [200]
+        assert len(paused.arrivals) == 2
+
+    async def test_pause_of_all_engines_refuses_at_once_until_its_end(
+        self, fleet: Fleet
+    ) -> None:
+        for state in fleet.gateways[0].view.all_states():
+            state.record_pause(PAUSE_S, boot_time_s())
+        started_at_s = trio.current_time()
+        answer = await fleet.caller().request("/safe/a")
+        assert answer.status == 503
+        assert trio.current_time() - started_at_s < 0.1
+        assert PAUSE_S - 0.1 < float(answer.headers["retry-after"]) < 2.5 / 3
+        assert fleet.arrivals == 0
+
+    @pytest.mark.parametrize(
+        ("pause_s", "status", "arrivals"), [(0.3, 200, 2), (9.0, 503, 1)]
+    )
+    async def test_retry_waits_for_the_end_of_the_pause_or_is_refused(
+        self, pause_s: float, status: int, arrivals: int
+    ) -> None:
+        async with running_fleet(engines=1) as fleet:
+            script_all(
+                fleet,
+                answer_with(503, "X-Teaseldyke-Not-Run: 1", f"Retry-After: {pause_s}"),
+            )
+            started_at_s = trio.current_time()
+            answer = await fleet.caller().request("/safe/a")
+            elapsed_s = trio.current_time() - started_at_s
+            assert (answer.status, fleet.arrivals) == (status, arrivals)
+            assert elapsed_s < 0.1 if status == 503 else elapsed_s >= pause_s
+
+    async def test_queued_request_is_refused_once_no_engine_can_be_waited_for(
+        self, fleet: Fleet
+    ) -> None:
+        """It would have waited until its last moment."""
+        gateway = fleet.gateways[0]
+        states = list(gateway.view.all_states())
+        for state in states:
+            state.mark_full(boot_time_s() + 60.0)
+        caller = fleet.caller()
+        await caller.send("/safe/a")
+        await wait_until(lambda: gateway.placer.waiting == 1)
+        for state in states:
+            state.record_pause(60.0, boot_time_s())
+        with trio.fail_after(0.5):
+            answer = await caller.receive_answer()
+        assert answer.status == 503
+        assert fleet.arrivals == 0
+
+    @pytest.mark.parametrize(
+        ("value", "date", "expected"),
+        [
+            (b"3", None, 3.0),
+            (b"0.25", None, 0.25),
+            (b"0", None, 0.0),
+            (b"1" + b"0" * 30, None, 1e30),
+            (b"Fri, 04 Dec 2026 10:00:07 GMT", RFC_DATE, 7.0),
+            (b"Fri, 04 Dec 2026 09:00:00 GMT", RFC_DATE, 0.0),
+            (b"Fri, 04 Dec 2026 10:00:07 GMT", None, None),
+            (b"Fri, 04 Dec 2026 10:00:07 GMT", b"today", None),
+            (b"-1", None, None),
+            (b"inf", None, None),
+            (b"soon", RFC_DATE, None),
+            (b"", None, None),
+            (b"\xff", RFC_DATE, None),
+        ],
+    )
+    def test_readings_of_retry_after(
+        self, value: bytes, date: bytes | None, expected: float | None
+    ) -> None:
+        headers = [(b"retry-after", value)]
+        if date is not None:
+            headers.append((b"date", date))
+        assert HeaderWire().read_answer(503, headers).retry_after_s == expected
