Take out a backend server at once when its answer says that it leaves

Callers and engines saw: an engine that said Server-Leaving in its answers went on getting requests until its entry in the store changed, without end when the store lagged, was down or had been restored.

Cause: the header was not read; leaving was known from the store alone.

Change: any answer of the server itself (not a 421, which another server at its address gives) marks its state, at the head of the answer, so also at the start of a stream. The mark outlasts entries that say otherwise and the removal and return of the entry; only a new start (id or born) ends it.

Peers are not told. Weighed: an instance learns with its first answer from the engine, which serves such requests for drainMs and longer; telling would cost bytes in every round. Not measured.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -72,6 +72,8 @@
         Requests running, requests queued, and slots.
     keep_alive_s : float or None
         Keep-alive time of the idle connection; ``None`` if it isn't stated.
+    is_leaving : bool
+        Whether the server states that it is about to stop.
     retry_after_s : float or None
         Time for which a server that refused the request wants no further ones.
     """
@@ -82,6 +84,7 @@
     is_encoded: bool
     load: tuple[int, int, int] | None = None
     keep_alive_s: float | None = None
+    is_leaving: bool = False
     retry_after_s: float | None = None
 
 
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -314,7 +314,7 @@
             pending = queued.payload
             if now_s + pause_s <= pending.latest_at_s:
                 continue
-            pending.reason = "all servers asked for a pause"
+            pending.reason = "all servers asked for a pause or leave"
             pending.retry_after_s = pause_s
             queue.remove(queued)
             pending.ready.set()
--- a/libs/gateway/src/teaseldyke/gateway/reservation.py
+++ b/libs/gateway/src/teaseldyke/gateway/reservation.py
@@ -21,6 +21,10 @@
     "teaseldyke_server_pauses_total",
     "Pauses that backend servers asked for, by service.",
 )
+SAID_LEAVING = counter(
+    "teaseldyke_servers_said_leaving_total",
+    "Backend servers whose answers said that they leave, by service.",
+)
 
 
 @attrs.define(eq=False)
@@ -80,6 +84,13 @@
             return
         state = self.state
         server = state.server
+        if facts.is_leaving and not state.said_leaving:
+            state.said_leaving = True
+            SAID_LEAVING.bind(service=server.service).add()
+            log_decision(
+                "server_said_leaving", server=server.id, entry_leaving=server.leaving
+            )
+            self._on_change(server.service)
         if facts.retry_after_s is not None and status in REFUSING_STATUSES:
             state.record_pause(facts.retry_after_s, boot_time_s())
             PAUSES.bind(service=server.service).add()
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 
 from teaseldyke.placement import ColdRateLimit, ServerState
@@ -10,6 +11,7 @@
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer, RoutingTable
 
+LEFT_SERVERS_MAX = 1000  # remembered starts of servers that said they leave
 REMOVAL_GRACE_S = 1.8  # lapsed entries are renewed within 2 s of the store's return
 INITIAL_RATE_FACTOR = 2.0  # of the stated production per engine, before any measurement
 DEFAULT_RATE_TOKENS_PER_S = 50_000.0  # if the operator states no production
@@ -39,6 +41,7 @@
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
         self._vanished_at_s: dict[str, float] = {}
+        self._left: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._by_service: dict[str, list[ServerState]] = {}
         self._on_change = on_change
 
@@ -121,6 +124,8 @@
             server = state.server
             if server.leaving or server.failure_domain in self.evacuated:
                 continue
+            if state.said_leaving:
+                continue
             if server.id in self._vanished_at_s and not self._may_reappear(server.id):
                 continue
             by_service.setdefault(server.service, []).append(state)
@@ -146,7 +151,15 @@
             if now_s - vanished_at_s < 2 * REMOVAL_GRACE_S or not self.store_available:
                 continue
             del self._vanished_at_s[server_id]
-            self._states.pop(server_id, None)
+            state = self._states.pop(server_id, None)
+            if state is not None and state.said_leaving:
+                self._remember_left(state.server)
+
+    def _remember_left(self, server: AnnouncedServer) -> None:
+        """Remember that a server said it leaves, in case its entry comes back."""
+        self._left[server.id, server.started] = None
+        while len(self._left) > LEFT_SERVERS_MAX:
+            self._left.popitem(last=False)
 
     def _apply_server(self, server: AnnouncedServer, now_s: float) -> None:
         known = self._states.get(server.id)
@@ -156,6 +169,7 @@
                 now_s + server.cold_for_s,
                 ColdRateLimit(self._cold_rate(server.service)),
                 rate_tokens_per_s=self._initial_rate(server.service),
+                said_leaving=(server.id, server.started) in self._left,
             )
             log_decision(
                 "server_found",
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -2,12 +2,13 @@
 
 Load patterns: engines that fail a fraction of their requests while otherwise healthy
 (`srv_grey`), run slowly (`srv_slow`), are cold after a start (`cold_return`), crash
-and leave their address to another server (`srv_crash`), or are full and ask for a
-pause. Replayed in ``tests/test_servers.py``.
+and leave their address to another server (`srv_crash`), are full and ask for a pause,
+or say that they leave before the store does. Replayed in ``tests/test_servers.py``.
 """
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from zlib import crc32
@@ -135,6 +136,9 @@
         instance's multiplied by the number of instances.
     paused_until_s : float
         End of the pause that the server asked for when it refused a request.
+    said_leaving : bool
+        Whether an answer of the server stated that it leaves. Holds until the server
+        starts anew, whatever its entry in the store says.
     """
 
     server: AnnouncedServer
@@ -149,6 +153,7 @@
     probing: bool = False
     full_until_s: float = 0.0
     paused_until_s: float = 0.0
+    said_leaving: bool = False
     backlog_tokens: float = 0.0
     round_sends: RoundSends = attrs.field(factory=RoundSends)
     cached_parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
@@ -221,8 +226,8 @@
         return now_s < self.ejected_until_s or self.probing
 
     def accepts_requests(self, now_s: float) -> bool:
-        """Return whether the server has not asked for a pause."""
-        return now_s >= self.paused_until_s
+        """Return whether it has neither asked for a pause nor said that it leaves."""
+        return now_s >= self.paused_until_s and not self.said_leaving
 
     def cached_tokens(self, work: Work, has_affinity: bool, now_s: float) -> int:
         """Return the prompt tokens that the engine is expected to have cached.
@@ -302,8 +307,15 @@
 def next_accepting_in_s(states: Sequence[ServerState], now_s: float) -> float:
     """Return the time until a server accepts requests again.
 
-    0 if one does now or none is known.
+    0 if one does now or none is known, infinite if all said that they leave.
     """
     if not states:
         return 0.0
-    return min(max(0.0, state.paused_until_s - now_s) for state in states)
+    return min(
+        (
+            max(0.0, state.paused_until_s - now_s)
+            for state in states
+            if not state.said_leaving
+        ),
+        default=math.inf,
+    )
--- a/libs/placement/tests/test_choice.py
+++ b/libs/placement/tests/test_choice.py
@@ -324,7 +324,9 @@
         assert max(counts.values()) < 1000 + 5 * 31
 
 
-@pytest.mark.parametrize("statement", ["pause"], ids=["asked-for-a-pause"])
+@pytest.mark.parametrize(
+    "statement", ["pause", "leaving"], ids=["asked-for-a-pause", "said-it-leaves"]
+)
 class TestStatements:
     def test_cached_prompt_is_no_reason_to_go_back(
         self,
@@ -340,6 +342,8 @@
         assert choose_engine(states, engines, work, 0.0).state is out
         if statement == "pause":
             out.record_pause(1.0, 0.0)
+        else:
+            out.said_leaving = True
         choice = choose_engine(states, engines, work, 0.5)
         assert choice.state is states[1]
         assert choice.awaited_server is None
@@ -350,6 +354,8 @@
         states = [make_state("a"), make_state("b")]
         if statement == "pause":
             states[0].record_pause(1.0, 0.0)
+        else:
+            states[0].said_leaving = True
         assert choose_plain(states, 0.5, failure_domain="a").state is states[1]
         only = choose_plain(states[:1], 0.5, failure_domain="a")
         assert only.state is None
--- a/libs/placement/tests/test_servers.py
+++ b/libs/placement/tests/test_servers.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import pytest
@@ -156,23 +157,28 @@
 
 class TestStatements:
     @pytest.mark.parametrize(
-        ("pauses_s", "expected_s"),
+        ("pauses_s", "leaving", "expected_s"),
         [
-            ((), 0.0),
-            ((0.0, 2.0), 0.0),
-            ((1.0, 2.0), 1.0),
-            ((1e30, 1e30), PAUSE_MAX_S),
+            ((), (), 0.0),
+            ((0.0, 2.0), (False, False), 0.0),
+            ((1.0, 2.0), (False, False), 1.0),
+            ((1.0, 2.0), (True, False), 2.0),
+            ((1.0, 0.0), (False, True), 1.0),
+            ((0.0, 0.0), (True, True), math.inf),
+            ((1e30, 1e30), (False, False), PAUSE_MAX_S),
         ],
     )
     def test_time_until_a_server_accepts_requests(
         self,
         make_state: MakeState,
         pauses_s: tuple[float, ...],
+        leaving: tuple[bool, ...],
         expected_s: float,
     ) -> None:
         states = [make_state(str(i)) for i in range(len(pauses_s))]
-        for state, pause_s in zip(states, pauses_s, strict=True):
+        for state, pause_s, said_leaving in zip(states, pauses_s, leaving, strict=True):
             state.record_pause(pause_s, 10.0)
+            state.said_leaving = said_leaving
         assert next_accepting_in_s(states, 10.0) == expected_s
 
     def test_shorter_pause_does_not_end_a_longer_one(
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -343,7 +343,12 @@
 
 
 def stream_of(
-    first: int, last: int, *, cut_after: int | None = None, partial: bytes = b""
+    first: int,
+    last: int,
+    *,
+    cut_after: int | None = None,
+    partial: bytes = b"",
+    headers: tuple[str, ...] = (),
 ) -> Script:
     """Return a script that streams events and closes the stream after `cut_after`."""
 
@@ -355,6 +360,7 @@
             200,
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *headers,
         )
         await stream.send_all(head + b"\r\n")
         for number in range(first, last + 1):
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -6,12 +6,14 @@
 import trio
 
 from teaseldyke.adapter import HeaderWire
+from teaseldyke.gateway import view as view_module
 from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import Fleet, running_fleet, script_all, wait_until
-from tests.platform.standins import answer_with, not_run
+from tests.platform.standins import Script, answer_with, not_run, stream_of
 
 PAUSE_S = 0.6
 REFUSAL = answer_with(503, "X-Teaseldyke-Not-Run: 1", f"Retry-After: {PAUSE_S}")
+LEAVING = "Server-Leaving: 1"
 RFC_DATE = b"Fri, 04 Dec 2026 10:00:00 GMT"
 
 
@@ -116,3 +118,88 @@
         if date is not None:
             headers.append((b"date", date))
         assert HeaderWire().read_answer(503, headers).retry_after_s == expected
+
+
+class TestLeaving:
+    @pytest.mark.parametrize(
+        ("target", "script"),
+        [
+            ("/safe/a", answer_with(200, LEAVING)),
+            ("/safe/a", answer_with(500, LEAVING)),
+            ("/safe/a", answer_with(503, "X-Teaseldyke-Not-Run: 1", LEAVING)),
+            ("/once/a", answer_with(404, LEAVING)),
+            ("/stream/a", stream_of(1, 3, headers=(LEAVING,))),
+        ],
+        ids=["plain", "failure", "refusal", "other-status", "stream"],
+    )
+    async def test_engine_that_said_it_leaves_gets_no_requests(
+        self, fleet: Fleet, target: str, script: Script
+    ) -> None:
+        """Before, only its entry in the store counted."""
+        leaving = fleet.engines["e-0"]
+        leaving.scripts = [script]
+        with trio.fail_after(5):
+            while not leaving.arrivals:
+                await fleet.caller().request(target)
+        leaving.scripts = []
+        assert await send_some(fleet, 6) == [200] * 6
+        fleet.store.put("servers", "e-0", leaving.entry("app", slots=5))
+        view = fleet.gateways[0].view
+        await wait_until(lambda: view.state("e-0").server.slots == 5)
+        assert await send_some(fleet, 6, "again") == [200] * 6
+        assert len(leaving.arrivals) == 1
+
+    async def test_engine_that_started_anew_gets_requests_again(
+        self, fleet: Fleet
+    ) -> None:
+        leaving = fleet.engines["e-0"]
+        leaving.scripts = [answer_with(200, LEAVING)]
+        with trio.fail_after(5):
+            while not leaving.arrivals:
+                await send_some(fleet, 1)
+        fleet.store.put("servers", "e-0", leaving.entry("app", born=2))
+        view = fleet.gateways[0].view
+        await wait_until(lambda: len(view.states_of("app")) == 2)
+        fleet.engines["e-1"].scripts = [not_run()]
+        assert await send_some(fleet, 1) == [200]
+        assert len(leaving.arrivals) == 2
+
+    async def test_entry_that_comes_back_does_not_bring_a_left_engine_back(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A store restored from a copy lists it again long after it was removed."""
+        monkeypatch.setattr(view_module, "REMOVAL_GRACE_S", 0.1)
+        engine = fleet.engines["e-0"]
+        engine.scripts = [answer_with(200, LEAVING)]
+        with trio.fail_after(5):
+            while not engine.arrivals:
+                await send_some(fleet, 1)
+        view = fleet.gateways[0].view
+        fleet.store.remove("servers", "e-0")
+        await wait_until(lambda: view.state("e-0") is None)
+        fleet.store.put("servers", "e-0", engine.entry("app"))
+        await wait_until(lambda: view.state("e-0") is not None)
+        fleet.engines["e-1"].scripts = [not_run()]
+        await send_some(fleet, 1)
+        assert len(engine.arrivals) == 1
+
+    async def test_misdirected_answer_says_nothing_of_the_engine(
+        self, fleet: Fleet
+    ) -> None:
+        engine = fleet.engines["e-0"]
+        script = answer_with(421, "X-Teaseldyke-Not-Run: 1", LEAVING, "Retry-After: 9")
+        engine.scripts = [script]
+        with trio.fail_after(5):
+            while not engine.arrivals:
+                await send_some(fleet, 1)
+        state = fleet.gateways[0].view.state("e-0")
+        assert not state.said_leaving
+        assert state.paused_until_s == 0.0
+
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [(b"1", True), (b"0", False), (b"yes", False), (b"", False), (b"\xff", False)],
+    )
+    def test_readings_of_server_leaving(self, value: bytes, expected: bool) -> None:
+        facts = HeaderWire().read_answer(200, [(b"server-leaving", value)])
+        assert facts.is_leaving is expected
