Keep a removed backend server out when an outage of the store follows

Callers saw: requests went again to a server whose removal was known, when the store failed within 1.8 s of the removal, or came back from an outage that had begun less than 3.6 s after it.

Cause: whether a removal may be due to the outage alone was asked anew at each look, against the newest return of the store, so an outage that began later made an old removal doubtful.

Change: it is decided when the removal becomes known, and kept with it.

Evidence: test_server_removed_before_an_outage_stays_out[0.5] failed before.

--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -6,6 +6,8 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 
+import attrs
+
 from teaseldyke.placement import ColdRateLimit, ServerState
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s
@@ -17,6 +19,14 @@
 DEFAULT_RATE_TOKENS_PER_S = 50_000.0  # if the operator states no production
 
 
+@attrs.frozen
+class _Vanished:
+    """Since when an entry is missing, and until when it may come back."""
+
+    at_s: float
+    doubted_until_s: float
+
+
 class FleetView:
     """The newest configuration and the state of each backend server.
 
@@ -40,7 +50,7 @@
         self.servers_as_of_s = -math.inf
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
-        self._vanished_at_s: dict[str, float] = {}
+        self._vanished: dict[str, _Vanished] = {}
         self._left: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._by_service: dict[str, list[ServerState]] = {}
         self._on_change = on_change
@@ -68,11 +78,11 @@
         listed = {server.id: server for server in servers}
         for server_id, server in listed.items():
             self._apply_server(server, now_s)
-            self._vanished_at_s.pop(server_id, None)
+            self._vanished.pop(server_id, None)
         for server_id in self._states.keys() - listed.keys():
-            if server_id in self._vanished_at_s:
+            if server_id in self._vanished:
                 continue
-            self._vanished_at_s[server_id] = now_s
+            self._vanished[server_id] = _Vanished(now_s, self._doubted_until_s(now_s))
             log_decision("server_vanished", server=server_id)
         self.refresh()
 
@@ -126,31 +136,28 @@
                 continue
             if state.said_leaving:
                 continue
-            if server.id in self._vanished_at_s and not self._may_reappear(server.id):
+            vanished = self._vanished.get(server.id)
+            if vanished is not None and now_s >= vanished.doubted_until_s:
                 continue
             by_service.setdefault(server.service, []).append(state)
         self._by_service = by_service
         self._on_change()
 
-    def _may_reappear(self, server_id: str) -> bool:
-        """Return whether an entry may have lapsed only because the store was down.
+    def _doubted_until_s(self, now_s: float) -> float:
+        """Return until when a removal may be due to an outage of the store alone.
 
-        Such a server stays in use for a grace period, in which it can renew its entry.
+        Entries lapse in an outage, and servers renew theirs after it. While the store
+        turns this instance away, it has answered the peer that reported the removal.
         """
-        vanished_at_s = self._vanished_at_s[server_id]
-        back_at_s = self._store_back_at_s
-        if not self.store_available:
-            # Peers reported the removal, so the store answers them and has done so
-            # since then at the latest.
-            back_at_s = max(back_at_s, vanished_at_s)
-        grace_ends_at_s = back_at_s + REMOVAL_GRACE_S
-        return vanished_at_s < grace_ends_at_s and boot_time_s() < grace_ends_at_s
+        back_at_s = self._store_back_at_s if self.store_available else now_s
+        return back_at_s + REMOVAL_GRACE_S
 
     def _evict_vanished(self, now_s: float) -> None:
-        for server_id, vanished_at_s in list(self._vanished_at_s.items()):
-            if now_s - vanished_at_s < 2 * REMOVAL_GRACE_S or not self.store_available:
+        for server_id, vanished in list(self._vanished.items()):
+            age_s = now_s - vanished.at_s
+            if age_s < 2 * REMOVAL_GRACE_S or not self.store_available:
                 continue
-            del self._vanished_at_s[server_id]
+            del self._vanished[server_id]
             state = self._states.pop(server_id, None)
             if state is not None and state.said_leaving:
                 self._remember_left(state.server)
--- a/libs/gateway/tests/test_view.py
+++ b/libs/gateway/tests/test_view.py
@@ -63,6 +63,24 @@
         view.refresh()
         assert usable(view) == expected
 
+    @pytest.mark.parametrize("outage_after_s", [0.5, 3.0])
+    def test_server_removed_before_an_outage_stays_out(
+        self,
+        clock: Clock,
+        view: FleetView,
+        make_server: MakeServer,
+        outage_after_s: float,
+    ) -> None:
+        """It came back into use during the outage, or for 1.8 s after it."""
+        clock.now_s += 60.0
+        view.apply_servers([make_server("a"), make_server("b")])
+        view.apply_servers([make_server("b")])
+        for available, after_s in ((False, outage_after_s), (True, 1.0)):
+            clock.now_s += after_s
+            view.set_store_available(available, "test")
+            view.refresh()
+            assert usable(view) == ["b"]
+
     def test_a_restart_under_the_same_id_discards_state(
         self, view: FleetView, make_server: MakeServer
     ) -> None:
