Order what the store has said by era and version, and keep what a restore lost

Callers and engines would have seen, after the store came back from a copy some seconds old: news taken for old (the versions are given out again), an instance ranked behind a peer that has read less, a left engine in use, an evacuation forgotten, the instance's own entry gone, and a withdrawn key accepted by an instance that started then.

Cause: the header Store-Era was not read. Versions were plain numbers in the feed, the copies, the listings and the totals.

Change: - StoreVersion(era, number) goes wherever a version went. A higher era, in any answer or relayed change, ends the long polls and lists both tables; an answer of an earlier era, or with an unreadable one, is discarded, counted, logged and followed by a listing, with a pause if that repeats. - FleetView decides what the copy may change: never the configuration; an entry older than what is known (start, heartbeats) is held until written again or until it has outlasted three heartbeats; lost entries may be renewed for 1.8 s; a lost evacuation is kept until the operator writes it again, 30 s at most. Instances write their own entries again, spread over a second. - Peers tell the number of their configuration and the evacuations that they keep, so that an instance that knows only the copy learns of them. - Listings between instances have a new format: two builds in one fleet do not take listings from each other during the upgrade; totals stay readable both ways. - The platform's stand-in learns the drill.

--- a/libs/gateway/src/teaseldyke/gateway/__init__.py
+++ b/libs/gateway/src/teaseldyke/gateway/__init__.py
@@ -10,6 +10,7 @@
     DirectoryListener,
     FeedRole,
     Headers,
+    KnownVersions,
     Peer,
     Wire,
 )
@@ -27,6 +28,7 @@
     "Gateway",
     "GatewaySettings",
     "Headers",
+    "KnownVersions",
     "Peer",
     "Wire",
 ]
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -7,9 +7,15 @@
 from typing import Protocol
 
 import attrs
+import trio
 
 from teaseldyke.http import OutgoingRequest
-from teaseldyke.types import AnnouncedServer, RoutingTable, TeaseldykeError
+from teaseldyke.types import (
+    AnnouncedServer,
+    RoutingTable,
+    StoreVersion,
+    TeaseldykeError,
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -180,12 +186,23 @@
         """Apply a configuration if it is newer than the current one."""
         ...
 
-    def apply_servers(self, servers: Sequence[AnnouncedServer]) -> None:
-        """Replace the set of listed backend servers."""
+    def apply_servers(
+        self, servers: Sequence[AnnouncedServer], *, restored: bool = False
+    ) -> None:
+        """Replace the set of listed backend servers.
+
+        Parameters
+        ----------
+        restored : bool
+            Whether the list is the first since the store was restored from a copy, so
+            that it may be older than what was known.
+        """
         ...
 
-    def apply_evacuated(self, failure_domains: frozenset[str]) -> None:
-        """Replace the failure domains that get no new requests."""
+    def apply_evacuated(
+        self, failure_domains: frozenset[str], *, restored: bool = False
+    ) -> None:
+        """Replace the failure domains that the operator lists as evacuated."""
         ...
 
     def record_servers_current(self, as_of_s: float) -> None:
@@ -209,6 +226,24 @@
     FOLLOWER = "is told"
 
 
+@attrs.frozen
+class KnownVersions:
+    """Newest versions that an instance knows of the store's entries.
+
+    Parameters
+    ----------
+    operator, servers : StoreVersion
+        Newest changes of the operator's and of the backend servers' entries.
+    configuration : int
+        The operator's own number of the newest configuration, which a restored store
+        may have lost; -1 before the first.
+    """
+
+    operator: StoreVersion
+    servers: StoreVersion
+    configuration: int
+
+
 class Directory(Protocol):
     """Follows the entries of the operator and of the backend servers in the store.
 
@@ -218,9 +253,12 @@
         Role in which the backend servers' entries are followed.
     relay : callable or None
         Sends the neighbours the changes that were read.
+    new_era : trio.Event
+        Set, and then replaced, when the store was restored from a copy.
     """
 
     feed_role: FeedRole
+    new_era: trio.Event
     relay: Callable[[bytes], Awaitable[None]] | None
 
     def apply_changes(self, data: bytes, as_of_s: float) -> None:
@@ -241,11 +279,11 @@
         ...
 
     @property
-    def versions(self) -> tuple[int, int]:
-        """Newest changes known of the operator's and of the servers' entries."""
+    def versions(self) -> KnownVersions:
+        """Newest versions known of the store's entries."""
         ...
 
-    def is_behind(self, versions: tuple[int, int]) -> bool:
+    def is_behind(self, versions: KnownVersions) -> bool:
         """Return whether another instance knows changes that this one doesn't."""
         ...
 
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 from collections.abc import Awaitable, Callable
 from contextlib import closing
@@ -25,7 +26,7 @@
 
 from .calls import CallHandler
 from .endpoints import LISTING_TARGET, Endpoints
-from .interfaces import Directory, DirectoryListener, Peer, Wire
+from .interfaces import Directory, DirectoryListener, KnownVersions, Peer, Wire
 from .placing import Placer
 from .sending import Sender
 from .settings import GatewaySettings
@@ -42,6 +43,7 @@
 CATCH_UP_GRACE_S = 0.5  # the store or a neighbour normally delivers entries within it
 LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
 ANNOUNCE_RETRY_INTERVAL_S = 1.0
+ANNOUNCE_SPREAD_S = 1.0  # after a restore all instances write their entries again
 BACKLOG = 1024  # connections to be accepted; overflow costs callers seconds
 # Time in a pass of the scheduler in which new requests are started. Events of running
 # streams, totals and entries are delayed until the end of the pass.
@@ -98,7 +100,9 @@
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         self.admission = Admission(ADMISSION_WINDOW_S, ADMISSION_WAIT_MAX_S)
-        self.view = FleetView(lambda: self.placer.wake())
+        self.view = FleetView(
+            lambda: self.placer.wake(), settings.heartbeat_ms / 1000.0
+        )
         self.directory = self.make_directory(self.view)
         own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
         self.totals = TotalsExchange(own, self.view, self.directory)
@@ -200,14 +204,20 @@
         self.pool.close_unusable()
 
     async def _announce(self) -> None:
-        """Register this instance in the store and add the others to the exchange."""
-        while True:
+        """Register this instance in the store and add the others to the exchange.
+
+        A restored store may have lost the entry, so it is written again.
+        """
+        while not self.stopping.is_set():
+            new_era = self.directory.new_era
             try:
                 self.totals.add_peers(await self.directory.announce(self.totals.own))
-                return
             except TeaseldykeError as exc:
                 log_decision("not_announced", reason=exc.detail)
-            await trio.sleep(ANNOUNCE_RETRY_INTERVAL_S)
+                await trio.sleep(ANNOUNCE_RETRY_INTERVAL_S)
+                continue
+            await new_era.wait()
+            await trio.sleep(random.uniform(0.0, ANNOUNCE_SPREAD_S))
 
     async def _catch_up(self) -> None:
         """Fetch the listing of a peer that knows newer entries.
@@ -234,7 +244,12 @@
             except (TeaseldykeError, ValueError) as exc:
                 log_decision("listing_not_fetched", peer=peer.name, error=str(exc))
                 continue
-            log_decision("listing_fetched", peer=peer.name, had=own, got=versions)
+            log_decision(
+                "listing_fetched",
+                peer=peer.name,
+                had=_loggable(own),
+                got=_loggable(versions),
+            )
 
     async def _stop_on_signal(self, nursery: trio.Nursery) -> None:
         with trio.open_signal_receiver(
@@ -297,6 +312,11 @@
         nursery.cancel_scope.cancel()
 
 
+def _loggable(known: KnownVersions) -> list[str]:
+    """Return versions of operator's and servers' entries and configuration."""
+    return [str(known.operator), str(known.servers), str(known.configuration)]
+
+
 async def _listen(address: Address) -> trio.SocketListener:
     listeners = await trio.open_tcp_listeners(
         address.port, host=address.host, backlog=BACKLOG
--- a/libs/gateway/src/teaseldyke/gateway/settings.py
+++ b/libs/gateway/src/teaseldyke/gateway/settings.py
@@ -54,6 +54,8 @@
         The platform's store.
     bounds : FleetBounds
         Limits of the whole fleet.
+    heartbeat_ms : float
+        Interval at which backend servers renew their entries in the store.
     connections_max : int
         Maximum number of callers' connections.
     log_lines_per_s : float
@@ -68,5 +70,6 @@
     metrics: Address
     platform: Address
     bounds: FleetBounds
+    heartbeat_ms: float = 1200.0
     connections_max: int = 2000
     log_lines_per_s: float = 200.0
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from teaseldyke.telemetry import log_decision
+from teaseldyke.types import StoreVersion
 
-from .interfaces import Peer
+from .interfaces import KnownVersions, Peer
 from .membership import Membership
 
 
@@ -46,7 +47,8 @@
     number : int
         Sequence number, which grows with each round of a process.
     versions : tuple of int
-        Newest changes known to it of the operator's and of the servers' entries.
+        Numbers of the newest changes known to it of the operator's and of the servers'
+        entries, within ``era``.
     neighbourhood : tuple of int
         Index of the neighbourhood that the sums cover and number of neighbourhoods;
         both 0 for the sender's own totals.
@@ -56,6 +58,13 @@
         Sample of live instances, as name, host and port.
     sums : Sums
         The totals.
+    era : int
+        Newest era of the store known to it.
+    configuration : int
+        The operator's number of the newest configuration known to it.
+    kept_evacuated : list of str
+        Failure domains that it keeps evacuated although a restored store lost the
+        entries.
     """
 
     name: str
@@ -68,6 +77,32 @@
     members: list[tuple[str, str, int]]
     mentions: list[tuple[str, str, int]]
     sums: Sums
+    era: int = 0
+    configuration: int = -1
+    kept_evacuated: list[str] = []
+
+    @property
+    def known_versions(self) -> KnownVersions:
+        """Newest versions that the sender knows of the store's entries."""
+        operator, servers = self.versions
+        return KnownVersions(
+            StoreVersion(self.era, operator),
+            StoreVersion(self.era, servers),
+            self.configuration,
+        )
+
+
+def encoded_versions(known: KnownVersions) -> tuple[tuple[int, int], int]:
+    """Return the numbers of a message's ``versions``, and their era.
+
+    The number of a table that was not read in that era yet is 0.
+    """
+    era = max(known.operator.era, known.servers.era)
+    operator, servers = (
+        version.number if version.era == era else 0
+        for version in (known.operator, known.servers)
+    )
+    return (operator, servers), era
 
 
 class RelayedChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -18,7 +18,7 @@
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s, scheduler_passes
 
-from .interfaces import Directory, Peer
+from .interfaces import Directory, KnownVersions, Peer
 from .membership import ALIVE_TIMEOUT_S, Membership
 from .placing import Placer
 from .sums import (
@@ -27,6 +27,7 @@
     Sums,
     TotalsMessage,
     add_up,
+    encoded_versions,
     server_number,
 )
 from .view import FleetView
@@ -67,7 +68,7 @@
         directory: Directory,
     ) -> None:
         self.own = own
-        self.peer_ahead: tuple[Peer, tuple[int, int]] | None = None
+        self.peer_ahead: tuple[Peer, KnownVersions] | None = None
         self._view = view
         self._directory = directory
         self._membership = Membership(own)
@@ -158,9 +159,11 @@
             return
         if not self._totals.receive(message, boot_time_s()):
             return
-        if self._directory.is_behind(message.versions):
+        self._view.keep_evacuated_for_peer(message.kept_evacuated)
+        versions = message.known_versions
+        if self._directory.is_behind(versions):
             sender = Peer(message.name, message.host, message.port)
-            self.peer_ahead = (sender, message.versions)
+            self.peer_ahead = (sender, versions)
 
     def send(self, placer: Placer) -> None:
         """Apply the others' totals, and send this instance's if a round is due."""
@@ -234,6 +237,8 @@
     ) -> None:
         if self._number % USAGE_ROUNDS and self._membership.neighbourhoods > 1:
             sums = Sums(sums.loads, sums.waiting)
+        known = self._directory.versions
+        versions, era = encoded_versions(known)
         data = msgspec.msgpack.encode(
             TotalsMessage(
                 self.own.name,
@@ -241,11 +246,14 @@
                 self.own.port,
                 self._born_s,
                 self._number,
-                self._directory.versions,
+                versions,
                 neighbourhood,
                 [attrs.astuple(peer) for peer in members],
                 [attrs.astuple(peer) for peer in self._membership.gossip_sample()],
                 sums,
+                era,
+                known.configuration,
+                self._view.kept_evacuated,
             )
         )
         self._send_data(peers, data)
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -13,12 +13,35 @@
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer, RoutingTable
 
-LEFT_SERVERS_MAX = 1000  # remembered starts of servers that said they leave
+LEFT_SERVERS_MAX = 1000  # remembered starts of servers that left
+RENEWAL_S = 2.0  # servers reach the store again within it
+ENTRY_HEARTBEATS = 3  # that a server may miss before its entry lapses
+DEFAULT_HEARTBEAT_S = 1.2
+# The operator has written evacuations again by then, if they are still wanted.
+KEPT_EVACUATION_S = 30.0
+PEER_EVACUATION_S = 2.0  # for which a peer's word holds; renewed by its messages
 REMOVAL_GRACE_S = 1.8  # lapsed entries are renewed within 2 s of the store's return
 INITIAL_RATE_FACTOR = 2.0  # of the stated production per engine, before any measurement
 DEFAULT_RATE_TOKENS_PER_S = 50_000.0  # if the operator states no production
 
 
+@attrs.frozen
+class LeftServer:
+    """Last announcement of a server that left.
+
+    Parameters
+    ----------
+    started, heartbeats : int
+        As in its announcement.
+    said_leaving : bool
+        Whether an answer of it stated that it leaves.
+    """
+
+    started: int
+    heartbeats: int
+    said_leaving: bool = False
+
+
 @attrs.frozen
 class _Vanished:
     """Since when an entry is missing, and until when it may come back."""
@@ -34,6 +57,8 @@
     ----------
     on_change : callable
         Called after each change, to retry queued requests.
+    heartbeat_s : float
+        Interval at which backend servers renew their entries.
 
     Attributes
     ----------
@@ -42,7 +67,11 @@
         of `boot_time_s`.
     """
 
-    def __init__(self, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[], None],
+        heartbeat_s: float = DEFAULT_HEARTBEAT_S,
+    ) -> None:
         self.table: RoutingTable | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.store_available = False
@@ -51,9 +80,15 @@
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
         self._vanished: dict[str, _Vanished] = {}
-        self._left: OrderedDict[tuple[str, int], None] = OrderedDict()
+        # Newest announcement of each start that left or was removed, by id.
+        self._left: OrderedDict[str, LeftServer] = OrderedDict()
+        self._held: dict[str, AnnouncedServer] = {}
+        self._listed_evacuated: frozenset[str] = frozenset()
+        self._kept_evacuated_until_s: dict[str, float] = {}
+        self._peer_evacuated_until_s: dict[str, float] = {}
         self._by_service: dict[str, list[ServerState]] = {}
         self._on_change = on_change
+        self._entry_lifetime_s = RENEWAL_S + ENTRY_HEARTBEATS * heartbeat_s
 
     def apply_routing(self, table: RoutingTable) -> None:
         """Apply a configuration if it is newer than the current one."""
@@ -71,33 +106,118 @@
                 state.rate_tokens_per_s = self._initial_rate(state.server.service)
         self._on_change()
 
-    def apply_servers(self, servers: Sequence[AnnouncedServer]) -> None:
-        """Replace the set of listed backend servers."""
+    def apply_servers(
+        self, servers: Sequence[AnnouncedServer], *, restored: bool = False
+    ) -> None:
+        """Replace the set of listed backend servers.
+
+        A restored store lists servers as they were when its copy was made. Entries
+        older than what is known are held: they change nothing until they are written
+        again, or have lasted so long that their servers must have renewed them.
+        """
         now_s = boot_time_s()
         self.servers_known = True
-        listed = {server.id: server for server in servers}
+        if restored:
+            self._record_restored(now_s)
+        held: dict[str, AnnouncedServer] = {}
+        listed: dict[str, AnnouncedServer] = {}
+        for server in servers:
+            if self._held.get(server.id) == server:
+                held[server.id] = server
+                continue
+            if restored and self._is_outdated(server):
+                held[server.id] = server
+                log_decision("server_entry_held", server=server.id)
+                continue
+            listed[server.id] = server
+        self._held = held
         for server_id, server in listed.items():
             self._apply_server(server, now_s)
             self._vanished.pop(server_id, None)
-        for server_id in self._states.keys() - listed.keys():
+        for server_id in self._states.keys() - listed.keys() - held.keys():
             if server_id in self._vanished:
                 continue
             self._vanished[server_id] = _Vanished(now_s, self._doubted_until_s(now_s))
+            self._remember_left(self._states[server_id])
             log_decision("server_vanished", server=server_id)
         self.refresh()
 
-    def apply_evacuated(self, failure_domains: frozenset[str]) -> None:
-        """Replace the failure domains that get no new requests."""
-        if failure_domains == self.evacuated:
-            return
+    def apply_evacuated(
+        self, failure_domains: frozenset[str], *, restored: bool = False
+    ) -> None:
+        """Replace the failure domains that the operator lists as evacuated.
+
+        An evacuation that a restored store has lost is kept until the operator has
+        written it again, or for a limited time.
+        """
         now_s = boot_time_s()
-        for domain in self.evacuated - failure_domains:
+        if restored:
+            self._record_restored(now_s)
+            for domain in self._listed_evacuated - failure_domains:
+                self._kept_evacuated_until_s[domain] = now_s + KEPT_EVACUATION_S
+                log_decision("evacuation_kept", failure_domain=domain)
+        for domain in failure_domains:
+            self._kept_evacuated_until_s.pop(domain, None)
+        self._listed_evacuated = failure_domains
+        self._update_evacuated(now_s)
+        self.refresh()
+
+    @property
+    def kept_evacuated(self) -> list[str]:
+        """Failure domains kept evacuated although the store has lost the entries."""
+        return list(self._kept_evacuated_until_s)
+
+    def keep_evacuated_for_peer(self, failure_domains: Iterable[str]) -> None:
+        """Keep failure domains evacuated as long as another instance keeps them."""
+        for domain in failure_domains:
+            until_s = boot_time_s() + PEER_EVACUATION_S
+            self._peer_evacuated_until_s[domain] = until_s
+
+    def _update_evacuated(self, now_s: float) -> None:
+        """Recompute the failure domains that get no new requests."""
+        evacuated = set(self._listed_evacuated)
+        for kept in (self._kept_evacuated_until_s, self._peer_evacuated_until_s):
+            for domain, until_s in list(kept.items()):
+                if now_s >= until_s:
+                    del kept[domain]
+                    continue
+                evacuated.add(domain)
+        for domain in self.evacuated - evacuated:
             log_decision("failure_domain_back", failure_domain=domain)
             self._mark_cold(domain, now_s)
-        for domain in failure_domains - self.evacuated:
+        for domain in evacuated - self.evacuated:
             log_decision("failure_domain_out", failure_domain=domain)
-        self.evacuated = failure_domains
-        self.refresh()
+        self.evacuated = frozenset(evacuated)
+
+    def _record_restored(self, now_s: float) -> None:
+        self._store_back_at_s = now_s  # entries that the copy lacks may be renewed
+
+    def _is_outdated(self, server: AnnouncedServer) -> bool:
+        """Return whether an entry of a restored store is older than what is known."""
+        age = server.started, server.heartbeats
+        state = self._states.get(server.id)
+        if state is not None and server.id not in self._vanished:
+            known = state.server
+            known_age = known.started, known.heartbeats
+            is_undone = known.leaving and not server.leaving
+            return age < known_age or (age == known_age and is_undone)
+        left = self._left.get(server.id)
+        return left is not None and age <= (left.started, left.heartbeats)
+
+    def _end_holds(self, now_s: float) -> None:
+        """Apply held entries that have lasted, since their servers renewed them."""
+        if not self._held or not self.store_available:
+            return
+        if now_s - self._store_back_at_s < self._entry_lifetime_s:
+            return
+        for server in self._held.values():
+            state = self._states.get(server.id)
+            if state is not None and state.server.started == server.started:
+                state.server = server  # its cold time has passed since the copy
+            else:
+                self._apply_server(server, now_s)
+            self._vanished.pop(server.id, None)
+        self._held.clear()
 
     def set_store_available(self, available: bool, reason: str) -> None:
         """Record whether the platform's store answers, and log changes."""
@@ -128,6 +248,8 @@
     def refresh(self) -> None:
         """Recompute which backend servers may get requests."""
         now_s = boot_time_s()
+        self._update_evacuated(now_s)
+        self._end_holds(now_s)
         self._evict_vanished(now_s)
         by_service: dict[str, list[ServerState]] = {}
         for state in self._states.values():
@@ -159,24 +281,31 @@
                 continue
             del self._vanished[server_id]
             state = self._states.pop(server_id, None)
-            if state is not None and state.said_leaving:
-                self._remember_left(state.server)
+            if state is not None:
+                self._remember_left(state)
 
-    def _remember_left(self, server: AnnouncedServer) -> None:
-        """Remember that a server said it leaves, in case its entry comes back."""
-        self._left[server.id, server.started] = None
+    def _remember_left(self, state: ServerState) -> None:
+        """Remember a server that left, in case its entry comes back."""
+        server = state.server
+        self._left[server.id] = LeftServer(
+            server.started, server.heartbeats, state.said_leaving
+        )
+        self._left.move_to_end(server.id)
         while len(self._left) > LEFT_SERVERS_MAX:
             self._left.popitem(last=False)
 
     def _apply_server(self, server: AnnouncedServer, now_s: float) -> None:
         known = self._states.get(server.id)
         if known is None or known.server.started != server.started:
+            left = self._left.pop(server.id, None)
             self._states[server.id] = ServerState(
                 server,
                 now_s + server.cold_for_s,
                 ColdRateLimit(self._cold_rate(server.service)),
                 rate_tokens_per_s=self._initial_rate(server.service),
-                said_leaving=(server.id, server.started) in self._left,
+                said_leaving=left is not None
+                and left.started == server.started
+                and left.said_leaving,
             )
             log_decision(
                 "server_found",
--- a/libs/types/src/teaseldyke/types/__init__.py
+++ b/libs/types/src/teaseldyke/types/__init__.py
@@ -28,6 +28,7 @@
     RoutingTable,
     ServiceDescription,
 )
+from .store_version import NO_VERSION, StoreVersion
 
 __all__ = [
     "AnnouncedServer",
@@ -37,6 +38,7 @@
     "Configuration",
     "Executed",
     "KeyedOrganisation",
+    "NO_VERSION",
     "Organisation",
     "PlatformUnavailable",
     "RequestRule",
@@ -47,6 +49,7 @@
     "ServiceDescription",
     "ServiceKind",
     "SettingsError",
+    "StoreVersion",
     "Switches",
     "TeaseldykeError",
     "WriteConflict",
--- a/libs/types/src/teaseldyke/types/routing.py
+++ b/libs/types/src/teaseldyke/types/routing.py
@@ -155,6 +155,8 @@
         Whether it is draining and accepts no new requests.
     cold_for_s : float
         Remaining time for which it is cold, as of the announcement.
+    heartbeats : int
+        Announcements of this process so far; orders them when the store forgot some.
     """
 
     id: str
@@ -166,6 +168,7 @@
     slots: int
     leaving: bool = False
     cold_for_s: float = 0.0
+    heartbeats: int = 0
 
 
 class RoutingTable:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -17,6 +17,15 @@
 PIECE_BYTES = 16 * 1024  # of an endless answer, written in one call
 
 
+@attrs.frozen
+class StoreCopy:
+    """Rows of a store at one version."""
+
+    rows: dict[tuple[str, str], dict[str, Any]]
+    removed: list[dict[str, Any]]
+    version: int
+
+
 @attrs.define(eq=False)
 class StoreStandin:
     """Versioned rows and a change feed, as the platform's store serves them.
@@ -27,6 +36,8 @@
         Status of every response; 200 serves the call.
     silent : bool
         Whether calls are left without a response.
+    era : int or None
+        Value of the header ``Store-Era``; ``None`` leaves it out.
     calls : list of str
         Method and target of each call.
     """
@@ -37,6 +48,7 @@
     oldest: int = 0
     status: int = 200
     silent: bool = False
+    era: int | None = 1
     calls: list[str] = attrs.field(factory=list)
     port: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
@@ -63,6 +75,17 @@
         )
         self._notify_feeds()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all rows, from which the store may be restored."""
+        return StoreCopy(dict(self.rows), list(self.removed), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: later writes are lost, their versions given out again."""
+        self.rows, self.removed = dict(copy.rows), list(copy.removed)
+        self.version = copy.version
+        self.era = (self.era or 0) + 1
+        self._notify_feeds()
+
     def compact(self) -> None:
         """Discard the change history, so that feeds must read the table in full."""
         self.version += 1
@@ -80,12 +103,18 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    @property
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        if self.era is None:
+            return []
+        return [(b"store-era", str(self.era).encode())]
+
     async def _handle(self, request: Request) -> None:
         self.calls.append(f"{request.method} {request.target}")
         if self.silent:
             await trio.sleep_forever()
         if self.status != 200:
-            await request.respond(self.status)
+            await request.respond(self.status, headers=self._headers)
             return
         if request.path == "/-/rows-tx":
             await self._transact(request)
@@ -98,11 +127,14 @@
         await self._feed(request, table)
 
     async def _feed(self, request: Request, table: str) -> None:
-        after = int(request.query["afterRev"])
+        after, era = int(request.query["afterRev"]), self.era
         with trio.move_on_after(int(request.query["waitMs"]) / 1000.0):
             while True:
-                if after < self.oldest:
-                    await request.respond(HISTORY_GONE)
+                if self.era != era:
+                    await request.respond(503, headers=self._headers)
+                    return
+                if after < self.oldest or after > self.version:
+                    await request.respond(HISTORY_GONE, headers=self._headers)
                     return
                 current = [row for (name, _), row in self.rows.items() if name == table]
                 removed = [row for row in self.removed if row["table"] == table]
@@ -121,12 +153,12 @@
         for row in call["remove"]:
             if (row["table"], row["key"]) in self.rows:
                 self.remove(row["table"], row["key"])
-        await request.respond_json(200, {"ver": self.version, "nowMs": 1})
+        answer = {"ver": self.version, "nowMs": 1}
+        await request.respond(200, json.dumps(answer).encode(), self._headers)
 
     async def _answer(self, request: Request, rows: list[dict[str, Any]]) -> None:
-        await request.respond_json(
-            200, {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
-        )
+        answer = {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
+        await request.respond(200, json.dumps(answer).encode(), self._headers)
 
 
 @attrs.define
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -7,17 +7,19 @@
 import trio
 
 from teaseldyke.adapter import StoreClient, StoreDirectory
-from teaseldyke.adapter.directory import (
-    FOLLOWER_TIMEOUT_S,
-    RELAY_PAUSE_S,
-    Changes,
-    TableCopy,
-)
+from teaseldyke.adapter.copies import Changes, TableCopy
+from teaseldyke.adapter.directory import FOLLOWER_TIMEOUT_S, RELAY_PAUSE_S
 from teaseldyke.adapter.store import Page, StoredRow
-from teaseldyke.gateway import FeedRole
+from teaseldyke.gateway import FeedRole, KnownVersions
 from teaseldyke.settings import Address
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import AnnouncedServer, PlatformUnavailable, RoutingTable
+from teaseldyke.types import (
+    NO_VERSION,
+    AnnouncedServer,
+    PlatformUnavailable,
+    RoutingTable,
+    StoreVersion,
+)
 
 OBSERVED_S = 2.0
 
@@ -30,13 +32,17 @@
 
     def apply_routing(self, table: RoutingTable) -> None: ...
 
-    def apply_evacuated(self, failure_domains: frozenset[str]) -> None: ...
+    def apply_evacuated(
+        self, failure_domains: frozenset[str], *, restored: bool = False
+    ) -> None: ...
 
     def record_servers_current(self, as_of_s: float) -> None: ...
 
     def set_store_available(self, available: bool, reason: str) -> None: ...
 
-    def apply_servers(self, servers: Sequence[AnnouncedServer]) -> None:
+    def apply_servers(
+        self, servers: Sequence[AnnouncedServer], *, restored: bool = False
+    ) -> None:
         self.servers = servers
 
 
@@ -44,31 +50,40 @@
     return StoreDirectory(StoreClient(Address("127.0.0.1", 1)), RecordingListener())
 
 
-def rows(*versions: int) -> list[StoredRow]:
-    return [StoredRow(f"key-{version}", version, b"{}") for version in versions]
+def at(number: int, era: int = 1) -> StoreVersion:
+    return StoreVersion(era, number)
+
+
+def rows(*numbers: int, era: int = 1) -> list[StoredRow]:
+    return [StoredRow(f"key-{number}", at(number, era), b"{}") for number in numbers]
+
+
+def known(operator: int, servers: int, configuration: int = -1) -> KnownVersions:
+    versions = [NO_VERSION if n < 0 else at(n) for n in (operator, servers)]
+    return KnownVersions(versions[0], versions[1], configuration)
 
 
 class TestTableCopy:
     def test_full_read_covers_earlier_removals(self) -> None:
         """After a full read, the version of a removed row is in no row."""
         incremental, full = directory(), directory()
-        incremental._servers.replace(rows(11, 15), 15)
-        incremental._servers.apply([StoredRow("key-11", 18, None)], 20)
-        full._operator.replace([], 20)
-        full._servers.replace(rows(15), 20)
-        assert incremental.versions == (0, 18)
+        incremental._servers.replace(rows(11, 15), at(15))
+        incremental._servers.apply([StoredRow("key-11", at(18), None)], at(20))
+        full._operator.replace([], at(20))
+        full._servers.replace(rows(15), at(20))
+        assert incremental.versions == KnownVersions(NO_VERSION, at(18), -1)
         assert not full.is_behind(incremental.versions)
 
     def test_copy_without_a_newer_entry_is_behind(self) -> None:
         copy = directory()
-        copy._operator.replace(rows(4), 9)
-        assert not copy.is_behind((9, -1))
-        assert copy.is_behind((10, -1))
+        copy._operator.replace(rows(4), at(9))
+        assert not copy.is_behind(known(9, -1))
+        assert copy.is_behind(known(10, -1))
 
     def test_older_listing_is_ignored(self) -> None:
         old, new = directory(), directory()
-        old._servers.replace(rows(4), 9)
-        new._servers.replace(rows(4, 12), 14)
+        old._servers.replace(rows(4), at(9))
+        new._servers.replace(rows(4, 12), at(14))
         new.import_listing(old.export_listing())
         assert set(new._servers.rows) == {"key-4", "key-12"}
         old.import_listing(new.export_listing())
@@ -76,9 +91,9 @@
 
     def test_changes_older_than_the_copy_are_ignored(self) -> None:
         copy = TableCopy()
-        copy.replace(rows(4, 7), 9)
-        assert copy.apply([StoredRow("key-7", 6, b"old")], 10) == []
-        assert copy.apply([StoredRow("key-7", 11, b"new")], 12) == ["key-7"]
+        copy.replace(rows(4, 7), at(9))
+        assert copy.apply([StoredRow("key-7", at(6), b"old")], at(10)) == []
+        assert copy.apply([StoredRow("key-7", at(11), b"new")], at(12)) == ["key-7"]
 
 
 class ChangingStore(StoreClient):
@@ -87,16 +102,18 @@
     def __init__(self) -> None:
         super().__init__(Address("127.0.0.1", 1))
         self.poll_count = 0
+        self.era = 1
 
     async def rows(self, table: str) -> Page:
-        return Page(rows(4), 9)
+        return Page(rows(4), at(9))
 
-    async def changes(self, table: str, after: int, wait_s: float) -> Page:
+    async def changes(self, table: str, after: StoreVersion, wait_s: float) -> Page:
         await trio.sleep(0.01)
         if table != "servers":
             raise PlatformUnavailable("only the servers change")
         self.poll_count += 1
-        return Page([StoredRow("key-4", after + 1, b"{}")], after + 1)
+        following = at(after.number + 1)
+        return Page([StoredRow("key-4", following, b"{}")], following)
 
 
 class TestChanges:
@@ -109,12 +126,12 @@
         self, after: int, version: int, expected: int
     ) -> None:
         follower = directory()
-        follower._servers.replace(rows(4), 9)
-        changes = Changes(after, version, [("key-4", version, b"{}")])
+        follower._servers.replace(rows(4), at(9))
+        changes = Changes(after, version, [("key-4", version, b"{}")], 1)
         follower.apply_changes(msgspec.msgpack.encode(changes), boot_time_s())
-        assert follower._servers.synced_version == expected
-        known = follower._servers.rows["key-4"].version
-        assert known == (version if expected == version != 9 else 4)
+        assert follower._servers.synced_version == at(expected)
+        found = follower._servers.rows["key-4"].version
+        assert found == at(version if expected == version != 9 else 4)
 
     @pytest.mark.parametrize(
         ("feed_role", "receives_changes", "min_polls", "max_polls"),
@@ -139,9 +156,9 @@
             nursery.start_soon(store_directory.run)
             for i in range(round(10 * OBSERVED_S)):
                 await trio.sleep(0.1)
-                version = store_directory._servers.synced_version
+                number = store_directory._servers.synced_version.number
                 changes = Changes(
-                    version, version + 1, [(f"new-{i}", version + 1, b"{}")]
+                    number, number + 1, [(f"new-{i}", number + 1, b"{}")], 1
                 )
                 if receives_changes:
                     store_directory.apply_changes(
@@ -168,8 +185,8 @@
             nursery.start_soon(follower.run)
             for _ in range(round(10 * OBSERVED_S)):
                 await trio.sleep(0.1)
-                version = follower._servers.synced_version
-                encoded = msgspec.msgpack.encode(Changes(version, version, []))
+                number = follower._servers.synced_version.number
+                encoded = msgspec.msgpack.encode(Changes(number, number, [], 1))
                 follower.apply_changes(encoded, boot_time_s() - unread_s)
             nursery.cancel_scope.cancel()
         assert (store.poll_count > 0) is polls
@@ -179,7 +196,7 @@
             StoreDirectory(ChangingStore(), RecordingListener()),
             directory(),
         )
-        follower._servers.replace(rows(4), 9)
+        follower._servers.replace(rows(4), at(9))
         leader.feed_role = FeedRole.LEADER
 
         async def relay(data: bytes) -> None:
@@ -190,4 +207,5 @@
             nursery.start_soon(leader.run)
             await trio.sleep(0.5)
             nursery.cancel_scope.cancel()
-        assert follower._servers.synced_version == leader._servers.synced_version > 10
+        synced_version = follower._servers.synced_version
+        assert synced_version == leader._servers.synced_version > at(10)
