Do not take a late second answer for the next request's

Callers saw, or could see: after a second copy of a refusal (503 or 421 with Not-Run) arrived late on a reused connection, the next request on it counted as not run and went to another server, while the first server ran it: a non-idempotent request ran twice. A copy without an id was passed on as the next request's answer.

Cause: the refusal was looked at before the echoed id, and an answer without an id was accepted.

Ruled out: servers that echo no id.

Change: an answer with another id, or without one on a reused connection, breaks the attempt: the request may have run.

Evidence: 6 of the 8 rows of TestLateSecondAnswer failed before. The tests of slow and stalled streams passed before, too.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -177,6 +177,13 @@
         facts = self.wire.read_answer(status, exchange.headers)
         connection.keep_alive_s = facts.keep_alive_s
         self.reservation.record_statements(status, facts)
+        if not self._is_own_answer(connection, facts):
+            exchange.complete = False
+            return SendResult(
+                Outcome.BROKEN,
+                "the answer carries another request's id, or none",
+                status,
+            )
         if facts.not_run or status == 421:
             await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             outcome = Outcome.OTHER_SERVER if status == 421 else Outcome.NOT_RUN
@@ -209,9 +216,17 @@
             Outcome.DONE, status=status, first_event_s=self.reservation.measured_first_s
         )
 
+    def _is_own_answer(self, connection: ServerConnection, facts: AnswerFacts) -> bool:
+        """Return whether an answer belongs to this request.
+
+        On a reused connection, a second copy of an earlier answer may come late. A
+        refusal among them must not count as one of this request, which may run.
+        """
+        if facts.request_id is None:
+            return not connection.used
+        return facts.request_id == self.facts.request_id
+
     def _answer_fault(self, status: int, facts: AnswerFacts) -> str:
-        if facts.request_id is not None and facts.request_id != self.facts.request_id:
-            return "the answer carries another request's id"
         if facts.is_encoded:
             return "the answer has a content encoding that was not requested"
         if 200 <= status < 300 and not facts.is_stamped:
