Await the first request of connections accepted right before a planned stop

Cause: at the end of the stop, connections without pending bytes are closed at once. On a connection accepted a moment ago the first request is still under way, up to a round trip.

Change: connections that served no request yet are closed 0.2 s later, and those accepted last are given the same time.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -38,6 +38,8 @@
 CLOSE_DISCARD_BYTES = 1024 * 1024
 # Range of the jitter; short, since another instance may have capacity.
 BUSY_RETRY_AFTER_S = (0.05, 0.15)
+# From the end of accepting; covers several round trips between failure domains.
+FIRST_REQUEST_GRACE_S = 0.2
 
 
 @attrs.define
@@ -75,9 +77,16 @@
     idle_closed: bool = False
 
     def close_idle(self) -> None:
-        """Close every idle connection on which no request has started to arrive."""
+        """Close every idle connection on which no request has started to arrive.
+
+        On a new connection the first request is usually on its way, so it is awaited
+        for a moment.
+        """
         self.idle_closed = True
         for connection in self.idle:
+            if not connection.is_used:
+                connection.limit_idle_time(FIRST_REQUEST_GRACE_S)
+                continue
             if is_idle(connection.stream):
                 close_now(connection.stream)
 
@@ -96,6 +105,11 @@
         `boot_time_s`.
     caller : str
         Address of the peer.
+
+    Attributes
+    ----------
+    is_used : bool
+        Whether a request has been served on the connection.
     """
 
     def __init__(
@@ -112,10 +126,15 @@
         self._passes = scheduler_passes()
         self._unread_since_s = unread_since_s
         self._caller = caller
+        self.is_used = False
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=context.limits.header_bytes
         )
 
+    def limit_idle_time(self, seconds: float) -> None:
+        """Close the connection unless the next request starts in time."""
+        self._watch.deadline_s = trio.current_time() + seconds
+
     async def run(self) -> None:
         """Serve requests until one side closes the connection."""
         self._watch.start()
@@ -141,6 +160,7 @@
                 raise
             if not keep_open:
                 return
+            self.is_used = True
             self._unread_since_s = math.inf
             self._parser.start_next_cycle()
 
@@ -213,10 +233,13 @@
 
     async def _wait_first_byte(self) -> bool:
         try:
-            if self._context.idle_closed and is_idle(self.stream):
-                return False
+            idle_timeout_s = self._limits.idle_timeout_s
+            if self._context.idle_closed:
+                if self.is_used and is_idle(self.stream):
+                    return False
+                idle_timeout_s = FIRST_REQUEST_GRACE_S
             self._context.idle.add(self)
-            self._watch.deadline_s = trio.current_time() + self._limits.idle_timeout_s
+            self.limit_idle_time(idle_timeout_s)
             received = await self._receive()
             # On a new connection the request may have arrived before it was accepted.
             self._unread_since_s = min(
