Use neither a placement nor an idle connection from before a pause

Callers could see, after the process had been paused: a request sent to a server that had left or been evacuated meanwhile, stating more time than was left; and, after the machine had been suspended, a request sent on an idle connection whose keep-alive time had run out, and lost (502).

Cause: between the choice of a server and the send lies the wait for a connection, after which nothing was looked at again. Idle time was counted on trio's clock, which stands still while the machine is suspended.

Change: a placement older than 1 s (connecting takes 0.5 s at most) is given up as not sent and made anew. Idle time counts on boot_time_s.

Evidence: both tests of TestPause failed before: one request arrived at the left server with 2.469 s stated of 1.4 s left; for the idle connection the clock was not that of the tests' name (AttributeError) and the connection was reused on the old clock.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -16,6 +16,7 @@
     OutgoingRequest,
     ServerConnection,
 )
+from teaseldyke.timers import boot_time_s
 from teaseldyke.types import Route, RouteKind, ServiceDescription
 
 from .interfaces import AnswerFacts, CallFacts, Headers, Wire
@@ -31,6 +32,9 @@
 # Of an error body; beyond it, a new connection is cheaper.
 DISCARD_MAX_BYTES = 64 * 1024
 DISCARD_MAX_S = 0.05  # the body of a refusal arrives together with its head
+# From the choice of a server to the send. A connection takes half of it at most; the
+# rest is a pause of the process, after which the choice may no longer hold.
+PLACEMENT_TTL_S = 1.0
 UNBOUNDED_S = 3600.0  # no time-out but the request's deadline
 
 
@@ -39,6 +43,7 @@
 
     DONE = "done"
     NOT_SENT = "not_sent"
+    EXPIRED = "expired"
     NOT_RUN = "not_run"
     OTHER_SERVER = "other_server"
     FAILED = "failed"
@@ -135,7 +140,11 @@
                 Outcome.FAILED,
                 Outcome.BROKEN,
             )
-            if result.outcome in (Outcome.NOT_RUN, Outcome.OTHER_SERVER):
+            if result.outcome in (
+                Outcome.NOT_RUN,
+                Outcome.OTHER_SERVER,
+                Outcome.EXPIRED,
+            ):
                 failed = None
             return result
         finally:
@@ -155,6 +164,12 @@
             )
         except ConnectFailed as exc:
             return SendResult(Outcome.NOT_SENT, exc.detail)
+        placed_for_s = boot_time_s() - self.reservation.sent_at_s
+        if placed_for_s > PLACEMENT_TTL_S:
+            connection.close()
+            return SendResult(
+                Outcome.EXPIRED, f"placed {placed_for_s:.1f} s ago, to be placed anew"
+            )
         streaming = self.route.kind is RouteKind.STREAMING
         limit = STREAM_ANSWER_MAX_BYTES if streaming else PLAIN_ANSWER_MAX_BYTES
         exchange = Exchange(connection, limit, self.policy.first_byte_s, lenient=True)
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -226,7 +226,7 @@
         is_exhausted = (
             call.possible_runs >= call.route.attempts_max or call.sends >= SENDS_MAX
         )
-        free = result.outcome is Outcome.NOT_SENT
+        free = result.outcome in (Outcome.NOT_SENT, Outcome.EXPIRED)
         if not is_exhausted and (
             free or budget.try_spend(now_s, self._fleet.instances)
         ):
--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -10,6 +10,8 @@
 import h11
 import trio
 
+from teaseldyke.timers import boot_time_s
+
 from .errors import ConnectFailed, CrossedAnswer
 from .exchange import Exchange, OutgoingRequest, ServerConnection, with_request_id
 from .headers import first_header
@@ -134,7 +136,7 @@
             is no longer reused.
         """
         idle = self._idle.get((host, port))
-        now_s = trio.current_time()
+        now_s = boot_time_s()
         while idle and not fresh:
             connection = idle.pop()
             idle_s = now_s - connection.idle_since_s
@@ -189,7 +191,7 @@
         if not (exchange.complete and connection.is_reusable):
             connection.close()
             return
-        connection.idle_since_s = trio.current_time()
+        connection.idle_since_s = boot_time_s()
         idle = self._idle.setdefault((connection.host, connection.port), deque())
         idle.append(connection)
         oldest_s = connection.idle_since_s - IDLE_MAX_S
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -55,7 +55,7 @@
     used : bool
         Whether the connection was reused after an earlier exchange.
     idle_since_s : float
-        End of the last exchange, on trio's clock.
+        End of the last exchange, on the clock of `boot_time_s`.
     keep_alive_s : float or None
         Keep-alive timeout that the server announced, if any.
     """
--- a/tests/platform/test_reported_failures.py
+++ b/tests/platform/test_reported_failures.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import pytest
 import trio
 
+from teaseldyke.gateway.attempts import PLACEMENT_TTL_S
+from teaseldyke.http import backend as backend_module
 from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import Fleet, running_fleet, script_all, wait_until
 from tests.platform.standins import (
     Arrival,
     EngineStandin,
     answer_head,
+    answer_with,
     answer_with_id,
     chunk,
     complete_answer,
@@ -158,3 +162,47 @@
         answer = await fleet.caller().request(target)
         assert trio.current_time() - started_at_s < 2.6
         assert not (answer.status == 200 and answer.complete)
+
+
+class TestPause:
+    async def test_placement_from_before_a_pause_is_not_used(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its server may have left meanwhile, and it states too much time left."""
+        gateway = fleet.gateways[0]
+        acquire = gateway.pool.acquire
+        ports: list[int] = []
+
+        async def pause_and_acquire(host: str, port: int, **fields: Any) -> Any:
+            connection = await acquire(host, port, **fields)
+            ports.append(port)
+            if len(ports) == 1:
+                time.sleep(PLACEMENT_TTL_S + 0.1)
+                for state in gateway.view.states_of("app"):
+                    state.said_leaving = state.server.port == port
+            return connection
+
+        monkeypatch.setattr(gateway.pool, "acquire", pause_and_acquire)
+        answer = await fleet.caller().request("/once/a")
+        assert answer.status == 200
+        left, other = sorted(
+            fleet.engines.values(), key=lambda engine: engine.port != ports[0]
+        )
+        assert not left.arrivals
+        (arrival,) = other.arrivals
+        assert int(arrival.headers["x-teaseldyke-deadline-ms"]) < 1500
+
+    async def test_idle_connection_expires_while_the_machine_is_suspended(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The server closes it meanwhile; a request sent then would be lost."""
+        async with running_fleet(engines=1) as fleet:
+            (engine,) = fleet.engines.values()
+            engine.scripts = [answer_with(200, "Keep-Alive: timeout=5")]
+            assert (await fleet.caller().request("/once/a")).status == 200
+            monkeypatch.setattr(
+                backend_module, "boot_time_s", lambda: boot_time_s() + 10.0
+            )
+            answer = await fleet.caller().request("/once/a", request_id="r-2")
+            assert answer.status == 200
+            assert engine.connections == 2
