--- a/libs/gateway/src/teaseldyke/gateway/membership.py
+++ b/libs/gateway/src/teaseldyke/gateway/membership.py
@@ -11,6 +11,7 @@
 
 import math
 import random
+from collections.abc import Iterable
 
 import attrs
 
@@ -57,6 +58,8 @@
         self._names = [own.name]
         self._alive: list[Peer] = [own]
         self._ranks: dict[str, int] = {}
+        self._numbers: dict[str, int] = {}
+        self._neighbours: list[Peer] = [own]
 
     @property
     def instances(self) -> int:
@@ -86,6 +89,26 @@
         self.refresh(now_s)
         return True
 
+    def add_all(self, peers: Iterable[Peer], now_s: float) -> None:
+        """Add instances; cheaper than one at a time, as members are sorted once."""
+        for peer in peers:
+            if peer.name != self.own.name and peer.name not in self._known:
+                self._known[peer.name] = _Member(peer, now_s)
+        self.refresh(now_s)
+
+    def record_alive(self, name: str, host: str, port: int, now_s: float) -> bool:
+        """Record a sign of life of an instance; return whether it was unknown."""
+        known = self._known.get(name)
+        if known is None or (known.peer.host, known.peer.port) != (host, port):
+            return self.record_received(Peer(name, host, port), now_s)
+        known.last_received_at_s = now_s
+        return False
+
+    def knows(self, name: str, host: str, port: int) -> bool:
+        """Return whether an instance is known at an address."""
+        known = self._known.get(name)
+        return known is not None and (known.peer.host, known.peer.port) == (host, port)
+
     def record_received(self, peer: Peer, now_s: float) -> bool:
         """Record a sign of life of an instance; return whether it was unknown."""
         found = self.add(peer, now_s)
@@ -104,22 +127,32 @@
         if names != self._names:
             self._names = names
             self._ranks.clear()
-            self.neighbourhoods = neighbourhood_count(len(names))
+            neighbourhoods = neighbourhood_count(len(names))
+            if neighbourhoods != self.neighbourhoods:
+                self.neighbourhoods = neighbourhoods
+                self._numbers.clear()
         self._alive = [
             known.peer
             for known in self._known.values()
             if now_s - known.last_received_at_s < self.alive_s
         ]
         self._alive.append(self.own)
+        own = self.neighbourhood_of(self.own.name)
+        self._neighbours = [
+            peer for peer in self._alive if self.neighbourhood_of(peer.name) == own
+        ]
 
     def neighbourhood_of(self, name: str) -> int:
         """Return the neighbourhood of an instance."""
-        return rendezvous_weight("neighbourhood", name) % self.neighbourhoods
+        number = self._numbers.get(name)
+        if number is None:
+            weight = rendezvous_weight("neighbourhood", name)
+            number = self._numbers[name] = weight % self.neighbourhoods
+        return number
 
     def neighbours(self) -> list[Peer]:
         """Return the live instances of the own neighbourhood, this one included."""
-        own = self.neighbourhood_of(self.own.name)
-        return [peer for peer in self._alive if self.neighbourhood_of(peer.name) == own]
+        return self._neighbours
 
     def feed_role(self) -> FeedRole:
         """Return this instance's role in following the backend servers' entries.
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -154,7 +154,6 @@
                 )
             nursery.start_soon(self._stop_on_signal, nursery)
             nursery.start_soon(self.directory.run)
-            nursery.start_soon(self.totals.receive)
             nursery.start_soon(self.placer.run)
             nursery.start_soon(self._announce)
             nursery.start_soon(self._catch_up)
@@ -177,6 +176,7 @@
             nursery.cancel_scope.cancel()
 
     async def _exchange(self) -> None:
+        self.totals.read()
         self.view.refresh()
         self.totals.send(self.placer)
         self.placer.recompute()
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -160,9 +160,11 @@
             self._by_neighbourhood[key] = received
         sender = (message.name, message.host, message.port)
         for peer in (sender, *message.members):
-            if self.membership.record_received(Peer(*peer), now_s):
+            if self.membership.record_alive(*peer, now_s):
                 log_decision("peer_found", peer=peer[0])
         for peer in message.mentions:
+            if self.membership.knows(*peer):
+                continue
             if self.membership.add(Peer(*peer), now_s):
                 log_decision("peer_found", peer=peer[0], by=message.name)
         return True
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -12,11 +12,10 @@
 
 import attrs
 import msgspec
-import trio
 
 from teaseldyke.placement import FairShares, Load, RoundSends
 from teaseldyke.telemetry import log_decision
-from teaseldyke.timers import boot_time_s, scheduler_passes
+from teaseldyke.timers import boot_time_s
 
 from .interfaces import Directory, KnownVersions, Peer
 from .membership import ALIVE_TIMEOUT_S, Membership
@@ -77,11 +76,14 @@
         self._number = 0
         self._skipped = 0
         self._next_round_at_s = 0.0
+        self._read_at_s = self._born_s
         self._round_s = EXCHANGE_INTERVAL_S
         self._send_round_at_s = 0.0
         self._summed_at_s = self._born_s
         self._oldest_age_s = 0.0
         self._last_content: tuple[object, ...] = ()
+        # Versions of a message that were found to be known here, as nearly all are.
+        self._versions_known: tuple[object, ...] = ()
         self._decoder = msgspec.msgpack.Decoder(TotalsMessage | RelayedChanges)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -116,34 +118,29 @@
 
     def add_peers(self, peers: list[Peer]) -> None:
         """Add listed instances to the exchange."""
-        now_s = boot_time_s()
-        for peer in peers:
-            self._membership.add(peer, now_s)
-
-    async def receive(self) -> None:
-        """Receive datagrams until cancelled."""
-        while True:
-            await trio.lowlevel.wait_readable(self._socket)
-            # trio's own recvfrom reads one datagram per pass of the scheduler. Passes
-            # are long while the process is busy, so a backlog would grow in the socket
-            # and the totals read from it would be ever older.
-            try:
-                self._read_datagrams()
-            except OSError as exc:
-                log_decision("totals_not_received", error=str(exc))
-                await trio.sleep(EXCHANGE_INTERVAL_S)
+        self._membership.add_all(peers, boot_time_s())
 
-    def _read_datagrams(self) -> None:
-        as_of_s = scheduler_passes().unread_since_s
-        for _ in range(DATAGRAMS_PER_READ_MAX):
-            try:
-                data, address = self._socket.recvfrom(DATAGRAM_BYTES)
-            except BlockingIOError:
-                return
-            try:
-                self._handle_datagram(data, as_of_s)
-            except (msgspec.DecodeError, ValueError) as exc:
-                log_decision("totals_unreadable", sender=address, error=str(exc))
+    def read(self) -> None:
+        """Read all datagrams that have arrived; called before each round.
+
+        A wake-up for each datagram would cost more than the datagram itself, and its
+        totals are used in the next round only.
+        """
+        as_of_s, read_at_s = self._read_at_s, boot_time_s()
+        try:
+            for _ in range(DATAGRAMS_PER_READ_MAX):
+                self._read_datagram(as_of_s)
+        except BlockingIOError:
+            self._read_at_s = read_at_s
+        except OSError as exc:
+            log_decision("totals_not_received", error=str(exc))
+
+    def _read_datagram(self, as_of_s: float) -> None:
+        data, address = self._socket.recvfrom(DATAGRAM_BYTES)
+        try:
+            self._handle_datagram(data, as_of_s)
+        except (msgspec.DecodeError, ValueError) as exc:
+            log_decision("totals_unreadable", sender=address, error=str(exc))
 
     def _handle_datagram(self, data: bytes, as_of_s: float) -> None:
         """Handle a datagram that arrived after `as_of_s`.
@@ -160,10 +157,15 @@
         if not self._totals.receive(message, boot_time_s()):
             return
         self._view.keep_evacuated_for_peer(message.kept_evacuated)
+        stated = (message.era, message.versions, message.configuration)
+        if stated == self._versions_known:
+            return
         versions = message.known_versions
         if self._directory.is_behind(versions):
             sender = Peer(message.name, message.host, message.port)
             self.peer_ahead = (sender, versions)
+            return
+        self._versions_known = stated
 
     def send(self, placer: Placer) -> None:
         """Apply the others' totals, and send this instance's if a round is due."""
@@ -171,9 +173,11 @@
         self._membership.refresh(now_s)
         self._directory.feed_role = self._membership.feed_role()
         neighbours = self._totals.neighbour_sums(now_s)
-        peer_sums = add_up([*neighbours, *self._totals.other_neighbourhood_sums(now_s)])
-        self._summed_at_s, self._oldest_age_s = now_s, self._totals.oldest_age_s(now_s)
-        self._apply_totals(peer_sums, placer.fair_shares)
+        if now_s - self._summed_at_s >= self._round_s / 2.0:
+            others = self._totals.other_neighbourhood_sums(now_s)
+            self._oldest_age_s = self._totals.oldest_age_s(now_s)
+            self._summed_at_s = now_s
+            self._apply_totals(add_up([*neighbours, *others]), placer.fair_shares)
         self._start_send_round(now_s)
         own = self._own_sums(placer, now_s)
         if self._may_skip_round([own, *neighbours], now_s):
