Say which promises a restore of the platform takes away, and report one

Routers of the product rely on what the platform's tables acknowledged: outcome records, fencing terms, configuration. A copy some seconds old has lost some of it, and nothing said so.

--- a/libs/outcomes/tests/test_records.py
+++ b/libs/outcomes/tests/test_records.py
@@ -320,3 +320,22 @@
         assert first.pending_final_states == 0
         with pytest.raises(AttemptRunning):
             await begin(first)
+
+
+@pytest.mark.parametrize(
+    ("is_restored", "expected"), [(False, Finished), (True, Started)]
+)
+async def test_restored_platform_has_lost_the_record_of_a_finished_request(
+    is_restored: bool, expected: type
+) -> None:
+    """At most once holds only for what the platform keeps; see docs/proofs.md."""
+    store = Store()
+    copy = store.table.copy()
+    async with store.router("r1") as records:
+        attempt = (await started(records)).attempt
+        await records.finish(attempt, DONE)
+        await records.drained()
+    if is_restored:
+        store.table.restore(copy)
+    async with store.router("r2") as records:
+        assert isinstance(await begin(records), expected)
--- a/libs/platform/src/teaseldyke/platform/__init__.py
+++ b/libs/platform/src/teaseldyke/platform/__init__.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from .drivers import HttpInstanceList, HttpObjectStore, HttpTableService
+from .drivers import (
+    ERA_HEADER,
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTableService,
+)
 from .faults import CallCounts, Faults
 from .interfaces import (
     ABSENT,
@@ -22,6 +27,7 @@
     "ABSENT",
     "ANY_VERSION",
     "CallCounts",
+    "ERA_HEADER",
     "Faults",
     "HttpInstanceList",
     "HttpObjectStore",
--- a/libs/platform/src/teaseldyke/platform/drivers.py
+++ b/libs/platform/src/teaseldyke/platform/drivers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import quote, urlencode
@@ -21,12 +22,21 @@
     HttpClient,
     Response,
 )
+from teaseldyke.telemetry import counter, log_fault
 from teaseldyke.types import AnswerLost, PlatformUnavailable, WriteConflict
 
 from .interfaces import Instance, Row, Write
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_S = 1.0
+ERA_HEADER = "platform-era"
+
+ERA = re.compile("[0-9]{1,15}")
+
+RESTORES = counter(
+    "teaseldyke_platform_restores_total",
+    "Restores of the platform's tables from a copy that this process has seen.",
+)
 
 T = TypeVar("T")
 
@@ -42,6 +52,7 @@
     client: HttpClient
     host: str
     port: int
+    era: int = 0
 
     async def read(self, target: str) -> Response | None:
         """Return the response to a GET, or ``None`` on status 404."""
@@ -71,7 +82,7 @@
 
     async def _request(self, method: str, target: str, body: bytes) -> Response:
         try:
-            return await self.client.request(
+            response = await self.client.request(
                 method,
                 self.host,
                 self.port,
@@ -81,6 +92,25 @@
             )
         except ConnectFailed as exc:
             raise _unavailable(exc.detail) from exc
+        self._note_era(response)
+        return response
+
+    def _note_era(self, response: Response) -> None:
+        """Report a restore of the service from a copy; 0 is a service without eras."""
+        text = response.header(ERA_HEADER)
+        if text is None:
+            return
+        if not ERA.fullmatch(text):
+            log_fault("platform_era_malformed", era=text)
+            return
+        era = int(text)
+        if era == self.era:
+            return
+        if self.era:
+            # Acknowledged outcome records and fencing terms may be lost.
+            log_fault("platform_restored", era=era, known_era=self.era)
+            RESTORES.bind().add()
+        self.era = era
 
 
 @attrs.define
--- a/libs/platform/src/teaseldyke/platform/memory.py
+++ b/libs/platform/src/teaseldyke/platform/memory.py
@@ -16,12 +16,20 @@
 INSTANCE_HISTORY_S = 60.0  # upper limit of the lag that can be simulated
 
 
+@attrs.frozen
+class TablesCopy:
+    """Rows of a table service at one moment."""
+
+    tables: dict[str, dict[str, Row]]
+    deleted: dict[tuple[str, str], int]
+
+
 @attrs.define
 class MemoryTableService:
     """Transactional tables in memory.
 
     The version of a row never decreases: a row that is written again after its
-    deletion continues from the version of the deletion.
+    deletion continues from the version of the deletion. Only `restore` goes back.
 
     Parameters
     ----------
@@ -29,10 +37,16 @@
         Faults injected into the service.
     counts : CallCounts
         Reads and rows written so far.
+
+    Attributes
+    ----------
+    era : int
+        Rises with each restore.
     """
 
     faults: Faults = attrs.field(factory=Faults)
     counts: CallCounts = attrs.field(factory=CallCounts)
+    era: int = attrs.field(default=1, init=False)
     _tables: dict[str, dict[str, Row]] = attrs.field(factory=dict, init=False)
     _deleted: dict[tuple[str, str], int] = attrs.field(factory=dict, init=False)
 
@@ -72,6 +86,17 @@
         self.faults.maybe_lose_answer()
         return versions
 
+    def copy(self) -> TablesCopy:
+        """Return a copy from which the tables can be restored."""
+        tables = {name: dict(rows) for name, rows in self._tables.items()}
+        return TablesCopy(tables, dict(self._deleted))
+
+    def restore(self, copy: TablesCopy) -> None:
+        """Go back to a copy: later writes are lost, their versions given out again."""
+        self._tables = {name: dict(rows) for name, rows in copy.tables.items()}
+        self._deleted = dict(copy.deleted)
+        self.era += 1
+
     def _check(self, write: Write) -> None:
         if write.expected_version == ANY_VERSION:
             return
--- a/libs/standins/src/teaseldyke/standins/platform.py
+++ b/libs/standins/src/teaseldyke/standins/platform.py
@@ -9,6 +9,7 @@
 
 from teaseldyke.http import Request
 from teaseldyke.platform import (
+    ERA_HEADER,
     CallCounts,
     Faults,
     Instance,
@@ -105,6 +106,7 @@
         self.tables = MemoryTableService()
         self.objects = MemoryObjectStore()
         self.instances = MemoryInstanceList()
+        self._copy = self.tables.copy()
         self._set_faults(faults)
 
     async def handle(self, request: Request) -> None:
@@ -123,7 +125,7 @@
                 await self._handle_objects(request, segments)
             case "instances":
                 await self._handle_instances(request, segments)
-            case "faults" | "counts":
+            case "faults" | "copy" | "restore" | "counts":
                 await self._handle_orders(request, segments)
             case _:
                 raise unknown_path(request)
@@ -136,23 +138,27 @@
                 if row is None:
                     await request.respond(404)
                     return
-                await _respond(request, row)
+                await self._respond_table(request, row)
             case "GET", ["tables", table, "rows"]:
                 self.reads.take(1)
                 query = request.query
                 prefix, after = query.get("prefix", ""), query.get("after", "")
                 limit = min(_number(query.get("limit", "1000")), SCAN_LIMIT_MAX)
                 rows = await self.tables.scan(table, prefix, after, int(limit))
-                await _respond(request, rows)
+                await self._respond_table(request, rows)
             case "POST", ["transactions"]:
                 body = await request.read_body(BODY_LIMIT_BYTES)
                 writes = _decode(body, list[Write])
                 self.writes.take(len(writes))
                 versions = await self.tables.transact(writes)
-                await _respond(request, {"versions": versions})
+                await self._respond_table(request, {"versions": versions})
             case _:
                 raise unknown_path(request)
 
+    async def _respond_table(self, request: Request, value: object) -> None:
+        era = (ERA_HEADER.encode(), str(self.tables.era).encode())
+        await _respond(request, value, era)
+
     async def _handle_objects(self, request: Request, segments: list[str]) -> None:
         match request.method, segments:
             case "GET", ["objects"]:
@@ -188,6 +194,12 @@
                 order = await read_order(request, FaultOrder)
                 self._set_faults(order.to_faults())
                 await request.respond(204)
+            case "PUT", ["copy"]:
+                self._copy = self.tables.copy()
+                await request.respond(204)
+            case "PUT", ["restore"]:
+                self.tables.restore(self._copy)
+                await request.respond(204)
             case "GET", ["counts"]:
                 await _respond(request, self._counts())
             case _:
@@ -207,8 +219,10 @@
         }
 
 
-async def _respond(request: Request, value: object) -> None:
-    headers = [(b"content-type", b"application/json")]
+async def _respond(
+    request: Request, value: object, *headers_besides: tuple[bytes, bytes]
+) -> None:
+    headers = [(b"content-type", b"application/json"), *headers_besides]
     await request.respond(200, msgspec.json.encode(value), headers)
 
 
--- a/libs/standins/tests/test_platform.py
+++ b/libs/standins/tests/test_platform.py
@@ -47,6 +47,25 @@
     assert counts["tables"] == {"reads": 3, "writes": 3}
 
 
+async def test_restored_platform_has_lost_what_was_written_since_the_copy(
+    start: Start, caplog: pytest.LogCaptureFixture
+) -> None:
+    """The driver reports the restore once, and not the first era that it sees."""
+    served = await start(Platform(Faults()).handle)
+    tables = HttpTableService(served.client, "127.0.0.1", served.port)
+    assert await tables.transact([Write("t", "k", b"kept", ABSENT)]) == [1]
+    await served.call("PUT", "/copy")
+    assert await tables.transact([Write("t", "k", b"lost", 1)]) == [2]
+    await served.call("PUT", "/restore")
+    for _ in range(2):
+        row = await tables.get("t", "k")
+        assert row is not None
+        assert (row.version, row.value) == (1, b"kept")
+    assert await tables.transact([Write("t", "k", b"anew", 1)]) == [2]
+    events = [getattr(record, "event", "") for record in caplog.records]
+    assert events == ["platform_restored"]
+
+
 async def test_view_shows_relay_addresses(start: Start) -> None:
     platform = Platform(Faults())
     served = await start(View(platform, {"r1": Address("127.0.0.9", 77)}).handle)
