Relay the operator's entries in large fleets, as the servers' already are

Callers see nothing; the platform saw a call from every instance for each change of the operator, since each change ended the long polls of all.

Change: the leader of a neighbourhood relays both tables. A leader that the store made list a table anew tells its followers to do the same: both may have missed changes, and only the leader is told so. The message has a new tag, since an older build would take the operator's rows for servers; beside one, each follows on its own.

Evidence: test_each_change_of_the_operator_ended_the_poll_of_every_instance (20 and more polls in 2 s before, in every role), and test_follower_lists_a_table_that_its_leader_had_to_list_anew.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -215,7 +215,7 @@
 
 
 class FeedRole(Enum):
-    """How an instance follows the backend servers' entries in the store.
+    """How an instance follows the entries in the store.
 
     In a large fleet one leader in each neighbourhood reads them and relays changes to
     its followers; in a small one all instances read them independently.
@@ -250,7 +250,7 @@
     Attributes
     ----------
     feed_role : FeedRole
-        Role in which the backend servers' entries are followed.
+        Role in which the store's entries are followed.
     relay : callable or None
         Sends the neighbours the changes that were read.
     new_era : trio.Event
--- a/libs/gateway/src/teaseldyke/gateway/membership.py
+++ b/libs/gateway/src/teaseldyke/gateway/membership.py
@@ -155,7 +155,7 @@
         return self._neighbours
 
     def feed_role(self) -> FeedRole:
-        """Return this instance's role in following the backend servers' entries.
+        """Return this instance's role in following the store's entries.
 
         The live neighbour whose name sorts first leads.
         """
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -105,8 +105,8 @@
     return (operator, servers), era
 
 
-class RelayedChanges(msgspec.Struct, array_like=True, frozen=True, tag="changes"):
-    """Changes of the backend servers' entries, as the directory encodes them."""
+class RelayedChanges(msgspec.Struct, array_like=True, frozen=True, tag="table"):
+    """Changes of the store's entries, as the directory encodes them."""
 
     data: bytes
 
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -228,7 +228,7 @@
         )
 
     async def relay(self, data: bytes) -> None:
-        """Send the neighbours changes of the backend servers' entries."""
+        """Send the neighbours changes of the store's entries."""
         others = [peer for peer in self._membership.neighbours() if peer != self.own]
         self._send_data(others, msgspec.msgpack.encode(RelayedChanges(data)))
 
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -97,20 +97,23 @@
 
 
 class ChangingStore(StoreClient):
-    """A store in which an engine's entry changes with each poll."""
+    """A store in which an entry of one table changes with each poll."""
 
-    def __init__(self) -> None:
+    def __init__(self, table: str = "servers") -> None:
         super().__init__(Address("127.0.0.1", 1))
+        self.table = table
         self.poll_count = 0
+        self.listing_count = 0
         self.era = 1
 
     async def rows(self, table: str) -> Page:
+        self.listing_count += table == self.table
         return Page(rows(4), at(9))
 
     async def changes(self, table: str, after: StoreVersion, wait_s: float) -> Page:
         await trio.sleep(0.01)
-        if table != "servers":
-            raise PlatformUnavailable("only the servers change")
+        if table != self.table:
+            raise PlatformUnavailable("only one table changes")
         self.poll_count += 1
         following = at(after.number + 1)
         return Page([StoredRow("key-4", following, b"{}")], following)
@@ -127,7 +130,7 @@
     ) -> None:
         follower = directory()
         follower._servers.replace(rows(4), at(9))
-        changes = Changes(after, version, [("key-4", version, b"{}")], 1)
+        changes = Changes(after, version, [("key-4", version, b"{}")], 1, "servers")
         follower.apply_changes(msgspec.msgpack.encode(changes), boot_time_s())
         assert follower._servers.synced_version == at(expected)
         found = follower._servers.rows["key-4"].version
@@ -158,7 +161,7 @@
                 await trio.sleep(0.1)
                 number = store_directory._servers.synced_version.number
                 changes = Changes(
-                    number, number + 1, [(f"new-{i}", number + 1, b"{}")], 1
+                    number, number + 1, [(f"new-{i}", number + 1, b"{}")], 1, "servers"
                 )
                 if receives_changes:
                     store_directory.apply_changes(
@@ -186,7 +189,9 @@
             for _ in range(round(10 * OBSERVED_S)):
                 await trio.sleep(0.1)
                 number = follower._servers.synced_version.number
-                encoded = msgspec.msgpack.encode(Changes(number, number, [], 1))
+                encoded = msgspec.msgpack.encode(
+                    Changes(number, number, [], 1, "servers")
+                )
                 follower.apply_changes(encoded, boot_time_s() - unread_s)
             nursery.cancel_scope.cancel()
         assert (store.poll_count > 0) is polls
@@ -209,3 +214,55 @@
             nursery.cancel_scope.cancel()
         synced_version = follower._servers.synced_version
         assert synced_version == leader._servers.synced_version > at(10)
+
+    @pytest.mark.parametrize(
+        ("feed_role", "receives_changes", "min_polls", "max_polls"),
+        [
+            (FeedRole.INDEPENDENT, False, 20, 1000),
+            (FeedRole.LEADER, False, 5, OBSERVED_S / RELAY_PAUSE_S),
+            (FeedRole.FOLLOWER, False, 1, 1 + OBSERVED_S / FOLLOWER_TIMEOUT_S),
+            (FeedRole.FOLLOWER, True, 0, 1),
+        ],
+    )
+    async def test_each_change_of_the_operator_ended_the_poll_of_every_instance(
+        self,
+        feed_role: FeedRole,
+        receives_changes: bool,
+        min_polls: int,
+        max_polls: float,
+    ) -> None:
+        """Calls of the store were the largest price of a fleet of 195 instances."""
+        store = ChangingStore(table="op")
+        store_directory = StoreDirectory(store, RecordingListener())
+        store_directory.feed_role = feed_role
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store_directory.run)
+            for _ in range(round(10 * OBSERVED_S)):
+                await trio.sleep(0.1)
+                number = store_directory._operator.synced_version.number
+                changes = Changes(
+                    number, number + 1, [("config", number + 1, b"{}")], 1, "op"
+                )
+                if receives_changes:
+                    store_directory.apply_changes(
+                        msgspec.msgpack.encode(changes), boot_time_s()
+                    )
+            nursery.cancel_scope.cancel()
+        assert min_polls <= store.poll_count <= max_polls
+
+    async def test_follower_lists_a_table_that_its_leader_had_to_list_anew(
+        self,
+    ) -> None:
+        """Both may have missed changes; the leader alone is told so by the store."""
+        store = ChangingStore()
+        follower = StoreDirectory(store, RecordingListener())
+        follower.feed_role = FeedRole.FOLLOWER
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await trio.sleep(0.3)
+            listings = store.listing_count
+            changes = Changes(9, 9, [], 1, "servers", is_listed_anew=True)
+            follower.apply_changes(msgspec.msgpack.encode(changes), boot_time_s())
+            await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+        assert store.listing_count == listings + 1
