Report a router as ready only once its port for callers is open

Cause: administration is served before the callers' port is opened, and readiness asked only whether the configuration is confirmed. Between that moment and the opening lies at least one pass of the scheduler.

Evidence: test_an_instance_is_not_ready_before_its_port_is_open fails without the check.

--- a/libs/router/src/teaseldyke/router/administration.py
+++ b/libs/router/src/teaseldyke/router/administration.py
@@ -86,6 +86,8 @@
         Functions that return further sections of the status, encodable as JSON.
     is_stopping : callable
         Returns whether a planned stop has begun; the router is then not ready.
+    is_listening : callable
+        Returns whether the port for callers is open; the router isn't ready before.
     """
 
     router: str
@@ -94,6 +96,7 @@
     audit: AuditTrail
     status_sources: dict[str, Callable[[], object]] = attrs.field(factory=dict)
     is_stopping: Callable[[], bool] = lambda: False
+    is_listening: Callable[[], bool] = lambda: True
     _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
 
     async def run(
@@ -142,10 +145,15 @@
         Raises
         ------
         ConfigurationNotReady
-            If the router is stopping or taken out, or its version is not confirmed.
+            If the router is starting, stopping or taken out, or its version is not
+            confirmed.
         """
         if self.is_stopping():
             raise ConfigurationNotReady("a planned stop has begun", retry_after_s=1.0)
+        if not self.is_listening():
+            raise ConfigurationNotReady(
+                "the port for callers is not open yet", retry_after_s=1.0
+            )
         if self.router in self.reader.snapshot.switches.instances_out:
             raise ConfigurationNotReady("operators have taken this instance out")
         if not self.reader.ready:
--- a/libs/router/src/teaseldyke/router/parts.py
+++ b/libs/router/src/teaseldyke/router/parts.py
@@ -137,7 +137,9 @@
 
 
 def build_administration(
-    components: Components, is_stopping: Callable[[], bool]
+    components: Components,
+    is_stopping: Callable[[], bool],
+    is_listening: Callable[[], bool],
 ) -> Administration:
     """Return the administration API of a router."""
     settings = components.settings
@@ -154,6 +156,7 @@
             "records": lambda: components.records.leases_held,
         },
         is_stopping,
+        is_listening,
     )
 
 
--- a/libs/router/src/teaseldyke/router/process.py
+++ b/libs/router/src/teaseldyke/router/process.py
@@ -11,7 +11,7 @@
 from teaseldyke.telemetry import log_change, log_fault
 from teaseldyke.timers import Timers
 
-from .administration import SHEET_LIMIT_BYTES
+from .administration import SHEET_LIMIT_BYTES, Administration
 from .instances import InstanceListSync
 from .parts import Components, build_administration, build_components, caller_limits
 
@@ -27,7 +27,7 @@
 async def run_router(settings: RouterSettings) -> None:
     """Run a router until it is stopped by a signal."""
     components = build_components(settings)
-    stopping = trio.Event()
+    stopping, listening = trio.Event(), trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(components.links.run)
         components.links.set_peers(components.membership.addresses)
@@ -43,8 +43,11 @@
         await nursery.start(components.dispatching.run)
         await nursery.start(components.records.run)
         await nursery.start(components.reader.run)
-        administration = await _listen(settings.administration)
-        nursery.start_soon(_serve_administration, components, administration, stopping)
+        nursery.start_soon(
+            _serve_administration,
+            build_administration(components, stopping.is_set, listening.is_set),
+            await _listen(settings.administration),
+        )
         nursery.start_soon(
             _stop_on_signal, components, instance_sync, stopping, nursery
         )
@@ -52,6 +55,7 @@
         with trio.move_on_after(CONFIGURATION_WAIT_S):
             await components.reader.loaded.wait()
         callers = await _listen(settings.callers)
+        listening.set()
         log_change("router_started", router=settings.name, callers=settings.callers)
         limits = caller_limits(settings.limits)
         await _serve_callers(components, callers, limits, stopping)
@@ -86,9 +90,8 @@
 
 
 async def _serve_administration(
-    components: Components, listener: trio.SocketListener, stopping: trio.Event
+    administration: Administration, listener: trio.SocketListener
 ) -> None:
-    administration = build_administration(components, stopping.is_set)
     async with trio.open_nursery() as nursery:
         await nursery.start(administration.run)
         await serve(listener, administration.handle, ADMINISTRATION_LIMITS)
--- a/libs/router/tests/test_administration.py
+++ b/libs/router/tests/test_administration.py
@@ -161,6 +161,17 @@
         assert answer.status == 503
         assert "taken this instance out" in answer.json()["detail"]
 
+    async def test_an_instance_is_not_ready_before_its_port_is_open(
+        self, bench: Bench
+    ) -> None:
+        """Callers that came after the answer found no connection."""
+        await bench.request("PUT", "/v1/sheet", APPLY)
+        bench.administration.is_listening = lambda: False
+        answer = await bench.request("GET", "/readyz", token="")
+        assert answer.status == 503
+        bench.administration.is_listening = lambda: True
+        assert (await bench.request("GET", "/readyz", token="")).status == 200
+
     async def test_the_history_names_the_operator(self, bench: Bench) -> None:
         await bench.request("PUT", "/v1/sheet", APPLY, "day")
         await bench.request("POST", "/v1/switches", OUT, "owner")
