--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -26,7 +26,7 @@
 
 
 @attrs.frozen
-class LeftServer:
+class _LeftServer:
     """Last announcement of a server that left.
 
     Parameters
@@ -80,8 +80,8 @@
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
         self._vanished: dict[str, _Vanished] = {}
-        # Newest announcement of each start that left or was removed, by id.
-        self._left: OrderedDict[str, LeftServer] = OrderedDict()
+        # Last announcement of each server that left or was removed, by id.
+        self._left: OrderedDict[str, _LeftServer] = OrderedDict()
         self._held: dict[str, AnnouncedServer] = {}
         self._listed_evacuated: frozenset[str] = frozenset()
         self._kept_evacuated_until_s: dict[str, float] = {}
@@ -118,7 +118,7 @@
         now_s = boot_time_s()
         self.servers_known = True
         if restored:
-            self._record_restored(now_s)
+            self._doubt_removals(now_s)
         held: dict[str, AnnouncedServer] = {}
         listed: dict[str, AnnouncedServer] = {}
         for server in servers:
@@ -152,7 +152,7 @@
         """
         now_s = boot_time_s()
         if restored:
-            self._record_restored(now_s)
+            self._doubt_removals(now_s)
             for domain in self._listed_evacuated - failure_domains:
                 self._kept_evacuated_until_s[domain] = now_s + KEPT_EVACUATION_S
                 log_decision("evacuation_kept", failure_domain=domain)
@@ -189,8 +189,9 @@
             log_decision("failure_domain_out", failure_domain=domain)
         self.evacuated = frozenset(evacuated)
 
-    def _record_restored(self, now_s: float) -> None:
-        self._store_back_at_s = now_s  # entries that the copy lacks may be renewed
+    def _doubt_removals(self, now_s: float) -> None:
+        """Give servers whose entries a restored store lacks time to renew them."""
+        self._store_back_at_s = now_s
 
     def _is_outdated(self, server: AnnouncedServer) -> bool:
         """Return whether an entry of a restored store is older than what is known."""
@@ -287,7 +288,7 @@
     def _remember_left(self, state: ServerState) -> None:
         """Remember a server that left, in case its entry comes back."""
         server = state.server
-        self._left[server.id] = LeftServer(
+        self._left[server.id] = _LeftServer(
             server.started, server.heartbeats, state.said_leaving
         )
         self._left.move_to_end(server.id)
