Hold a removed server's entry in a restored store, whichever start it shows

Callers could see: after a restore, requests went to a server whose removal was known, when it had started anew and gone again between two reads of the instance: the copy showed a start newer than any that the instance had seen.

Cause: removals were remembered with the last start seen, and only entries up to that start were held.

Change: a removal covers all starts before it.

--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -31,14 +31,13 @@
 
     Parameters
     ----------
-    started, heartbeats : int
+    started : int
         As in its announcement.
     said_leaving : bool
         Whether an answer of it stated that it leaves.
     """
 
     started: int
-    heartbeats: int
     said_leaving: bool = False
 
 
@@ -194,16 +193,18 @@
         self._store_back_at_s = now_s
 
     def _is_outdated(self, server: AnnouncedServer) -> bool:
-        """Return whether an entry of a restored store is older than what is known."""
-        age = server.started, server.heartbeats
+        """Return whether an entry of a restored store is older than what is known.
+
+        A removal also covers starts of the server that this instance never saw.
+        """
         state = self._states.get(server.id)
-        if state is not None and server.id not in self._vanished:
-            known = state.server
-            known_age = known.started, known.heartbeats
-            is_undone = known.leaving and not server.leaving
-            return age < known_age or (age == known_age and is_undone)
-        left = self._left.get(server.id)
-        return left is not None and age <= (left.started, left.heartbeats)
+        if state is None or server.id in self._vanished:
+            return server.id in self._left
+        known = state.server
+        age = server.started, server.heartbeats
+        known_age = known.started, known.heartbeats
+        is_undone = known.leaving and not server.leaving
+        return age < known_age or (age == known_age and is_undone)
 
     def _end_holds(self, now_s: float) -> None:
         """Apply held entries that have lasted, since their servers renewed them."""
@@ -288,9 +289,7 @@
     def _remember_left(self, state: ServerState) -> None:
         """Remember a server that left, in case its entry comes back."""
         server = state.server
-        self._left[server.id] = _LeftServer(
-            server.started, server.heartbeats, state.said_leaving
-        )
+        self._left[server.id] = _LeftServer(server.started, state.said_leaving)
         self._left.move_to_end(server.id)
         while len(self._left) > LEFT_SERVERS_MAX:
             self._left.popitem(last=False)
--- a/libs/gateway/tests/test_view.py
+++ b/libs/gateway/tests/test_view.py
@@ -113,6 +113,28 @@
         assert not state.is_cold(state.cold_until_s - 1.0)
 
 
+class TestRestore:
+    @pytest.mark.parametrize("started", [1, 2], ids=["known-start", "unseen-start"])
+    def test_removed_server_stays_out_until_its_entry_has_lasted(
+        self,
+        clock: Clock,
+        view: FleetView,
+        make_server: MakeServer,
+        started: int,
+    ) -> None:
+        """A start that came and went between two reads looked like a new one."""
+        clock.now_s += 60.0
+        view.apply_servers([make_server("a"), make_server("b")])
+        view.apply_servers([make_server("b")])
+        clock.now_s += 4.0
+        restored = [make_server("a", started=started), make_server("b")]
+        view.apply_servers(restored, restored=True)
+        for after_s, expected in ((0.0, ["b"]), (5.0, ["b"]), (1.0, ["a", "b"])):
+            clock.now_s += after_s
+            view.apply_servers(restored)
+            assert usable(view) == expected
+
+
 class TestEvacuation:
     def test_servers_are_cold_after_an_evacuation_of_their_domain(
         self, clock: Clock, view: FleetView, make_server: MakeServer
