--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -31,7 +31,8 @@
     configuration,
     wait_until_listening,
 )
-from tests.platform.standins import EngineStandin, StoreStandin, stream_of
+from tests.platform.standins import EngineStandin, stream_of
+from tests.platform.store_standin import StoreStandin
 from tests.processes.ports import free_address
 
 CALLERS = 8
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -18,7 +18,8 @@
     GatewaySettings,
 )
 from teaseldyke.settings import Address
-from tests.platform.standins import EngineStandin, Script, StoreStandin
+from tests.platform.standins import EngineStandin, Script
+from tests.platform.store_standin import StoreStandin
 from tests.processes.ports import free_address
 
 HOST = "a.example"
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -1,9 +1,7 @@
-"""Stand-ins for the platform's store and its engines."""
+"""Stand-ins for the platform's engines."""
 
 from __future__ import annotations
 
-import base64
-import json
 from collections.abc import Callable
 from typing import Any
 
@@ -11,156 +9,9 @@
 import h11
 import trio
 
-from teaseldyke.http import Request, ServerLimits, serve
-
-HISTORY_GONE = 410
 PIECE_BYTES = 16 * 1024  # of an endless answer, written in one call
 
 
-@attrs.frozen
-class StoreCopy:
-    """Rows of a store at one version."""
-
-    rows: dict[tuple[str, str], dict[str, Any]]
-    removed: list[dict[str, Any]]
-    version: int
-
-
-@attrs.define(eq=False)
-class StoreStandin:
-    """Versioned rows and a change feed, as the platform's store serves them.
-
-    Attributes
-    ----------
-    status : int
-        Status of every response; 200 serves the call.
-    silent : bool
-        Whether calls are left without a response.
-    era : int or None
-        Value of the header ``Store-Era``; ``None`` leaves it out.
-    calls : list of str
-        Method and target of each call.
-    """
-
-    rows: dict[tuple[str, str], dict[str, Any]] = attrs.field(factory=dict)
-    removed: list[dict[str, Any]] = attrs.field(factory=list)
-    version: int = 1
-    oldest: int = 0
-    status: int = 200
-    silent: bool = False
-    era: int | None = 1
-    calls: list[str] = attrs.field(factory=list)
-    port: int = 0
-    _changed: trio.Event = attrs.field(factory=trio.Event)
-
-    def put(self, table: str, key: str, value: object) -> None:
-        """Write an entry as JSON, or unchanged if it is bytes."""
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self.version += 1
-        self.rows[table, key] = {
-            "table": table,
-            "part": "",
-            "key": key,
-            "value": base64.b64encode(data).decode(),
-            "ver": self.version,
-        }
-        self._notify_feeds()
-
-    def remove(self, table: str, key: str) -> None:
-        """Remove an entry."""
-        self.version += 1
-        del self.rows[table, key]
-        self.removed.append(
-            {"table": table, "key": key, "ver": self.version, "removed": True}
-        )
-        self._notify_feeds()
-
-    def copy(self) -> StoreCopy:
-        """Return a copy of all rows, from which the store may be restored."""
-        return StoreCopy(dict(self.rows), list(self.removed), self.version)
-
-    def restore(self, copy: StoreCopy) -> None:
-        """Go back to a copy: later writes are lost, their versions given out again."""
-        self.rows, self.removed = dict(copy.rows), list(copy.removed)
-        self.version = copy.version
-        self.era = (self.era or 0) + 1
-        self._notify_feeds()
-
-    def compact(self) -> None:
-        """Discard the change history, so that feeds must read the table in full."""
-        self.version += 1
-        self.oldest = self.version
-        self._notify_feeds()
-
-    async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        self.port = listeners[0].socket.getsockname()[1]
-        task_status.started()
-        await serve(listeners[0], self._handle, ServerLimits())
-
-    def _notify_feeds(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
-
-    @property
-    def _headers(self) -> list[tuple[bytes, bytes]]:
-        if self.era is None:
-            return []
-        return [(b"store-era", str(self.era).encode())]
-
-    async def _handle(self, request: Request) -> None:
-        self.calls.append(f"{request.method} {request.target}")
-        if self.silent:
-            await trio.sleep_forever()
-        if self.status != 200:
-            await request.respond(self.status, headers=self._headers)
-            return
-        if request.path == "/-/rows-tx":
-            await self._transact(request)
-            return
-        table = request.query["table"]
-        if request.path == "/-/rows-get":
-            rows = [row for (name, _), row in self.rows.items() if name == table]
-            await self._answer(request, rows)
-            return
-        await self._feed(request, table)
-
-    async def _feed(self, request: Request, table: str) -> None:
-        after, era = int(request.query["afterRev"]), self.era
-        with trio.move_on_after(int(request.query["waitMs"]) / 1000.0):
-            while True:
-                if self.era != era:
-                    await request.respond(503, headers=self._headers)
-                    return
-                if after < self.oldest or after > self.version:
-                    await request.respond(HISTORY_GONE, headers=self._headers)
-                    return
-                current = [row for (name, _), row in self.rows.items() if name == table]
-                removed = [row for row in self.removed if row["table"] == table]
-                rows = [row for row in current + removed if row["ver"] > after]
-                if rows:
-                    rows.sort(key=lambda row: int(row["ver"]))
-                    await self._answer(request, rows)
-                    return
-                await self._changed.wait()
-        await self._answer(request, [])
-
-    async def _transact(self, request: Request) -> None:
-        call = json.loads(await request.read_body(1 << 20))
-        for row in call["puts"]:
-            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
-        for row in call["remove"]:
-            if (row["table"], row["key"]) in self.rows:
-                self.remove(row["table"], row["key"])
-        answer = {"ver": self.version, "nowMs": 1}
-        await request.respond(200, json.dumps(answer).encode(), self._headers)
-
-    async def _answer(self, request: Request, rows: list[dict[str, Any]]) -> None:
-        answer = {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
-        await request.respond(200, json.dumps(answer).encode(), self._headers)
-
-
 @attrs.define
 class Arrival:
     """A request as an engine received it."""
--- a/tests/platform/test_changes.py
+++ b/tests/platform/test_changes.py
@@ -46,7 +46,7 @@
         self, fleet: Fleet, failure: str
     ) -> None:
         """The store serves one instance and does not serve the other."""
-        from tests.platform.standins import StoreStandin
+        from tests.platform.store_standin import StoreStandin
 
         other_store = StoreStandin()
         await fleet.nursery.start(other_store.run)
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -136,6 +136,7 @@
         found = follower._servers.rows["key-4"].version
         assert found == at(version if expected == version != 9 else 4)
 
+    @pytest.mark.parametrize("table", ["servers", "op"])
     @pytest.mark.parametrize(
         ("feed_role", "receives_changes", "min_polls", "max_polls"),
         [
@@ -145,24 +146,26 @@
             (FeedRole.FOLLOWER, True, 0, 1),
         ],
     )
-    async def test_poll_rate_depends_on_the_feed_role(
+    async def test_each_change_ended_the_poll_of_every_instance(
         self,
+        table: str,
         feed_role: FeedRole,
         receives_changes: bool,
         min_polls: int,
         max_polls: float,
     ) -> None:
-        store = ChangingStore()
+        """Calls of the store are the largest price of a fleet of 195 instances."""
+        store = ChangingStore(table)
         store_directory = StoreDirectory(store, RecordingListener())
         store_directory.feed_role = feed_role
+        copy = dict(store_directory._copies())[table]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(store_directory.run)
             for i in range(round(10 * OBSERVED_S)):
                 await trio.sleep(0.1)
-                number = store_directory._servers.synced_version.number
-                changes = Changes(
-                    number, number + 1, [(f"new-{i}", number + 1, b"{}")], 1, "servers"
-                )
+                number = copy.synced_version.number
+                rows = [(f"new-{i}", number + 1, b"{}")]
+                changes = Changes(number, number + 1, rows, 1, table)
                 if receives_changes:
                     store_directory.apply_changes(
                         msgspec.msgpack.encode(changes), boot_time_s()
@@ -215,41 +218,6 @@
         synced_version = follower._servers.synced_version
         assert synced_version == leader._servers.synced_version > at(10)
 
-    @pytest.mark.parametrize(
-        ("feed_role", "receives_changes", "min_polls", "max_polls"),
-        [
-            (FeedRole.INDEPENDENT, False, 20, 1000),
-            (FeedRole.LEADER, False, 5, OBSERVED_S / RELAY_PAUSE_S),
-            (FeedRole.FOLLOWER, False, 1, 1 + OBSERVED_S / FOLLOWER_TIMEOUT_S),
-            (FeedRole.FOLLOWER, True, 0, 1),
-        ],
-    )
-    async def test_each_change_of_the_operator_ended_the_poll_of_every_instance(
-        self,
-        feed_role: FeedRole,
-        receives_changes: bool,
-        min_polls: int,
-        max_polls: float,
-    ) -> None:
-        """Calls of the store were the largest price of a fleet of 195 instances."""
-        store = ChangingStore(table="op")
-        store_directory = StoreDirectory(store, RecordingListener())
-        store_directory.feed_role = feed_role
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(store_directory.run)
-            for _ in range(round(10 * OBSERVED_S)):
-                await trio.sleep(0.1)
-                number = store_directory._operator.synced_version.number
-                changes = Changes(
-                    number, number + 1, [("config", number + 1, b"{}")], 1, "op"
-                )
-                if receives_changes:
-                    store_directory.apply_changes(
-                        msgspec.msgpack.encode(changes), boot_time_s()
-                    )
-            nursery.cancel_scope.cancel()
-        assert min_polls <= store.poll_count <= max_polls
-
     async def test_follower_lists_a_table_that_its_leader_had_to_list_anew(
         self,
     ) -> None:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -167,7 +167,7 @@
 
     async def test_503_before_the_first_configuration(self) -> None:
         async with trio.open_nursery() as nursery:
-            from tests.platform.standins import StoreStandin
+            from tests.platform.store_standin import StoreStandin
 
             fleet = Fleet(nursery, StoreStandin())
             await nursery.start(fleet.store.run)
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -15,7 +15,7 @@
 from teaseldyke.settings import Address
 from teaseldyke.types import StoreVersion
 from tests.platform.conftest import Fleet, configuration, route, wait_until
-from tests.platform.standins import StoreStandin
+from tests.platform.store_standin import StoreStandin
 
 KEY = {"Authorization": "Token key-1"}
 
