--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 import attrs
@@ -129,12 +130,22 @@
     sent: bool = False
 
     async def run(
-        self, request: OutgoingRequest, resumed_after: int | None
+        self,
+        prepare_request: Callable[[], OutgoingRequest],
+        resumed_after: int | None,
     ) -> SendResult:
-        """Send the request and release the reservation, whatever the outcome."""
+        """Send the request and release the reservation, whatever the outcome.
+
+        Parameters
+        ----------
+        prepare_request : callable
+            Returns the request; called once a connection is open.
+        resumed_after : int or None
+            Id of the last event before those that the answer must continue with.
+        """
         failed: bool | None = None
         try:
-            result = await self._run(request, resumed_after)
+            result = await self._run(prepare_request, resumed_after)
             failed = result.outcome in (
                 Outcome.NOT_SENT,
                 Outcome.FAILED,
@@ -151,7 +162,9 @@
             self.reservation.release(failed)
 
     async def _run(
-        self, request: OutgoingRequest, resumed_after: int | None
+        self,
+        prepare_request: Callable[[], OutgoingRequest],
+        resumed_after: int | None,
     ) -> SendResult:
         server = self.reservation.state.server
         runs_once = not self.route.repeatable
@@ -170,6 +183,7 @@
             return SendResult(
                 Outcome.EXPIRED, f"placed {placed_for_s:.1f} s ago, to be placed anew"
             )
+        request = prepare_request()
         streaming = self.route.kind is RouteKind.STREAMING
         limit = STREAM_ANSWER_MAX_BYTES if streaming else PLAIN_ANSWER_MAX_BYTES
         exchange = Exchange(connection, limit, self.policy.first_byte_s, lenient=True)
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -4,7 +4,7 @@
 
 import random
 
-from teaseldyke.http import BackendPool, CallerGone
+from teaseldyke.http import BackendPool, CallerGone, OutgoingRequest
 from teaseldyke.placement import RetryBudget, retry_delay_s
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
@@ -15,6 +15,7 @@
 from .errors import NoServer, Overloaded, ServerBroke
 from .interfaces import Fleet, Wire
 from .placing import FULL_SERVER_BACKOFF_S, Placer
+from .reservation import Reservation
 from .settings import FleetBounds
 from .view import FleetView
 
@@ -124,39 +125,21 @@
         resumed_after = call.relay.last_event_id
         if resumed_after is None:
             resumed_after = call.facts.resumes_after
-        outgoing = self._wire.outgoing(
-            call.request.method,
-            call.request.raw_target,
-            call.request.headers,
-            call.body,
-            left_s=left_s,
-            server_id=server_id,
-            organisation=call.organisation.name if call.organisation else None,
-            resumes_after=resumed_after,
-            copy_from=address_of(reservation.copy_from),
-        )
-        log_decision(
-            "sent",
-            id=call.text_id,
-            server=server_id,
-            route=call.route.name,
-            organisation=call.organisation.name if call.organisation else None,
-            version=call.version,
-            unread_s=call.unread_s,
-            waited_s=round(now_s - call.work.arrived_at_s, 4),
-            servers_age_s=round(now_s - self._view.servers_as_of_s, 3),
-            totals_age_s=round(self._fleet.totals_age_s, 3),
-            uncached_tokens=int(reservation.uncached_tokens),
-            expected_first_s=round(reservation.expected_first_s, 3),
-            running=reservation.state.running,
-            copy_from=reservation.copy_from.server.id
-            if reservation.copy_from
-            else None,
-            kept_tokens=call.work.prompt_tokens - int(reservation.uncached_tokens),
-            shared_tokens=call.work.shared_tokens,
-            left_s=round(left_s, 3),
-            send=call.sends,
-        )
+
+        def prepare_request() -> OutgoingRequest:
+            self._log_sent(call, reservation, left_s)
+            return self._wire.outgoing(
+                call.request.method,
+                call.request.raw_target,
+                call.request.headers,
+                call.body,
+                left_s=left_s,
+                server_id=server_id,
+                organisation=call.organisation.name if call.organisation else None,
+                resumes_after=resumed_after,
+                copy_from=address_of(reservation.copy_from),
+            )
+
         call.sends += 1
         attempt = Attempt(
             self._pool,
@@ -172,7 +155,7 @@
         )
         call.avoid.add(server_id)
         call.possible_runs += 1  # until ruled out, also when cancelled
-        result = await attempt.run(outgoing, resumed_after)
+        result = await attempt.run(prepare_request, resumed_after)
         if not attempt.sent or result.outcome in (
             Outcome.NOT_RUN,
             Outcome.OTHER_SERVER,
@@ -182,8 +165,45 @@
             reservation.state.mark_full(boot_time_s() + FULL_SERVER_BACKOFF_S)
         if result.outcome is Outcome.OTHER_SERVER:
             reservation.state.mark_replaced(boot_time_s())
+        if result.outcome is not Outcome.DONE:
+            log_decision(
+                "send_ended",
+                id=call.text_id,
+                server=server_id,
+                outcome=result.outcome.value,
+                status=result.status,
+                reason=result.detail,
+                events=call.relay.events,
+                after_s=round(boot_time_s() - reservation.sent_at_s, 4),
+            )
         return result
 
+    def _log_sent(self, call: Call, reservation: Reservation, left_s: float) -> None:
+        """Log a send right before its first byte."""
+        copy_from = reservation.copy_from
+        now_s = boot_time_s()
+        log_decision(
+            "sent",
+            id=call.text_id,
+            server=reservation.state.server.id,
+            route=call.route.name,
+            organisation=call.organisation.name if call.organisation else None,
+            version=call.version,
+            unread_s=call.unread_s,
+            waited_s=round(reservation.sent_at_s - call.work.arrived_at_s, 4),
+            connect_s=round(now_s - reservation.sent_at_s, 4),
+            servers_age_s=round(now_s - self._view.servers_as_of_s, 3),
+            totals_age_s=round(self._fleet.totals_age_s, 3),
+            uncached_tokens=int(reservation.uncached_tokens),
+            expected_first_s=round(reservation.expected_first_s, 3),
+            running=reservation.state.running,
+            copy_from=copy_from.server.id if copy_from else None,
+            kept_tokens=call.work.prompt_tokens - int(reservation.uncached_tokens),
+            shared_tokens=call.work.shared_tokens,
+            left_s=round(left_s, 3),
+            send=call.sends - 1,
+        )
+
     def _attempt_policy(
         self, call: Call, expected_first_s: float, latency_s: float
     ) -> AttemptPolicy:
@@ -209,14 +229,6 @@
         self, call: Call, result: SendResult, budget: RetryBudget
     ) -> None:
         """Return if the call is to be retried; otherwise raise its final error."""
-        log_decision(
-            "send_ended",
-            id=call.text_id,
-            outcome=result.outcome.value,
-            status=result.status,
-            reason=result.detail,
-            events=call.relay.events,
-        )
         may_have_run = result.outcome in (Outcome.BROKEN, Outcome.FAILED)
         if may_have_run and not call.route.repeatable:
             raise ServerBroke(result.detail)
--- a/tests/platform/test_restore_properties.py
+++ b/tests/platform/test_restore_properties.py
@@ -22,6 +22,7 @@
 )
 
 from teaseldyke.adapter import StoreClient, StoreDirectory
+from teaseldyke.adapter.directory import EntrySource
 from teaseldyke.adapter.store import Page, StoredRow
 from teaseldyke.gateway import view as view_module
 from teaseldyke.gateway.view import FleetView
@@ -112,7 +113,9 @@
         copy = dict(self.directory._copies())[name]
         self.directory._client.note_era(self.era)
         if copy.synced_version.era != self.era:
-            self.directory._replace(name, copy, self._listing(name))
+            self.directory._replace(
+                name, copy, self._listing(name), EntrySource.LISTING
+            )
             return
         rows = [
             row
@@ -120,7 +123,7 @@
             if table == name and row.version > copy.synced_version
         ]
         if copy.apply(rows, StoreVersion(self.era, self.number)):
-            self.directory._apply(name)
+            self.directory._apply(name, EntrySource.FEED)
 
     # The writers.
 
