Send nothing for a caller that has left, nor past its deadline, after a slow connection

Cause: whether the caller still waits and how much time is left were taken when the server was chosen. The connection was opened after that, for up to 0.5 s, and a paused process let up to 1 s (PLACEMENT_TTL_S) go by. Timers and the poll for disconnects don't help: in a process that was paused, the send comes before they are looked at.

Now both are taken again right before the first byte, with no other task in between. A request that was given up before its first byte is refused as not run: before, a cancelled connection counted as a send, so that the caller of a non-idempotent request was told 504 and could not retry.

Looked for elsewhere: the product's router has such a check already (Forwarder._check_before_send).

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -139,7 +139,8 @@
         Parameters
         ----------
         prepare_request : callable
-            Returns the request; called once a connection is open.
+            Returns the request, or raises if it must not be sent any more; called once
+            a connection is open, right before the send.
         resumed_after : int or None
             Id of the last event before those that the answer must continue with.
         """
@@ -183,7 +184,11 @@
             return SendResult(
                 Outcome.EXPIRED, f"placed {placed_for_s:.1f} s ago, to be placed anew"
             )
-        request = prepare_request()
+        try:
+            request = prepare_request()
+        except BaseException:
+            connection.close()
+            raise
         streaming = self.route.kind is RouteKind.STREAMING
         limit = STREAM_ANSWER_MAX_BYTES if streaming else PLAIN_ANSWER_MAX_BYTES
         exchange = Exchange(connection, limit, self.policy.first_byte_s, lenient=True)
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -106,27 +106,17 @@
             RESENT.bind(cause=result.outcome.value).add()
 
     async def _send(self, call: Call) -> SendResult:
-        # The connection is polled for a disconnect only at intervals, and the request
-        # may have waited unread in the socket, so the caller may have disconnected.
-        if call.request.has_caller_disconnected():
-            raise caller_gone(call)
+        _ensure_wanted(call)
         reservation = await self._placer.place(
             call.service, call.work, frozenset(call.avoid)
         )
-        if call.request.has_caller_disconnected():
-            reservation.release(None)
-            raise caller_gone(call)
         server_id = reservation.state.server.id
-        now_s = boot_time_s()
-        left_s = call.work.deadline_at_s - now_s
-        if left_s <= 0.0:
-            reservation.release(None)
-            raise Overloaded("the deadline passed before the request was sent")
         resumed_after = call.relay.last_event_id
         if resumed_after is None:
             resumed_after = call.facts.resumes_after
 
         def prepare_request() -> OutgoingRequest:
+            left_s = _ensure_wanted(call)
             self._log_sent(call, reservation, left_s)
             return self._wire.outgoing(
                 call.request.method,
@@ -154,12 +144,13 @@
             ),
         )
         call.avoid.add(server_id)
-        call.possible_runs += 1  # until ruled out, also when cancelled
-        result = await attempt.run(prepare_request, resumed_after)
-        if not attempt.sent or result.outcome in (
-            Outcome.NOT_RUN,
-            Outcome.OTHER_SERVER,
-        ):
+        call.possible_runs += 1  # until ruled out
+        try:
+            result = await attempt.run(prepare_request, resumed_after)
+        finally:
+            if not attempt.sent:
+                call.possible_runs -= 1
+        if result.outcome in (Outcome.NOT_RUN, Outcome.OTHER_SERVER):
             call.possible_runs -= 1
         if result.outcome is Outcome.NOT_RUN:
             reservation.state.mark_full(boot_time_s() + FULL_SERVER_BACKOFF_S)
@@ -263,6 +254,27 @@
         return budget
 
 
+def _ensure_wanted(call: Call) -> float:
+    """Return the time left of a request whose caller still waits for the answer.
+
+    The connection is polled for a disconnect only at intervals, and timers are late in
+    a process that was paused, so both are checked again before each use.
+
+    Raises
+    ------
+    CallerGone
+        If the caller disconnected.
+    Overloaded
+        If the deadline passed.
+    """
+    if call.request.has_caller_disconnected():
+        raise caller_gone(call)
+    left_s = call.work.deadline_at_s - boot_time_s()
+    if left_s <= 0.0:
+        raise Overloaded("the deadline passed before the request was sent")
+    return left_s
+
+
 def caller_gone(call: Call) -> CallerGone:
     """Log and count a caller's disconnect; return the error that ends its request."""
     CALLERS_GONE.bind(route=call.route.name).add()
