Log the parts, the header's time and a crash when an answer breaks off

No decision changes.

- send_ended keeps the status that had come, and tells the time to the header and to the first event and the parts of the prompt but the last.
- After an answer broke off, one connection to the server's port, shared by all of its broken answers, tells whether it refuses: server_crashed.
A server that broke off a single answer accepts, and so do all servers when this instance was paused or cut off.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -192,7 +192,7 @@
             await exchange.start(request, self.policy.first_byte_s)
             return await self._read(connection, exchange, resumed_after)
         except (ExchangeBroken, AnswerTooLarge) as exc:
-            return SendResult(Outcome.BROKEN, exc.detail)
+            return SendResult(Outcome.BROKEN, exc.detail, exchange.status)
         finally:
             self.pool.release(connection, exchange)
 
@@ -203,6 +203,7 @@
         resumed_after: int | None,
     ) -> SendResult:
         status = exchange.status
+        self.reservation.record_head()
         facts = self.wire.read_answer(status, exchange.headers)
         connection.keep_alive_s = facts.keep_alive_s
         self.reservation.record_statements(status, facts)
--- a/libs/gateway/src/teaseldyke/gateway/reservation.py
+++ b/libs/gateway/src/teaseldyke/gateway/reservation.py
@@ -48,8 +48,8 @@
 
     Attributes
     ----------
-    measured_first_s : float
-        Measured time to the first event; 0 before it.
+    measured_head_s, measured_first_s : float
+        Measured time to the header of the answer and to the first event; 0 before it.
     """
 
     state: ServerState
@@ -60,10 +60,15 @@
     sent_at_s: float
     _on_change: Callable[[str], None]
     _queued_tokens: float = 0.0
+    measured_head_s: float = 0.0
     measured_first_s: float = 0.0
     _is_prefilling: bool = True
     _is_held: bool = True
 
+    def record_head(self) -> None:
+        """Record the header of the answer."""
+        self.measured_head_s = boot_time_s() - self.sent_at_s
+
     def record_first_event(self) -> None:
         """Record the first event, which ends the prefill."""
         if not self._is_prefilling:
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -12,6 +12,7 @@
 
 from .attempts import UNBOUNDED_S, Attempt, AttemptPolicy, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
+from .crashes import CrashProbe
 from .errors import ChoiceLapsed, NoServer, Overloaded, ServerBroke
 from .interfaces import Fleet, Wire
 from .placing import FULL_SERVER_BACKOFF_S, Placer
@@ -68,6 +69,7 @@
         self._bounds = bounds
         self._fleet = fleet
         self._budgets: dict[str, RetryBudget] = {}
+        self._probe = CrashProbe()
 
     def update_bounds(self, bounds: FleetBounds) -> None:
         """Replace the fleet's limits, also in retry budgets that are in use."""
@@ -157,6 +159,8 @@
             reservation.state.mark_full(boot_time_s() + FULL_SERVER_BACKOFF_S)
         if result.outcome is Outcome.OTHER_SERVER:
             reservation.state.mark_replaced(boot_time_s())
+        if result.outcome is Outcome.BROKEN:
+            await self._probe.has_crashed(reservation.state.server)
         if result.outcome is not Outcome.DONE:
             log_decision(
                 "send_ended",
@@ -166,7 +170,10 @@
                 status=result.status,
                 reason=result.detail,
                 events=call.relay.events,
+                head_s=round(reservation.measured_head_s, 4),
+                first_s=round(reservation.measured_first_s, 4),
                 after_s=round(boot_time_s() - reservation.sent_at_s, 4),
+                parts=[part for part, _ in call.work.parts[:-1]],
             )
         return result
 
--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -26,7 +26,7 @@
 from .problem import problem_response
 from .request import Request
 from .server import serve
-from .stream import Stream
+from .stream import Stream, refuses_connections
 
 __all__ = [
     "Admission",
@@ -55,5 +55,6 @@
     "end_to_end_headers",
     "first_header",
     "problem_response",
+    "refuses_connections",
     "serve",
 ]
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -217,6 +217,23 @@
         raise
 
 
+async def refuses_connections(host: str, port: int, timeout_s: float) -> bool:
+    """Return whether an address refuses connections, so that nobody listens there.
+
+    An address that doesn't respond within ``timeout_s`` doesn't refuse: its machine or
+    the path to it is down, and nothing is known of the process.
+    """
+    with trio.move_on_after(timeout_s):
+        try:
+            stream = await open_stream(host, port)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        close_now(stream)
+    return False
+
+
 def close_now(stream: Stream) -> None:
     """Close a connection without waiting; wakes tasks that wait on it."""
     if stream.socket.fileno() < 0:
