Refuse prompts with a part that has crashed engines

Cause: what a crash tells was lost with its request. Each instance saw a broken stream, sent the request to a second engine, and knew nothing of the part, nor did the others. Class: a failure that travels with its input is treated as one of the server, so that retries spread it.

Fix: CrashEvidence (placement, without input and output). A crash accuses the parts of requests that had their answer's header and no event there; an answer clears its parts; two crashes without a common cause and no answer in between quarantine a part, unless another one explains them. Evidence is exchanged with the totals, merges in any order, is bounded and ages. The part is looked for at arrival, in the queue and right before the first byte; a request that was about to begin at a crash goes to a second engine only if all its parts were sound a short time ago. That the engine has crashed is told by its port, which refuses connections: a broken answer, a pause or a cut of an instance accuses nothing.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -21,7 +21,7 @@
 from teaseldyke.gateway.sums import Sums, TotalsMessage, server_number
 from teaseldyke.gateway.totals import EXCHANGE_INTERVAL_S, TotalsExchange
 from teaseldyke.gateway.view import FleetView
-from teaseldyke.placement import FairShares
+from teaseldyke.placement import CrashEvidence, FairShares
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
     AnnouncedServer,
@@ -129,9 +129,9 @@
     """Return the processor time of each part, in ms a second."""
     view = make_view()
     own = Peer("front-0", "127.0.0.1", 9)
-    exchange = TotalsExchange(own, view, KnownDirectory())  # type: ignore[arg-type]
+    exchange = TotalsExchange(own, view, KnownDirectory(), CrashEvidence())  # type: ignore[arg-type]
     exchange._send_data = lambda peers, data: None  # type: ignore[method-assign]
-    placer = Placer(view, FairShares(), exchange, BOUNDS, "a")
+    placer = Placer(view, FairShares(), exchange, BOUNDS, "a", CrashEvidence())
     peers = [Peer(f"front-{i}", "127.0.0.1", 9) for i in range(1, instances)]
     exchange.add_peers(peers)
     fleet = Fleet(peers, Random(1))
--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from enum import Enum
 
@@ -17,6 +18,8 @@
     OutgoingRequest,
     ServerConnection,
 )
+from teaseldyke.placement import CrashEvidence
+from teaseldyke.timers import boot_time_s
 from teaseldyke.types import Route, RouteKind, ServiceDescription
 
 from .errors import ChoiceLapsed
@@ -33,6 +36,8 @@
 # Of an error body; beyond it, a new connection is cheaper.
 DISCARD_MAX_BYTES = 64 * 1024
 DISCARD_MAX_S = 0.05  # the body of a refusal arrives together with its head
+# From the first event of a stream until its prompt counts as sound.
+SOUND_AFTER_S = 0.25
 UNBOUNDED_S = 3600.0  # no time-out but the request's deadline
 
 
@@ -109,6 +114,8 @@
         Forwards the answer to the caller.
     policy : AttemptPolicy
         When this attempt is given up.
+    evidence : CrashEvidence
+        Learns which prompts are answered.
 
     Attributes
     ----------
@@ -124,6 +131,7 @@
     facts: CallFacts
     relay: Relay
     policy: AttemptPolicy
+    evidence: CrashEvidence
     sent: bool = False
 
     async def run(
@@ -238,6 +246,8 @@
                     status,
                 )
             await self.relay.forward_whole(exchange, headers)
+            if status < 400:
+                self._record_sound(boot_time_s())
             if not self.service.is_engine and status < 500:
                 self.reservation.record_answer()
         if status >= 500:
@@ -269,13 +279,18 @@
         expected_id = None if resumed_after is None else resumed_after + 1
         is_first_chunk = True
         event_due_s = trio.current_time() + self.policy.first_byte_s
+        sound_at_s = math.inf
         async for data in exchange.chunks():
+            now_s = trio.current_time()
+            if now_s >= sound_at_s:
+                sound_at_s = math.inf
+                self._record_sound(boot_time_s())
             if is_first_chunk:
                 is_first_chunk = False
+                sound_at_s = now_s + SOUND_AFTER_S
                 self.reservation.record_first_event()
                 exchange.idle_timeout_s = self.policy.idle_s
                 await self.relay.start_stream(exchange, headers)
-            now_s = trio.current_time()
             if await self.relay.forward_events(data, expected_id):
                 expected_id = None
                 event_due_s = now_s + self.policy.idle_s
@@ -285,3 +300,8 @@
                 )
         await self.relay.start_stream(exchange, headers)
         await self.relay.end_stream()
+        self._record_sound(boot_time_s())
+
+    def _record_sound(self, now_s: float) -> None:
+        """Record that the engine has begun to answer the prompt and lives."""
+        self.evidence.clear(self.reservation.work.parts, now_s)
--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Tells backend servers that crashed from answers that merely broke off."""
+"""Finds crashed backend servers, and the prompts that must not reach others."""
 
 from __future__ import annotations
 
@@ -8,10 +8,13 @@
 import trio
 
 from teaseldyke.http import refuses_connections
+from teaseldyke.placement import CrashEvidence, Work
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer
 
+from .errors import PromptQuarantined
+
 PROBE_TIMEOUT_S = 0.1  # many round trips between failure domains
 PROBE_TTL_S = 0.5  # a crashed server needs longer to start again
 PROBES_MAX = 1000  # remembered; more servers than a fleet has
@@ -21,6 +24,11 @@
     "Backend servers found refusing connections after an answer broke, by service.",
 )
 
+QUARANTINED = counter(
+    "teaseldyke_prompts_quarantined_total",
+    "Requests refused because a part of their prompt has crashed engines.",
+)
+
 
 @attrs.define(eq=False)
 class _Probe:
@@ -31,6 +39,36 @@
     refused: bool = False
 
 
+def ensure_not_quarantined(evidence: CrashEvidence, work: Work) -> None:
+    """Raise `PromptQuarantined` if a part of the prompt has crashed engines."""
+    part = evidence.refused_part(work.parts)
+    if part is None:
+        return
+    QUARANTINED.bind().add()
+    raise PromptQuarantined(f"part {part[:40]!r} of the prompt has crashed engines")
+
+
+@attrs.define
+class QuarantineLog:
+    """Logs changes of the quarantine, by whatever instance they were noticed."""
+
+    evidence: CrashEvidence
+    _logged: frozenset[str] = frozenset()
+
+    def refresh(self) -> None:
+        """Drop evidence that is out of date, and log a change; called at intervals."""
+        self.evidence.refresh(boot_time_s())
+        quarantined = self.evidence.quarantined
+        if quarantined == self._logged:
+            return
+        log_decision(
+            "quarantine_changed",
+            parts=sorted(quarantined),
+            released=sorted(self._logged - quarantined),
+        )
+        self._logged = quarantined
+
+
 class CrashProbe:
     """Finds out whether a server has crashed, by a connection to its port.
 
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -61,6 +61,17 @@
     executed = "no"
 
 
+class PromptQuarantined(TeaseldykeError):
+    """A part of the prompt has crashed engines, so no further one gets it.
+
+    There is no time after which the same prompt would be served.
+    """
+
+    code = "prompt_quarantined"
+    status = 503
+    executed = "no"
+
+
 class ServerBroke(TeaseldykeError):
     """A backend server may have run the request, but its answer is incomplete."""
 
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -12,6 +12,7 @@
     AwaitedServer,
     CapacityQuota,
     Choice,
+    CrashEvidence,
     FairShares,
     QueuedRequest,
     RequestQueue,
@@ -29,6 +30,7 @@
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import ServiceDescription
 
+from .crashes import ensure_not_quarantined
 from .errors import NoServer, Overloaded
 from .interfaces import Fleet
 from .reservation import Reservation
@@ -76,6 +78,8 @@
         Limits of the whole fleet.
     failure_domain : str
         Failure domain of this instance.
+    evidence : CrashEvidence
+        What crashed engines say of parts of prompts.
     """
 
     def __init__(
@@ -85,12 +89,14 @@
         fleet: Fleet,
         bounds: FleetBounds,
         failure_domain: str,
+        evidence: CrashEvidence,
     ) -> None:
         self.fair_shares = fair_shares
         self._view = view
         self._fleet = fleet
         self.bounds = bounds
         self._failure_domain = failure_domain
+        self._evidence = evidence
         self._share_log = ShareLog(fair_shares)
         self._queues: dict[str, RequestQueue[_PendingReservation]] = {}
         self._changed = trio.Event()
@@ -155,7 +161,10 @@
             If the request can't be sent in time.
         NoServer
             If the service has no backend server that may get requests.
+        PromptQuarantined
+            If a part of its prompt has crashed engines, also while it waits.
         """
+        ensure_not_quarantined(self._evidence, work)
         states = self._view.states_of(service.name)
         if not avoid and service.is_engine:
             self._share_log.record_arrival(work)
@@ -189,6 +198,7 @@
             queue.remove(queued)
         if pending.reservation is not None:
             return pending.reservation
+        ensure_not_quarantined(self._evidence, work)
         reason = pending.reason
         self._count_refused(service, work, reason)
         left_s = work.deadline_at_s - boot_time_s()
@@ -276,6 +286,10 @@
             state.backlog_tokens = 0.0
         for queued in list(queue.in_order(self.fair_shares, now_s)):
             pending = queued.payload
+            if self._evidence.refused_part(queued.work.parts) is not None:
+                queue.remove(queued)
+                pending.ready.set()
+                continue
             awaited_server = queued.blocked_on(available)
             if awaited_server is not None:
                 awaited_server.count_in_backlog(instances)
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -18,13 +18,14 @@
     ServerLimits,
     serve,
 )
-from teaseldyke.placement import FairShares
+from teaseldyke.placement import CrashEvidence, FairShares
 from teaseldyke.settings import Address
 from teaseldyke.telemetry import gauge, log_decision
 from teaseldyke.timers import Timers, boot_time_s, scheduler_passes
 from teaseldyke.types import PlatformUnavailable, SettingsError, TeaseldykeError
 
 from .calls import CallHandler
+from .crashes import QuarantineLog
 from .endpoints import LISTING_TARGET, Endpoints
 from .interfaces import Directory, DirectoryListener, KnownVersions, Peer, Wire
 from .placing import Placer
@@ -96,16 +97,19 @@
     sender: Sender = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
     admission: Admission = attrs.field(init=False)
+    evidence: CrashEvidence = attrs.field(factory=CrashEvidence, init=False)
+    quarantine_log: QuarantineLog = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
+        self.quarantine_log = QuarantineLog(self.evidence)
         self.admission = Admission(ADMISSION_WINDOW_S, ADMISSION_WAIT_MAX_S)
         self.view = FleetView(
             lambda: self.placer.wake(), settings.heartbeat_ms / 1000.0
         )
         self.directory = self.make_directory(self.view)
         own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
-        self.totals = TotalsExchange(own, self.view, self.directory)
+        self.totals = TotalsExchange(own, self.view, self.directory, self.evidence)
         self.directory.relay = self.totals.relay
         self.placer = Placer(
             self.view,
@@ -113,6 +117,7 @@
             self.totals,
             settings.bounds,
             settings.failure_domain,
+            self.evidence,
         )
         self.pool = BackendPool(CONNECT_TIMEOUT_S)
         self.sender = Sender(
@@ -122,6 +127,7 @@
             self.wire,
             settings.bounds,
             self.totals,
+            self.evidence,
         )
         self.calls = CallHandler(self.view, self.sender, self.wire)
 
@@ -177,6 +183,7 @@
 
     async def _exchange(self) -> None:
         self.totals.read()
+        self.quarantine_log.refresh()
         self.view.refresh()
         self.totals.send(self.placer)
         self.placer.recompute()
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -4,15 +4,22 @@
 
 import random
 
+import trio
+
 from teaseldyke.http import BackendPool, CallerGone, OutgoingRequest
-from teaseldyke.placement import RetryBudget, lapse_reason, retry_delay_s
+from teaseldyke.placement import (
+    CrashEvidence,
+    RetryBudget,
+    lapse_reason,
+    retry_delay_s,
+)
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import RouteKind, TeaseldykeError
 
 from .attempts import UNBOUNDED_S, Attempt, AttemptPolicy, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
-from .crashes import CrashProbe
+from .crashes import CrashProbe, ensure_not_quarantined
 from .errors import ChoiceLapsed, NoServer, Overloaded, ServerBroke
 from .interfaces import Fleet, Wire
 from .placing import FULL_SERVER_BACKOFF_S, Placer
@@ -24,6 +31,7 @@
 FIRST_EVENT_FACTOR = 3.0  # time-out, relative to the expected time to first event
 FIRST_EVENT_MIN_S = 1.5  # queues and long prompts delay a healthy engine that long
 EVENT_GAP_MIN_S = 1.0  # a healthy engine pauses that long during its longest prefills
+SUCCESSES = range(200, 300)  # statuses
 PLAIN_TIMEOUT_FACTOR = 6.0  # relative to the measured latency of a plain server
 PLAIN_TIMEOUT_MIN_S = 0.25  # 99th percentile of a plain server's processing time
 
@@ -51,6 +59,8 @@
         Limits of the whole fleet, among them the retry budget.
     fleet : Fleet
         Instances that share these limits.
+    evidence : CrashEvidence
+        What crashed engines say of parts of prompts.
     """
 
     def __init__(
@@ -61,6 +71,7 @@
         wire: Wire,
         bounds: FleetBounds,
         fleet: Fleet,
+        evidence: CrashEvidence,
     ) -> None:
         self._view = view
         self._placer = placer
@@ -68,6 +79,7 @@
         self._wire = wire
         self._bounds = bounds
         self._fleet = fleet
+        self._evidence = evidence
         self._budgets: dict[str, RetryBudget] = {}
         self._probe = CrashProbe()
 
@@ -119,6 +131,7 @@
 
         def prepare_request() -> OutgoingRequest:
             left_s = _ensure_wanted(call)
+            ensure_not_quarantined(self._evidence, call.work)
             self._ensure_choice_holds(reservation)
             self._log_sent(call, reservation, left_s)
             return self._wire.outgoing(
@@ -145,6 +158,7 @@
             self._attempt_policy(
                 call, reservation.expected_first_s, reservation.state.latency_s
             ),
+            self._evidence,
         )
         call.avoid.add(server_id)
         call.possible_runs += 1  # until ruled out
@@ -159,8 +173,7 @@
             reservation.state.mark_full(boot_time_s() + FULL_SERVER_BACKOFF_S)
         if result.outcome is Outcome.OTHER_SERVER:
             reservation.state.mark_replaced(boot_time_s())
-        if result.outcome is Outcome.BROKEN:
-            await self._probe.has_crashed(reservation.state.server)
+        must_not_repeat = await self._must_not_repeat(call, reservation, result)
         if result.outcome is not Outcome.DONE:
             log_decision(
                 "send_ended",
@@ -175,8 +188,45 @@
                 after_s=round(boot_time_s() - reservation.sent_at_s, 4),
                 parts=[part for part, _ in call.work.parts[:-1]],
             )
+        if must_not_repeat:
+            raise ServerBroke(f"the engine crashed at its answer: {result.detail}")
         return result
 
+    async def _must_not_repeat(
+        self, call: Call, reservation: Reservation, result: SendResult
+    ) -> bool:
+        """Return whether a broken request may crash other engines.
+
+        If its engine crashed between the header of the answer and the first event, the
+        parts of its prompt are accused.
+        """
+        was_about_to_begin = (
+            result.outcome is Outcome.BROKEN
+            and result.status in SUCCESSES
+            and not reservation.measured_first_s
+        )
+        parts = call.work.parts
+        if not was_about_to_begin or len(parts) < 2:
+            return False
+        broken_at_s = boot_time_s()
+        server = reservation.state.server
+        with trio.CancelScope(shield=True):  # bounded by the probe's time-out
+            crashed = await self._probe.has_crashed(server)
+        if not crashed:
+            return False
+        now_s = boot_time_s()
+        crash = f"{server.id}:{server.started}"
+        self._evidence.accuse(crash, parts, broken_at_s, now_s)
+        may_repeat = self._evidence.may_repeat(parts, now_s)
+        log_decision(
+            "prompt_accused",
+            id=call.text_id,
+            server=server.id,
+            parts=[part for part, _ in parts[:-1]],
+            may_repeat=may_repeat,
+        )
+        return not may_repeat
+
     def _ensure_choice_holds(self, reservation: Reservation) -> None:
         """Raise `ChoiceLapsed` if the chosen server must not get requests any more."""
         state = reservation.state
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -65,6 +65,9 @@
     kept_evacuated : list of str
         Failure domains that it keeps evacuated although a restored store lost the
         entries.
+    accused_parts : list of tuple
+        Parts of prompts that crashes accuse, as the fields of `PartReport`; empty in
+        most rounds without a change.
     """
 
     name: str
@@ -80,6 +83,7 @@
     era: int = 0
     configuration: int = -1
     kept_evacuated: list[str] = []
+    accused_parts: list[tuple[str, int, float, dict[str, float]]] = []
 
     @property
     def known_versions(self) -> KnownVersions:
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -13,7 +13,13 @@
 import attrs
 import msgspec
 
-from teaseldyke.placement import FairShares, Load, RoundSends
+from teaseldyke.placement import (
+    CrashEvidence,
+    FairShares,
+    Load,
+    PartReport,
+    RoundSends,
+)
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s
 
@@ -38,6 +44,7 @@
 TOTALS_TTL_ROUNDS = 4.0  # totals that were not renewed for so many rounds expire
 DATAGRAM_BYTES = 65536
 DATAGRAMS_PER_READ_MAX = 512  # several seconds' worth in the largest fleet
+EVIDENCE_NEWS_S = 1.0  # a few rounds of the largest fleet, as datagrams may be lost
 USAGE_ROUNDS = 4  # a large fleet sends usage in one of so many rounds
 # Rounds until all instances know of a send: one to the neighbours, one to the others.
 PROPAGATION_ROUNDS = 2
@@ -53,6 +60,8 @@
         This instance.
     view, directory
         What this instance knows of the fleet and of the store's entries.
+    evidence : CrashEvidence
+        What crashed engines say of parts of prompts, exchanged like the totals.
 
     Attributes
     ----------
@@ -65,11 +74,13 @@
         own: Peer,
         view: FleetView,
         directory: Directory,
+        evidence: CrashEvidence,
     ) -> None:
         self.own = own
         self.peer_ahead: tuple[Peer, KnownVersions] | None = None
         self._view = view
         self._directory = directory
+        self._evidence = evidence
         self._membership = Membership(own)
         self._totals = FleetTotals(self._membership)
         self._born_s = boot_time_s()
@@ -157,6 +168,9 @@
         if not self._totals.receive(message, boot_time_s()):
             return
         self._view.keep_evacuated_for_peer(message.kept_evacuated)
+        if message.accused_parts:
+            reports = [PartReport(*fields) for fields in message.accused_parts]
+            self._evidence.merge(reports, boot_time_s())
         stated = (message.era, message.versions, message.configuration)
         if stated == self._versions_known:
             return
@@ -202,7 +216,12 @@
         # Usage is not compared: it changes all the time, and fair shares tolerate old
         # values.
         loads = [(part.loads, part.waiting) for part in sums]
-        content = (self._directory.versions, self._membership.instances, loads)
+        content = (
+            self._directory.versions,
+            self._membership.instances,
+            self._evidence.changed_at_s,
+            loads,
+        )
         if content == self._last_content and self._skipped < IDLE_SKIP_MAX:
             self._skipped += 1
             return True
@@ -258,10 +277,22 @@
                 era,
                 known.configuration,
                 self._view.kept_evacuated,
+                self._evidence_to_send(),
             )
         )
         self._send_data(peers, data)
 
+    def _evidence_to_send(self) -> list[tuple[str, int, float, dict[str, float]]]:
+        """Return the accused parts if they changed, and now and then for newcomers."""
+        now_s = boot_time_s()
+        is_news = now_s - self._evidence.changed_at_s < EVIDENCE_NEWS_S
+        if not is_news and self._number % USAGE_ROUNDS:
+            return []
+        return [
+            (report.part, report.depth, report.cleared_age_s, report.crash_ages_s)
+            for report in self._evidence.reports(now_s)
+        ]
+
     def _send_data(self, peers: list[Peer], data: bytes) -> None:
         for peer in peers:
             try:
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -13,7 +13,14 @@
 from teaseldyke.gateway import placing as module
 from teaseldyke.gateway.placing import Placer
 from teaseldyke.gateway.view import FleetView
-from teaseldyke.placement import Choice, FairShares, Load, Work, rendezvous_weight
+from teaseldyke.placement import (
+    Choice,
+    CrashEvidence,
+    FairShares,
+    Load,
+    Work,
+    rendezvous_weight,
+)
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
     AnnouncedServer,
@@ -50,7 +57,7 @@
 
     monkeypatch.setattr(module, "choose_plain", choose_slowly)
     bounds = FleetBounds(0.2, 10.0, 10.0, 1.5, 5.0, 8.0)
-    placer = Placer(view, FairShares(), OneInstance(), bounds, "a")
+    placer = Placer(view, FairShares(), OneInstance(), bounds, "a", CrashEvidence())
     now_s = boot_time_s()
     work = Work("o", now_s, now_s + 9.0, now_s + 9.0, now_s + 9.0)
 
@@ -84,7 +91,7 @@
         [make_server(name, service="llm", slots=12) for name in ("e-1", "e-2")]
     )
     bounds = FleetBounds(0.2, 10.0, 10.0, 1.5, 5.0, 8.0)
-    placer = Placer(view, FairShares(), OneInstance(), bounds, "a")
+    placer = Placer(view, FairShares(), OneInstance(), bounds, "a", CrashEvidence())
     now_s = boot_time_s()
 
     def work(prefix_key: str, on_time_s: float) -> Work:
--- a/libs/gateway/tests/test_receiving.py
+++ b/libs/gateway/tests/test_receiving.py
@@ -13,6 +13,7 @@
 from teaseldyke.gateway.sums import RelayedChanges
 from teaseldyke.gateway.totals import TotalsExchange
 from teaseldyke.gateway.view import FleetView
+from teaseldyke.placement import CrashEvidence
 from teaseldyke.timers import boot_time_s
 
 DATAGRAMS = 100
@@ -37,7 +38,9 @@
             address = probe.getsockname()
         directory = CountingDirectory()
         own = Peer("node-0", *address)
-        exchange = TotalsExchange(own, view, cast(Directory, directory))
+        exchange = TotalsExchange(
+            own, view, cast(Directory, directory), CrashEvidence()
+        )
         exchange.open()
         exchange.read()
         sent_at_s = boot_time_s()
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .choice import Choice, choose_engine, choose_plain, rendezvous_weight, shortlist
+from .crash_evidence import CrashEvidence, PartReport
 from .recheck import CHOICE_TTL_S, lapse_reason
 from .refusal import Refusal, check_admission, retry_delay_s, service_time_s
 from .servers import (
@@ -26,9 +27,11 @@
     "CapacityQuota",
     "Choice",
     "ColdRateLimit",
+    "CrashEvidence",
     "DecayingSum",
     "FairShares",
     "Load",
+    "PartReport",
     "QueuedRequest",
     "Refusal",
     "RequestQueue",
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -49,6 +49,8 @@
     closed_by_peer: int = 0
     endless_bytes: int = 0
     port: int = 0
+    starts: int = 0
+    _running: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     def entry(self, service: str, zone: str = "zone-a", **fields: object) -> Any:
         """Return the engine's entry in the store."""
@@ -61,15 +63,21 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1,
+            "born": max(1, self.starts),
             **fields,
         }
 
     async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        """Serve until cancelled or crashed."""
+        listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
         self.port = listeners[0].socket.getsockname()[1]
-        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+        self.starts += 1
+        with trio.CancelScope() as self._running:
+            await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    def crash(self) -> None:
+        """Close all connections and the port; `run` starts it anew at its port."""
+        self._running.cancel()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
--- /dev/null
+++ b/tests/platform/test_deadly_part.py
@@ -0,0 +1,248 @@
+"""A part of a prompt that crashes each engine that begins to answer it."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+import pytest
+import trio
+
+from teaseldyke.gateway import Gateway
+from teaseldyke.timers import boot_time_s
+from tests.platform.conftest import (
+    Answer,
+    Fleet,
+    configuration,
+    route,
+    running_fleet,
+    wait_until,
+)
+from tests.platform.standins import (
+    Arrival,
+    EngineStandin,
+    answer_head,
+    chunk,
+    event,
+    reset,
+    stream_of,
+)
+
+PREFIX = "X-Teaseldyke-Prompt-Prefix"
+SHARED, DEADLY, OTHER = "5c1e07a2", "dead06ff", "91bd3f06"
+ENGINES = 4
+DOWN_S = 0.4  # from a crash to the engine's next start
+BEGINS_S = 0.02  # from the header of an answer to its first event
+FREE_CRASHES = 5  # after them, few more requests may reach an engine
+LATE_MAX = 3
+
+
+def parts_of(arrival: Arrival) -> list[str]:
+    """Return the parts of an arrived prompt."""
+    listed = arrival.headers.get(PREFIX.lower(), "")
+    return [entry.partition(":")[0] for entry in listed.split(",") if entry]
+
+
+@attrs.define(eq=False)
+class DeadlyFleet:
+    """Three gateways before engines that crash under one part."""
+
+    fleet: Fleet
+    crashes: int = 0
+    sent_late: int = 0
+    numbers: itertools.count[int] = attrs.field(factory=itertools.count)
+
+    async def answer(
+        self, engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+    ) -> bool:
+        """Answer a stream, or crash when it begins."""
+        if DEADLY not in parts_of(arrival)[:-1]:
+            first = int(arrival.headers.get("last-event-id", 0)) + 1
+            return bool(await stream_of(first, 4)(engine, stream, arrival))
+        if self.crashes >= FREE_CRASHES:
+            self.sent_late += 1
+        head = answer_head(arrival, 200, "Transfer-Encoding: chunked")
+        await stream.send_all(head + b"\r\n")
+        await trio.sleep(BEGINS_S)
+        self.crashes += 1
+        self.fleet.nursery.start_soon(self.restart, engine)
+        engine.crash()
+        return False
+
+    async def restart(self, engine: EngineStandin) -> None:
+        await trio.sleep(DOWN_S)
+        engine.scripts = [self.answer] * 1000
+        await self.fleet.nursery.start(engine.run)
+        self.fleet.store.put("servers", engine.id, engine.entry("app"))
+
+    async def request(self, *parts: str, target: str = "/stream/a") -> Answer:
+        """Send a prompt with the parts and one of its own through any gateway."""
+        number = next(self.numbers)
+        gateway = self.fleet.gateways[number % len(self.fleet.gateways)]
+        listed = ",".join(f"{part}:500" for part in (*parts, f"{number:08x}"))
+        return await self.fleet.caller(gateway).request(
+            target, headers={PREFIX: listed}, request_id=f"r-{number}"
+        )
+
+
+def quarantine(gateway: Gateway) -> None:
+    """Have an instance know of two crashes under the part."""
+    now_s = boot_time_s()
+    for crash, age_s in (("e-7:1", 2.0), ("e-8:1", 1.0)):
+        gateway.evidence.accuse(crash, [(DEADLY, 1), ("own", 1)], now_s - age_s, now_s)
+
+
+@pytest.fixture
+async def deadly() -> AsyncIterator[DeadlyFleet]:
+    async with running_fleet(engines=ENGINES) as fleet:
+        value = configuration(2)
+        value["routes"].append(
+            route("many", "streaming", "app", resumable=True, maxAttempts=4)
+        )
+        fleet.store.put("op", "config", value)
+        for i in (2, 3):
+            await fleet.add_gateway(f"g-{i}")
+        for gateway in fleet.gateways:
+            await wait_until(
+                lambda gateway=gateway: (
+                    gateway.is_ready
+                    and gateway.view.table.version == 2
+                    and len(gateway.view.states_of("app")) == ENGINES
+                    and gateway.totals.instances == 3
+                )
+            )
+        running = DeadlyFleet(fleet)
+        for engine in fleet.engines.values():
+            engine.scripts = [running.answer] * 1000
+        yield running
+
+
+class TestDeadlyPart:
+    async def test_requests_with_it_stop_reaching_engines_and_sound_ones_are_served(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        """They went on as long as they came, each to two engines."""
+        sound: list[Answer] = []
+        refused: list[Answer] = []
+
+        async def send_sound(i: int) -> None:
+            sound.append(await deadly.request(SHARED, f"{i % 3:08x}"))
+
+        async def send_deadly(i: int) -> None:
+            refused.append(await deadly.request(SHARED, f"{i % 3:08x}", DEADLY))
+
+        async with trio.open_nursery() as nursery:
+            for i in range(60):
+                nursery.start_soon(send_sound, i)
+                if i % 2:
+                    nursery.start_soon(send_deadly, i)
+                await trio.sleep(0.06)
+        assert deadly.sent_late <= LATE_MAX
+        assert all(answer.status in (502, 503) for answer in refused)
+        served = sum(answer.status == 200 and answer.complete for answer in sound)
+        assert served >= 0.9 * len(sound)
+
+    async def test_caller_is_told_at_once_and_not_asked_to_come_back(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        for gateway in deadly.fleet.gateways:
+            quarantine(gateway)
+        answer = await deadly.request(SHARED, DEADLY)
+        assert answer.status == 503
+        assert "retry-after" not in answer.headers
+        assert b"prompt_quarantined" in answer.body
+        assert deadly.fleet.arrivals == 0
+
+    async def test_request_whose_engine_crashed_goes_to_no_second_engine(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        """Each request with the part crashed as many engines as it had attempts."""
+        answer = await deadly.request(SHARED, DEADLY, target="/many/a")
+        assert answer.status == 502
+        assert deadly.crashes == 1
+
+    async def test_request_in_a_queue_is_refused_once_its_part_is_quarantined(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        gateway = deadly.fleet.gateways[0]
+        for state in gateway.view.all_states():
+            state.mark_full(float("inf"))
+        deadly.numbers = itertools.count(3)  # the first gateway
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(deadly.request, SHARED, DEADLY)
+            await wait_until(lambda: gateway.placer.waiting == 1)
+            quarantine(gateway)
+            await wait_until(lambda: not gateway.placer.waiting, 0.5)
+
+    async def test_instance_that_has_just_started_learns_of_it_from_others(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        quarantine(deadly.fleet.gateways[0])
+        late = await deadly.fleet.add_gateway("g-late")
+        await wait_until(lambda: late.evidence.quarantined == {DEADLY}, 2.0)
+
+
+class TestOtherFailures:
+    """None of them may put a sound part away."""
+
+    async def test_answer_that_breaks_off_accuses_nothing(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        async def break_off(
+            _engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+        ) -> bool:
+            head = answer_head(arrival, 200, "Transfer-Encoding: chunked")
+            await stream.send_all(head + b"\r\n")
+            await stream.aclose()
+            return False
+
+        for engine in deadly.fleet.engines.values():
+            engine.scripts = [break_off, reset, break_off]
+        for _ in range(6):
+            await deadly.request(OTHER, target="/many/a")
+        for gateway in deadly.fleet.gateways:
+            assert not gateway.evidence.reports(0.0)
+
+    async def test_crash_accuses_no_stream_that_had_begun(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        async def begin_and_crash(
+            engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+        ) -> bool:
+            head = answer_head(arrival, 200, "Transfer-Encoding: chunked")
+            await stream.send_all(head + b"\r\n" + chunk(event(1)))
+            await trio.sleep(BEGINS_S)
+            engine.crash()
+            return False
+
+        scripts = [begin_and_crash]
+
+        async def crash_once(*fields: Any) -> bool:
+            script = scripts.pop() if scripts else deadly.answer
+            return bool(await script(*fields))
+
+        for engine in deadly.fleet.engines.values():
+            engine.scripts = [crash_once] * 2
+        answer = await deadly.request(SHARED)
+        assert answer.complete
+        assert answer.body == b"".join(event(i) for i in range(1, 5))
+        for gateway in deadly.fleet.gateways:
+            assert not gateway.evidence.reports(0.0)
+
+    async def test_crash_before_any_answer_accuses_nothing_and_is_repeated(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        async def crash(
+            engine: EngineStandin, _stream: trio.SocketStream, _arrival: Arrival
+        ) -> bool:
+            engine.crash()
+            return False
+
+        for engine in deadly.fleet.engines.values():
+            engine.scripts = [crash, *[deadly.answer] * 1000]
+        await deadly.request(OTHER, target="/many/a")
+        assert deadly.fleet.arrivals > 1
+        for gateway in deadly.fleet.gateways:
+            assert not gateway.evidence.reports(0.0)
