Take an unframed stream that ends inside an event as broken off

Callers saw: a stream without length or chunks, cut by its engine in the middle of an event, ended as complete; it was neither resumed nor reported.

Cause: Relay.end_stream refuses a stream with a partial event, but the call right before it (start_stream, for answers without any body) dropped that partial event. It is now made only if nothing of the body came.

Evidence: closed-in-event of tests/platform/test_unframed_answers.py failed before for both kinds of stream ((200, event 1, complete) for three events); the other rows of the table (reset and close, plain and stream, resumable or not) passed and stay.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -298,7 +298,8 @@
                 raise StreamBroken(
                     "bytes arrived, but no complete event before the time-out"
                 )
-        await self.relay.start_stream(exchange, headers)
+        if is_first_chunk:
+            await self.relay.start_stream(exchange, headers)
         await self.relay.end_stream()
         self._record_sound(boot_time_s())
 
