Take an unframed stream without any event as broken off

Callers saw: 200 with an empty, complete stream where an engine had closed the connection right after the header of an answer without length or chunks.

Cause: only a close ends such a body, and a body of no events passed as whole. An engine always has an event to send, so it is now a broken stream: sent to another engine where the request may be repeated, else 502. It counts as a request that was about to begin, so an engine that crashed there accuses it.

Evidence: closed-before-first of test_unframed_answers.py failed before for both kinds of stream ((200, b'', complete)).

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -299,6 +299,8 @@
                     "bytes arrived, but no complete event before the time-out"
                 )
         if is_first_chunk:
+            if exchange.ends_with_connection:
+                raise StreamBroken("stream without length ended before its first event")
             await self.relay.start_stream(exchange, headers)
         await self.relay.end_stream()
         self._record_sound(boot_time_s())
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -196,6 +196,9 @@
         Whether any byte of the request may have been sent.
     complete : bool
         Whether the whole response has been read.
+    ends_with_connection : bool
+        Whether the body has neither length nor chunked coding, so that only a close of
+        the connection ends it.
     """
 
     def __init__(
@@ -211,6 +214,7 @@
         self.headers: Headers = []
         self.sent = False
         self.complete = False
+        self.ends_with_connection = False
         self._connection = connection
         self._watch = Watch(connection.stream)
         self._answer_limit_bytes = answer_limit_bytes
@@ -326,6 +330,7 @@
             return
         length = first_header(self.headers, b"content-length")
         if length is None and self._lenient:
+            self.ends_with_connection = True
             return
         if length is None:
             raise AnswerBroken(
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -98,6 +98,7 @@
             (event(1) + event(2), True, False),
             (event(1) + b"id: 2\ndata: to", False, False),
             (event(1) + b"id: 2\ndata: to", True, False),
+            (b"", False, False),
             (b"", True, False),
         ],
         ids=[
@@ -105,6 +106,7 @@
             "reset-between-events",
             "closed-in-event",
             "reset-in-event",
+            "closed-before-first",
             "reset-before-first",
         ],
     )
