Don't take an engine's crash for the end of an answer without length

Callers saw: 200 with half an answer, or a stream without its last events, as complete, when an engine crashed in an answer without length or chunks. The kernel closes a crashed process's connections like those of a finished answer.

Fix: before such an answer is passed on as whole, the engine's port is asked, as for a request that was about to begin (CrashProbe). An engine that has crashed broke it off: resumed or repeated where that is allowed, else cut or 502.

Only a refusal is remembered now.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 import attrs
 import trio
 
 from teaseldyke.http import (
+    AnswerBroken,
     AnswerTooLarge,
     BackendPool,
     ConnectFailed,
@@ -116,6 +117,8 @@
         When this attempt is given up.
     evidence : CrashEvidence
         Learns which prompts are answered.
+    has_crashed : callable
+        Finds out whether the server has crashed.
 
     Attributes
     ----------
@@ -132,6 +135,7 @@
     relay: Relay
     policy: AttemptPolicy
     evidence: CrashEvidence
+    has_crashed: Callable[[], Awaitable[bool]]
     sent: bool = False
 
     async def run(
@@ -245,7 +249,9 @@
                     f"server answered {status} to a resumed stream",
                     status,
                 )
-            await self.relay.forward_whole(exchange, headers)
+            body = await self.relay.buffers.read(exchange)
+            await self._ensure_not_cut(exchange)
+            await self.relay.request.respond(status, body, headers)
             if status < 400:
                 self._record_sound(boot_time_s())
             if not self.service.is_engine and status < 500:
@@ -302,9 +308,18 @@
             if exchange.ends_with_connection:
                 raise StreamBroken("stream without length ended before its first event")
             await self.relay.start_stream(exchange, headers)
+        await self._ensure_not_cut(exchange)
         await self.relay.end_stream()
         self._record_sound(boot_time_s())
 
+    async def _ensure_not_cut(self, exchange: Exchange) -> None:
+        """Raise `AnswerBroken` if a crash ended a body that ends with its connection.
+
+        The connections of a crashed process are closed like those of a complete answer.
+        """
+        if exchange.ends_with_connection and await self.has_crashed():
+            raise AnswerBroken("server crashed at the end of an answer without length")
+
     def _record_sound(self, now_s: float) -> None:
         """Record that the engine has begun to answer the prompt and lives."""
         self.evidence.clear(self.reservation.work.parts, now_s)
--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -16,7 +16,9 @@
 from .errors import PromptQuarantined
 
 PROBE_TIMEOUT_S = 0.1  # many round trips between failure domains
-PROBE_TTL_S = 0.5  # a crashed server needs longer to start again
+# A process that ends may close its connections a moment before its port.
+PROBE_REPEAT_S = 0.03
+PROBE_TTL_S = 0.5  # of a refusal; a crashed server needs longer to start again
 PROBES_MAX = 1000  # remembered; more servers than a fleet has
 
 CRASHES = counter(
@@ -85,20 +87,26 @@
         key = (server.id, server.started)
         now_s = boot_time_s()
         probe = self._probes.get(key)
-        if probe is not None and now_s - probe.at_s < PROBE_TTL_S:
+        if probe is not None and not probe.done.is_set():
             await probe.done.wait()
             return probe.refused
+        if probe is not None and probe.refused and now_s - probe.at_s < PROBE_TTL_S:
+            return True
         probe = self._probes[key] = _Probe(now_s)
         self._probes.move_to_end(key)
         while len(self._probes) > PROBES_MAX:
             self._probes.popitem(last=False)
         try:
-            probe.refused = await refuses_connections(
-                server.host, server.port, PROBE_TIMEOUT_S
-            )
+            probe.refused = await self._refuses(server)
+            if not probe.refused:
+                await trio.sleep(PROBE_REPEAT_S)
+                probe.refused = await self._refuses(server)
         finally:
             probe.done.set()
         if probe.refused:
             CRASHES.bind(service=server.service).add()
             log_decision("server_crashed", server=server.id, service=server.service)
         return probe.refused
+
+    async def _refuses(self, server: AnnouncedServer) -> bool:
+        return await refuses_connections(server.host, server.port, PROBE_TIMEOUT_S)
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -105,11 +105,6 @@
         found = EVENT_ID.findall(self._last_block)
         return int(found[-1]) if found else None
 
-    async def forward_whole(self, exchange: Exchange, headers: Headers) -> None:
-        """Forward an answer once it is complete."""
-        body = await self.buffers.read(exchange)
-        await self.request.respond(exchange.status, body, headers)
-
     async def start_stream(self, exchange: Exchange, headers: Headers) -> None:
         """Send the header of a stream, unless an earlier attempt already did."""
         self._partial_event = b""
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -124,7 +124,7 @@
         reservation = await self._placer.place(
             call.service, call.work, frozenset(call.avoid)
         )
-        server_id = reservation.state.server.id
+        server = reservation.state.server
         resumed_after = call.relay.last_event_id
         if resumed_after is None:
             resumed_after = call.facts.resumes_after
@@ -140,7 +140,7 @@
                 call.request.headers,
                 call.body,
                 left_s=left_s,
-                server_id=server_id,
+                server_id=server.id,
                 organisation=call.organisation.name if call.organisation else None,
                 resumes_after=resumed_after,
                 copy_from=address_of(reservation.copy_from),
@@ -159,8 +159,9 @@
                 call, reservation.expected_first_s, reservation.state.latency_s
             ),
             self._evidence,
+            lambda: self._probe.has_crashed(server),
         )
-        call.avoid.add(server_id)
+        call.avoid.add(server.id)
         call.possible_runs += 1  # until ruled out
         try:
             result = await attempt.run(prepare_request, resumed_after)
@@ -178,7 +179,7 @@
             log_decision(
                 "send_ended",
                 id=call.text_id,
-                server=server_id,
+                server=server.id,
                 outcome=result.outcome.value,
                 status=result.status,
                 reason=result.detail,
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -46,6 +46,20 @@
     return script
 
 
+def crash_after(body: bytes) -> Script:
+    """Return a script whose engine crashes in an answer without length."""
+
+    async def script(
+        engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+    ) -> bool:
+        await stream.send_all(answer_head(arrival) + b"\r\n" + body)
+        await trio.sleep(PIECE_GAP_S)
+        engine.crash()
+        return False
+
+    return script
+
+
 def first_then_sound(script: Script, sound: Callable[[Arrival], Script]) -> Script:
     """Return a script for all engines: the first send ends oddly, others are sound."""
     sends = 0
@@ -123,3 +137,29 @@
         assert fleet.arrivals == 1
         assert answer.status == 502 or not answer.complete
         assert EVENTS.startswith(answer.body) or answer.status == 502
+
+
+class TestCrashes:
+    """A crash closes connections as the end of such an answer does."""
+
+    @pytest.mark.parametrize(
+        ("target", "sent", "status", "body"),
+        [
+            ("/safe/a", WHOLE[:7], 200, WHOLE),
+            ("/once/a", WHOLE[:7], 502, None),
+            ("/stream/a", event(1) + event(2), 200, EVENTS),
+            ("/single/a", event(1) + event(2), 200, None),
+        ],
+    )
+    async def test_crash_is_not_taken_for_the_end_of_an_answer(
+        self, fleet: Fleet, target: str, sent: bytes, status: int, body: bytes | None
+    ) -> None:
+        sound = sound_stream if target == "/stream/a" else sound_plain
+        script = first_then_sound(crash_after(sent), sound)
+        script_all(fleet, script, script)
+        answer = await fleet.caller().request(target)
+        assert answer.status == status
+        if body is not None:
+            assert (answer.body, answer.complete) == (body, True)
+            return
+        assert answer.status == 502 or not answer.complete
