Take back requests with a quarantined part that no engine has begun to answer

Callers saw: engines went on crashing for some tenths of a second after a part was known, by requests that waited at engines already.

When the quarantine changes, here or by the word of another instance, the connections of such requests are closed, upon which an engine drops a request. Their callers get 502, since nobody knows whether they had begun.

Evidence: test_request_at_an_engine_is_taken_back_before_its_answer_begins failed before (no answer within a second).

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -137,6 +137,13 @@
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
     sent: bool = False
+    _connection: ServerConnection | None = attrs.field(default=None, init=False)
+
+    def abandon_unless_begun(self) -> None:
+        """Close the connection if no event has come, so that the server drops it."""
+        if self._connection is None or self.reservation.measured_first_s:
+            return
+        self._connection.close()
 
     async def run(
         self,
@@ -201,11 +208,13 @@
         exchange = Exchange(connection, limit, self.policy.first_byte_s, lenient=True)
         try:
             self.sent = True
+            self._connection = connection
             await exchange.start(request, self.policy.first_byte_s)
             return await self._read(connection, exchange, resumed_after)
         except (ExchangeBroken, AnswerTooLarge) as exc:
             return SendResult(Outcome.BROKEN, exc.detail, exchange.status)
         finally:
+            self._connection = None
             self.pool.release(connection, exchange)
 
     async def _read(
--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -57,18 +57,22 @@
     evidence: CrashEvidence
     _logged: frozenset[str] = frozenset()
 
-    def refresh(self) -> None:
-        """Drop evidence that is out of date, and log a change; called at intervals."""
+    def refresh(self) -> bool:
+        """Drop evidence that is out of date; log a change and return if there was one.
+
+        Called at intervals.
+        """
         self.evidence.refresh(boot_time_s())
         quarantined = self.evidence.quarantined
         if quarantined == self._logged:
-            return
+            return False
         log_decision(
             "quarantine_changed",
             parts=sorted(quarantined),
             released=sorted(self._logged - quarantined),
         )
         self._logged = quarantined
+        return True
 
 
 class CrashProbe:
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -183,7 +183,8 @@
 
     async def _exchange(self) -> None:
         self.totals.read()
-        self.quarantine_log.refresh()
+        if self.quarantine_log.refresh():
+            self.sender.abandon_quarantined()
         self.view.refresh()
         self.totals.send(self.placer)
         self.placer.recompute()
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -80,6 +80,7 @@
         self._bounds = bounds
         self._fleet = fleet
         self._evidence = evidence
+        self._attempts: set[Attempt] = set()
         self._budgets: dict[str, RetryBudget] = {}
         self._probe = CrashProbe()
 
@@ -163,9 +164,11 @@
         )
         call.avoid.add(server.id)
         call.possible_runs += 1  # until ruled out
+        self._attempts.add(attempt)
         try:
             result = await attempt.run(prepare_request, resumed_after)
         finally:
+            self._attempts.discard(attempt)
             if not attempt.sent:
                 call.possible_runs -= 1
         if result.outcome in (Outcome.NOT_RUN, Outcome.OTHER_SERVER):
@@ -193,6 +196,13 @@
             raise ServerBroke(f"the engine crashed at its answer: {result.detail}")
         return result
 
+    def abandon_quarantined(self) -> None:
+        """Take back requests whose engines have not begun to answer a deadly prompt."""
+        for attempt in self._attempts:
+            work = attempt.reservation.work
+            if self._evidence.refused_part(work.parts) is not None:
+                attempt.abandon_unless_begun()
+
     async def _must_not_repeat(
         self, call: Call, reservation: Reservation, result: SendResult
     ) -> bool:
@@ -218,6 +228,7 @@
         now_s = boot_time_s()
         crash = f"{server.id}:{server.started}"
         self._evidence.accuse(crash, parts, broken_at_s, now_s)
+        self.abandon_quarantined()
         may_repeat = self._evidence.may_repeat(parts, now_s)
         log_decision(
             "prompt_accused",
--- a/tests/platform/test_deadly_part.py
+++ b/tests/platform/test_deadly_part.py
@@ -26,6 +26,7 @@
     answer_head,
     chunk,
     event,
+    hang,
     reset,
     stream_of,
 )
@@ -176,6 +177,28 @@
             quarantine(gateway)
             await wait_until(lambda: not gateway.placer.waiting, 0.5)
 
+    async def test_request_at_an_engine_is_taken_back_before_its_answer_begins(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        """It crashed an engine although its part was known."""
+        for engine in deadly.fleet.engines.values():
+            engine.scripts = [hang]
+        deadly.numbers = itertools.count(3)  # the first gateway
+        answers: list[Answer] = []
+
+        async def send() -> None:
+            answers.append(await deadly.request(SHARED, DEADLY, target="/single/a"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await wait_until(lambda: deadly.fleet.arrivals == 1)
+            quarantine(deadly.fleet.gateways[1])  # which tells the first
+            await wait_until(lambda: bool(answers), 1.0)
+        assert answers[0].status == 502
+        engines = deadly.fleet.engines.values()
+        await wait_until(lambda: sum(e.closed_by_peer for e in engines) == 1)
+        assert deadly.fleet.arrivals == 1
+
     async def test_instance_that_has_just_started_learns_of_it_from_others(
         self, deadly: DeadlyFleet
     ) -> None:
