Play a part of a prompt that crashes engines in the model of the engines

The instances run CrashEvidence and exchange its reports with the totals, or, as a baseline, take each crash for a failure of the engine.

--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -19,8 +19,10 @@
     AwaitedServer,
     CapacityQuota,
     ColdRateLimit,
+    CrashEvidence,
     FairShares,
     Load,
+    PartReport,
     QueuedRequest,
     RequestQueue,
     RoundSends,
@@ -39,6 +41,7 @@
 SEND_DELAY_S = 0.002  # network delay from an instance to an engine
 COLD_DURATION_S = 3.0  # duration of the cold phase after a start
 COLD_RATE_PER_S = 14.0
+RESTART_S = 3.0  # from an engine's crash to its next start
 SCAN_MISSES_MAX = 24  # failed placements after which a scan ends, as in the gateway
 
 
@@ -55,6 +58,9 @@
     uses_fair_shares : bool
         Whether placement takes the fair shares of the organisations into account;
         false for a baseline without them.
+    uses_crash_evidence : bool
+        Whether instances learn which parts of prompts crash engines; false for a
+        baseline that takes each crash for a failure of the engine.
     engine : EngineSpec
         Capacity and speed of each engine.
     """
@@ -63,11 +69,12 @@
     engines: int = 6
     totals_delay_s: float = 0.1
     uses_fair_shares: bool = True
+    uses_crash_evidence: bool = True
     engine: EngineSpec = attrs.field(factory=EngineSpec)
 
 
-# Loads by engine; usage and queued tokens by organisation.
-_Totals = tuple[dict[str, Load], dict[str, float], dict[str, float]]
+# Loads by engine; usage and queued tokens by organisation; accused parts of prompts.
+_Totals = tuple[dict[str, Load], dict[str, float], dict[str, float], list[PartReport]]
 
 
 @attrs.define(eq=False)
@@ -83,6 +90,7 @@
     is_prefilling: bool = False
     awaited_server: AwaitedServer | None = None
     is_finished: bool = False
+    is_repeated: bool = False
 
 
 @attrs.define(eq=False)
@@ -90,6 +98,7 @@
     states: dict[str, ServerState]
     fair_shares: FairShares
     queue: RequestQueue[_Call] = attrs.field(factory=RequestQueue)
+    evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     round_at_s: float = 0.0
 
 
@@ -112,6 +121,7 @@
         self.now_s = 0.0
         self.results: list[Result] = []
         self.reread_tokens = 0
+        self.crashes = 0
         self._random = Random(seed)
         self._rounding_random = Random(seed)
         self._seed = seed
@@ -163,7 +173,9 @@
             at_s, _, action = heapq.heappop(self._events)
             self.now_s = at_s
             action()
-        return Outcome(self.spec, arrivals, self.results, self.reread_tokens)
+        return Outcome(
+            self.spec, arrivals, self.results, self.reread_tokens, self.crashes
+        )
 
     def _schedule(self, at_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._sequence), action))
@@ -173,31 +185,66 @@
 
         def fail() -> None:
             for name in names:
-                for request in self.engines[name].fail():
-                    self._fail(self._calls_by_request[id(request)])
-                for instance in self._instances:
-                    instance.states.pop(name, None)
+                for call in self._stop(name):
+                    self._fail(call)
 
         def return_cold() -> None:
             for name in names:
-                self.engines[name] = EngineModel(name, self.spec.engine)
-                for instance in self._instances:
-                    instance.states[name] = self._state(
-                        name, self.now_s + COLD_DURATION_S
-                    )
+                self._return_cold(name)
 
         self._schedule(loss.at_s, fail)
         self._schedule(loss.back_at_s, return_cold)
 
-    def _arrive(self, arrival: Arrival, result: Result | None = None) -> None:
+    def _stop(self, name: str) -> list[_Call]:
+        """Stop an engine and return the calls that it had."""
+        aborted = self.engines[name].fail()
+        for instance in self._instances:
+            instance.states.pop(name, None)
+        return [self._calls_by_request[id(request)] for request in aborted]
+
+    def _return_cold(self, name: str) -> None:
+        self.engines[name] = EngineModel(name, self.spec.engine)
+        for instance in self._instances:
+            instance.states[name] = self._state(name, self.now_s + COLD_DURATION_S)
+
+    def _crash(self, engine: EngineModel, deadly: _Call) -> None:
+        """Crash an engine that begins to answer a deadly prompt.
+
+        Without evidence the request is sent to another engine, as after any failure.
+        """
+        self.crashes += 1
+        evidence, parts = deadly.instance.evidence, deadly.arrival.work.parts
+        may_repeat = not deadly.is_repeated
+        if self.spec.uses_crash_evidence:
+            evidence.accuse(f"crash-{self.crashes}", parts, self.now_s, self.now_s)
+            may_repeat &= evidence.may_repeat(parts, self.now_s)
+        for call in self._stop(engine.name):
+            self._fail(call)
+        self._schedule(self.now_s + RESTART_S, lambda: self._return_cold(engine.name))
+        if may_repeat:
+            self._arrive(deadly.arrival, deadly.result, is_repeated=True)
+
+    def _arrive(
+        self,
+        arrival: Arrival,
+        result: Result | None = None,
+        *,
+        is_repeated: bool = False,
+    ) -> None:
         if result is None:
             result = Result(arrival)
             self.results.append(result)
         instance = self._random.choice(self._instances)
         if arrival.organisation == self.pattern.narrow_organisation:
             instance = self._instances[0]
-        call = _Call(arrival, result, instance)
+        call = _Call(arrival, result, instance, is_repeated=is_repeated)
         work = arrival.work
+        if instance.evidence.refused_part(work.parts) is not None:
+            self._end_unanswered(call)
+            return
+        if not instance.states:
+            self._refuse(call, RESTART_S)
+            return
         if not len(instance.queue):
             engines = len(instance.states)
             quota = instance.fair_shares.quota(
@@ -222,6 +269,11 @@
         call.instance.queue.remove(queued)
         self._refuse(call, 0.3 * (queued.work.deadline_at_s - self.now_s))
 
+    def _end_unanswered(self, call: _Call) -> None:
+        """Refuse a request whose caller must not come back."""
+        call.is_finished = True
+        call.result.refusals += 1
+
     def _refuse(self, call: _Call, retry_after_s: float) -> None:
         """Refuse a request; its caller retries once, if the deadline allows."""
         call.is_finished = True
@@ -311,7 +363,14 @@
 
     def _finish_step(self, engine: EngineModel, step: StepResult) -> None:
         for request in step.first:
-            self._record_first_token(self._calls_by_request[id(request)])
+            call = self._calls_by_request[id(request)]
+            if call.arrival.is_deadly and not engine.has_failed:
+                self._crash(engine, call)
+                break
+            self._record_first_token(call)
+        if engine.has_failed:
+            self._stepping.discard(engine.name)
+            return
         for request in step.ended:
             call = self._calls_by_request[id(request)]
             if not call.is_finished:
@@ -334,6 +393,7 @@
         if call.is_finished:
             return
         call.result.first_at_s = self.now_s
+        call.instance.evidence.clear(call.arrival.work.parts, self.now_s)
         self._finish_prefill(call)
         self._scan_queue(call.instance)
 
@@ -372,6 +432,10 @@
         available = set(instance.states.values())
         quotas: dict[str, CapacityQuota] = {}
         for queued in list(instance.queue.in_order(instance.fair_shares, self.now_s)):
+            if instance.evidence.refused_part(queued.work.parts) is not None:
+                instance.queue.remove(queued)
+                self._end_unanswered(queued.payload)
+                continue
             awaited_server = queued.blocked_on(available)
             if awaited_server is not None:
                 awaited_server.count_in_backlog(self.spec.instances)
@@ -407,7 +471,8 @@
     def _totals_of(self, instance: _Instance) -> _Totals:
         loads = {name: attrs.evolve(s.own_load) for name, s in instance.states.items()}
         usage = instance.fair_shares.own_usage(self.now_s)
-        return loads, usage, instance.queue.queued_tokens()
+        reports = instance.evidence.reports(self.now_s)
+        return loads, usage, instance.queue.queued_tokens(), reports
 
     def _apply_totals(self, totals_by_instance: list[_Totals]) -> None:
         for number, instance in enumerate(self._instances):
@@ -415,15 +480,17 @@
                 totals for i, totals in enumerate(totals_by_instance) if i != number
             ]
             for name, state in instance.states.items():
-                loads = [loads[name] for loads, _, _ in others if name in loads]
+                loads = [loads[name] for loads, *_ in others if name in loads]
                 state.peer_load = Load(
                     sum(load.pending_tokens for load in loads),
                     sum(load.running for load in loads),
                     sum(load.memory_tokens for load in loads),
                 )
             self._start_send_round(instance)
-            instance.fair_shares.peer_usage = _sum(usage for _, usage, _ in others)
-            instance.fair_shares.peer_queued = _sum(tokens for _, _, tokens in others)
+            instance.fair_shares.peer_usage = _sum(usage for _, usage, *_ in others)
+            instance.fair_shares.peer_queued = _sum(queued for *_, queued, _ in others)
+            for *_, reports in others:
+                instance.evidence.merge(reports, self.now_s)
             self._scan_queue(instance)
 
     def _start_send_round(self, instance: _Instance) -> None:
--- a/libs/patterns/src/teaseldyke/patterns/load.py
+++ b/libs/patterns/src/teaseldyke/patterns/load.py
@@ -17,6 +17,8 @@
 RATE_FACTOR_MAX = 20.0  # upper bound of a pattern's factor on the base load
 # Start and end of a pattern's deviation from the base load.
 DISTURBANCE_S = (6.0, 14.0)
+DEADLY_PART = "deadly"  # crashes each engine that begins to answer a prompt with it
+DEADLY_TOKENS = 500
 
 
 @attrs.frozen
@@ -103,6 +105,11 @@
     worth: float
     late_worth: float
 
+    @property
+    def is_deadly(self) -> bool:
+        """Whether its prompt crashes engines."""
+        return any(part == DEADLY_PART for part, _ in self.work.parts)
+
 
 @attrs.frozen
 class Loss:
@@ -133,6 +140,9 @@
     narrow_organisation : str
         Organisation whose callers all connect to one instance; empty if the callers
         of every organisation are spread over all instances.
+    deadly_share : float
+        Fraction of the first kind's requests whose prompts crash engines. They earn
+        nothing.
     """
 
     name: str
@@ -141,6 +151,7 @@
     hot_organisation: str = ""
     loss: Loss | None = None
     narrow_organisation: str = ""
+    deadly_share: float = 0.0
 
 
 def _is_disturbed(at_s: float) -> bool:
@@ -201,6 +212,7 @@
             loss=Loss(9.0, 0.25, 11.0),
             narrow_organisation="middle",
         ),
+        Pattern("deadly-part", _scaled(1.0), deadly_share=0.05),
     )
 }
 
@@ -241,11 +253,17 @@
     own = kind.own_tokens * random.lognormvariate(-(kind.spread**2) / 2.0, kind.spread)
     own_tokens = max(1, int(own))
     output_tokens = max(1, int(random.expovariate(1.0 / kind.output_tokens)))
-    parts = (
+    parts: tuple[tuple[str, int], ...] = (
         (f"{kind.name}-{organisation}-{subject}", kind.shared_tokens),
         (f"own-{random.getrandbits(48):x}", own_tokens),
     )
     prompt_tokens = kind.shared_tokens + own_tokens
+    is_deadly = pattern.deadly_share > 0.0 and kind is KINDS[0] and _is_disturbed(at_s)
+    if is_deadly and random.random() < pattern.deadly_share:
+        parts = parts[0], (DEADLY_PART, DEADLY_TOKENS), parts[1]
+        prompt_tokens += DEADLY_TOKENS
+    else:
+        is_deadly = False
     work = Work(
         organisation,
         at_s,
@@ -259,6 +277,8 @@
     )
     size = (prompt_tokens + OUTPUT_TOKEN_WEIGHT * output_tokens) / kind.mean_size
     factor = min(WORTH_FACTOR_MAX, FIXED_WORTH_RATIO + (1.0 - FIXED_WORTH_RATIO) * size)
+    if is_deadly:
+        factor = 0.0
     return Arrival(
         kind, organisation, work, factor * kind.worth, factor * kind.late_worth
     )
@@ -281,6 +301,7 @@
     earned = offered = 0.0
     for in_window in windows.values():
         left_s = engines * window_s
+        in_window = [arrival for arrival in in_window if arrival.worth > 0.0]
         in_window.sort(key=lambda arrival: engine_s(arrival.work) / arrival.worth)
         for arrival in in_window:
             offered += arrival.worth
--- a/libs/patterns/src/teaseldyke/patterns/outcome.py
+++ b/libs/patterns/src/teaseldyke/patterns/outcome.py
@@ -79,12 +79,15 @@
         One for each arrival.
     reread_tokens : int
         Shared tokens prefilled again although some engine had prefilled them before.
+    crashes : int
+        Engines that crashed under a prompt.
     """
 
     spec: FleetSpec
     arrivals: list[Arrival]
     results: list[Result]
     reread_tokens: int
+    crashes: int = 0
 
     @property
     def worth(self) -> float:
@@ -151,7 +154,8 @@
             f"worth {self.worth:.3f} of {self.best:.3f} at best (reckoned)",
             f"least share of an organisation in {WINDOW_S} s: {self.least_share():.2f}",
             f"refusals {sum(result.refusals for result in self.results)}, "
-            f"tokens read again {self.reread_tokens}",
+            f"tokens read again {self.reread_tokens}, "
+            f"engines crashed by prompts {self.crashes}",
         ]
         for title, key in KEYS.items():
             fractions = self.worth_by(key)
--- a/libs/patterns/tests/test_patterns.py
+++ b/libs/patterns/tests/test_patterns.py
@@ -8,6 +8,7 @@
 
 from teaseldyke.patterns import PATTERNS, FleetSpec, ModelFleet, Outcome
 
+FREE_CRASHES = 5  # after them hardly a request with the part may reach an engine
 FAIR_SHARE_MIN = 0.5  # smallest `Outcome.least_share`
 
 LARGE_FLEET_DELAY_S = 0.3  # two exchanges of totals in a fleet of 70 to 90 instances
@@ -56,6 +57,16 @@
         """Another floods from all instances, which receive each other's totals late."""
         assert play_large(name).least_share() >= FAIR_SHARE_MIN
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_deadly_part_stops_reaching_engines(self, seed: int) -> None:
+        """Requests that share one part crash each engine that answers them."""
+        pattern = PATTERNS["deadly-part"]
+        without = ModelFleet(FleetSpec(uses_crash_evidence=False), pattern, seed).play()
+        outcome = ModelFleet(FleetSpec(), pattern, seed).play()
+        assert without.crashes > FREE_CRASHES
+        assert outcome.crashes <= FREE_CRASHES
+        assert outcome.worth > without.worth
+
     def test_seed_determines_the_outcome(self) -> None:
         first, second = play("hot-part", 7), play("hot-part", 7)
         assert first.table() == second.table()
