Count crashes at one moment as several causes if they are many

Where very many requests carry a deadly part, engines crash faster than 0.3 s, within which crashes may have a common cause, so that a whole pool could be down before the second cause counts. Each three further crashes under the same part within that time now count as one more cause: a failure domain of three engines accuses no part, nine engines do.

--- a/libs/placement/src/teaseldyke/placement/crash_evidence.py
+++ b/libs/placement/src/teaseldyke/placement/crash_evidence.py
@@ -20,12 +20,13 @@
 
 import attrs
 
-CRASHES_TO_QUARANTINE = 2
+CAUSES_TO_QUARANTINE = 2
 # Of a part that was sound a short time ago; many requests are likely to have it.
-CRASHES_TO_QUARANTINE_SOUND = 3
+CAUSES_TO_QUARANTINE_SOUND = 3
 # Engines that crash within this time may have a common cause, such as the power of a
 # failure domain; ages that instances tell each other are off by up to as much.
 COMMON_CAUSE_S = 0.3
+TOGETHER_PER_CAUSE = 3  # further crashes within that time that count as one more cause
 # After the last crash. Longer than an operator needs to find the part and its caller;
 # then a request with it is tried, and one more crash quarantines it again.
 QUARANTINE_S = 600.0
@@ -237,10 +238,10 @@
         }
 
         def importance(part: str) -> tuple[int, int, str]:
-            causes = separate_causes(unexplained[part].values())
-            needed = CRASHES_TO_QUARANTINE
+            causes = causes_by_time(unexplained[part].values())
+            needed = CAUSES_TO_QUARANTINE
             if now_s - self._cleared.get(part, -math.inf) <= CLEARED_TTL_S:
-                needed = CRASHES_TO_QUARANTINE_SOUND
+                needed = CAUSES_TO_QUARANTINE_SOUND
             return causes - needed, self._accused[part].depth, part
 
         found = []
@@ -266,19 +267,26 @@
     ]
 
 
-def separate_causes(times_s: Iterable[float]) -> int:
-    """Return how many crashes can't have a common cause, by their times.
+def causes_by_time(times_s: Iterable[float]) -> int:
+    """Return the least number of causes that crashes at these times must have had.
+
+    A few engines that crash together may have a common cause; that this cause met
+    many while they were about to answer the same part is unlikely, so each three
+    further ones count as one more cause.
 
     Examples
     --------
-    >>> separate_causes([5.0, 5.1, 5.2]), separate_causes([5.0, 5.2, 5.4])
+    >>> causes_by_time([5.0, 5.1, 5.2]), causes_by_time([5.0, 5.2, 5.4])
     (1, 2)
+    >>> causes_by_time([5.0, 5.1, 5.1, 5.2])
+    2
     """
-    count = 0
+    causes = together = 0
     counted_s = -math.inf
     for time_s in sorted(times_s):
         if time_s - counted_s < COMMON_CAUSE_S:
+            together += 1
             continue
         counted_s = time_s
-        count += 1
-    return count
+        causes += 1
+    return causes + together // TOGETHER_PER_CAUSE
