--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -9,7 +9,7 @@
 
 import heapq
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 from random import Random
 
@@ -19,13 +19,8 @@
     AwaitedServer,
     CapacityQuota,
     ColdRateLimit,
-    CrashEvidence,
     FairShares,
-    Load,
-    PartReport,
     QueuedRequest,
-    RequestQueue,
-    RoundSends,
     ServerState,
     Standing,
     check_admission,
@@ -34,6 +29,7 @@
 from teaseldyke.types import AnnouncedServer, ServiceDescription
 
 from .engine import EngineModel, EngineRequest, EngineSpec, StepResult
+from .instance import Call, Instance, Totals
 from .load import Arrival, Loss, Pattern, generate_arrivals, produced_tokens_per_s
 from .outcome import Outcome, Result
 
@@ -73,35 +69,6 @@
     engine: EngineSpec = attrs.field(factory=EngineSpec)
 
 
-# Loads by engine; usage and queued tokens by organisation; accused parts of prompts.
-_Totals = tuple[dict[str, Load], dict[str, float], dict[str, float], list[PartReport]]
-
-
-@attrs.define(eq=False)
-class _Call:
-    """One attempt of a request at one instance."""
-
-    arrival: Arrival
-    result: Result
-    instance: _Instance
-    state: ServerState | None = None
-    request: EngineRequest | None = None
-    uncached_tokens: float = 0.0
-    is_prefilling: bool = False
-    awaited_server: AwaitedServer | None = None
-    is_finished: bool = False
-    is_repeated: bool = False
-
-
-@attrs.define(eq=False)
-class _Instance:
-    states: dict[str, ServerState]
-    fair_shares: FairShares
-    queue: RequestQueue[_Call] = attrs.field(factory=RequestQueue)
-    evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
-    round_at_s: float = 0.0
-
-
 class ModelFleet:
     """Simulates a fleet under one load pattern.
 
@@ -128,7 +95,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._seen_parts: set[str] = set()
-        self._calls_by_request: dict[int, _Call] = {}
+        self._calls_by_request: dict[int, Call] = {}
         engine = spec.engine
         names = [f"engine-{i}" for i in range(spec.engines)]
         self.engines = {name: EngineModel(name, engine) for name in names}
@@ -143,7 +110,7 @@
         )
         tokens_per_s = spec.engines * produced_tokens_per_s(engine.busy_s)
         self._instances = [
-            _Instance(
+            Instance(
                 {name: self._state(name, 0.0) for name in names},
                 FairShares(tokens_per_s=tokens_per_s),
             )
@@ -195,7 +162,7 @@
         self._schedule(loss.at_s, fail)
         self._schedule(loss.back_at_s, return_cold)
 
-    def _stop(self, name: str) -> list[_Call]:
+    def _stop(self, name: str) -> list[Call]:
         """Stop an engine and return the calls that it had."""
         aborted = self.engines[name].fail()
         for instance in self._instances:
@@ -207,7 +174,7 @@
         for instance in self._instances:
             instance.states[name] = self._state(name, self.now_s + COLD_DURATION_S)
 
-    def _crash(self, engine: EngineModel, deadly: _Call) -> None:
+    def _crash(self, engine: EngineModel, deadly: Call) -> None:
         """Crash an engine that begins to answer a deadly prompt.
 
         Without evidence the request is sent to another engine, as after any failure.
@@ -237,7 +204,7 @@
         instance = self._random.choice(self._instances)
         if arrival.organisation == self.pattern.narrow_organisation:
             instance = self._instances[0]
-        call = _Call(arrival, result, instance, is_repeated=is_repeated)
+        call = Call(arrival, result, instance, is_repeated=is_repeated)
         work = arrival.work
         if instance.evidence.refused_part(work.parts) is not None:
             self._end_unanswered(call)
@@ -262,19 +229,19 @@
         instance.queue.add(queued)
         self._schedule(work.caller_timeout_at_s, lambda: self._time_out_queued(queued))
 
-    def _time_out_queued(self, queued: QueuedRequest[_Call]) -> None:
+    def _time_out_queued(self, queued: QueuedRequest[Call]) -> None:
         call = queued.payload
         if call.state is not None or call.is_finished:
             return
         call.instance.queue.remove(queued)
         self._refuse(call, 0.3 * (queued.work.deadline_at_s - self.now_s))
 
-    def _end_unanswered(self, call: _Call) -> None:
+    def _end_unanswered(self, call: Call) -> None:
         """Refuse a request whose caller must not come back."""
         call.is_finished = True
         call.result.refusals += 1
 
-    def _refuse(self, call: _Call, retry_after_s: float) -> None:
+    def _refuse(self, call: Call, retry_after_s: float) -> None:
         """Refuse a request; its caller retries once, if the deadline allows."""
         call.is_finished = True
         call.result.refusals += 1
@@ -292,7 +259,7 @@
         arrival = attrs.evolve(call.arrival, work=retry)
         self._schedule(back_at_s, lambda: self._arrive(arrival, call.result))
 
-    def _try_send(self, call: _Call, quota: CapacityQuota) -> bool:
+    def _try_send(self, call: Call, quota: CapacityQuota) -> bool:
         """Send a request if an engine has capacity for it."""
         instance, work = call.instance, call.arrival.work
         standing = instance.fair_shares.standing(work.organisation, self.now_s)
@@ -329,7 +296,7 @@
         self._schedule(self.now_s + SEND_DELAY_S, lambda: self._deliver(call, name))
         return True
 
-    def _deliver(self, call: _Call, name: str) -> None:
+    def _deliver(self, call: Call, name: str) -> None:
         engine = self.engines[name]
         request = call.request = EngineRequest(call.arrival.work)
         self._calls_by_request[id(request)] = call
@@ -389,7 +356,7 @@
             self._seen_parts.add(part)
         self.reread_tokens += max(0, prefilled_before - request.cached_tokens)
 
-    def _record_first_token(self, call: _Call) -> None:
+    def _record_first_token(self, call: Call) -> None:
         if call.is_finished:
             return
         call.result.first_at_s = self.now_s
@@ -397,12 +364,12 @@
         self._finish_prefill(call)
         self._scan_queue(call.instance)
 
-    def _finish_prefill(self, call: _Call) -> None:
+    def _finish_prefill(self, call: Call) -> None:
         if call.is_prefilling and call.state is not None:
             call.is_prefilling = False
             call.state.own_load.pending_tokens -= call.uncached_tokens
 
-    def _end(self, call: _Call) -> None:
+    def _end(self, call: Call) -> None:
         call.is_finished = True
         self._finish_prefill(call)
         if call.state is not None:
@@ -410,22 +377,22 @@
             call.state.own_load.memory_tokens -= call.arrival.work.memory_tokens
         self._scan_queue(call.instance)
 
-    def _fail(self, call: _Call) -> None:
+    def _fail(self, call: Call) -> None:
         """End a request whose engine has failed; its caller does not retry."""
         if not call.is_finished:
             self._end(call)
 
-    def _disconnect(self, call: _Call, name: str) -> None:
+    def _disconnect(self, call: Call, name: str) -> None:
         if call.is_finished or call.request is None:
             return
         self.engines[name].cancel(call.request)
         self._end(call)
 
-    def _disconnect_without_token(self, call: _Call, name: str) -> None:
+    def _disconnect_without_token(self, call: Call, name: str) -> None:
         if call.result.first_at_s is None:
             self._disconnect(call, name)
 
-    def _scan_queue(self, instance: _Instance) -> None:
+    def _scan_queue(self, instance: Instance) -> None:
         for state in instance.states.values():
             state.backlog_tokens = 0.0
         misses = 0
@@ -455,10 +422,9 @@
                 return
 
     def _exchange(self, last_s: float) -> None:
-        totals_by_instance = [self._totals_of(instance) for instance in self._instances]
-        delay_s = self.spec.totals_delay_s
+        totals = [instance.totals(self.now_s) for instance in self._instances]
         self._schedule(
-            self.now_s + delay_s, lambda: self._apply_totals(totals_by_instance)
+            self.now_s + self.spec.totals_delay_s, lambda: self._apply_totals(totals)
         )
         for instance in self._instances:
             instance.fair_shares.recompute(instance.queue.queued_tokens(), self.now_s)
@@ -468,44 +434,16 @@
                 self.now_s + EXCHANGE_INTERVAL_S, lambda: self._exchange(last_s)
             )
 
-    def _totals_of(self, instance: _Instance) -> _Totals:
-        loads = {name: attrs.evolve(s.own_load) for name, s in instance.states.items()}
-        usage = instance.fair_shares.own_usage(self.now_s)
-        reports = instance.evidence.reports(self.now_s)
-        return loads, usage, instance.queue.queued_tokens(), reports
-
-    def _apply_totals(self, totals_by_instance: list[_Totals]) -> None:
+    def _apply_totals(self, totals: list[Totals]) -> None:
         for number, instance in enumerate(self._instances):
-            others = [
-                totals for i, totals in enumerate(totals_by_instance) if i != number
-            ]
-            for name, state in instance.states.items():
-                loads = [loads[name] for loads, *_ in others if name in loads]
-                state.peer_load = Load(
-                    sum(load.pending_tokens for load in loads),
-                    sum(load.running for load in loads),
-                    sum(load.memory_tokens for load in loads),
-                )
+            others = [part for i, part in enumerate(totals) if i != number]
+            instance.apply_totals(others, self.now_s)
             self._start_send_round(instance)
-            instance.fair_shares.peer_usage = _sum(usage for _, usage, *_ in others)
-            instance.fair_shares.peer_queued = _sum(queued for *_, queued, _ in others)
-            for *_, reports in others:
-                instance.evidence.merge(reports, self.now_s)
             self._scan_queue(instance)
 
-    def _start_send_round(self, instance: _Instance) -> None:
+    def _start_send_round(self, instance: Instance) -> None:
         """Start a new round once the other instances have the sends of the last one."""
         round_s = max(EXCHANGE_INTERVAL_S, self.spec.totals_delay_s)
         if self.now_s - instance.round_at_s < round_s - EXCHANGE_INTERVAL_S / 2.0:
             return
-        instance.round_at_s = self.now_s
-        for state in instance.states.values():
-            state.round_sends = RoundSends(rounding=self._rounding_random.random())
-
-
-def _sum(summands: Iterable[dict[str, float]]) -> dict[str, float]:
-    total: dict[str, float] = {}
-    for summand in summands:
-        for name, value in summand.items():
-            total[name] = total.get(name, 0.0) + value
-    return total
+        instance.start_round(self.now_s, self._rounding_random)
--- /dev/null
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -0,0 +1,107 @@
+"""One instance of the simulated fleet: what it knows, and its exchange of totals."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+
+import attrs
+
+from teaseldyke.placement import (
+    AwaitedServer,
+    CrashEvidence,
+    FairShares,
+    Load,
+    PartReport,
+    RequestQueue,
+    RoundSends,
+    ServerState,
+)
+
+from .engine import EngineRequest
+from .load import Arrival
+from .outcome import Result
+
+
+@attrs.frozen
+class Totals:
+    """What an instance tells the others.
+
+    Parameters
+    ----------
+    loads : dict of Load
+        Its own load of each engine.
+    usage, queued_tokens : dict of float
+        By organisation.
+    reports : list of PartReport
+        Parts of prompts that crashes accuse.
+    """
+
+    loads: dict[str, Load]
+    usage: dict[str, float]
+    queued_tokens: dict[str, float]
+    reports: list[PartReport]
+
+
+@attrs.define(eq=False)
+class Call:
+    """One attempt of a request at one instance."""
+
+    arrival: Arrival
+    result: Result
+    instance: Instance
+    state: ServerState | None = None
+    request: EngineRequest | None = None
+    uncached_tokens: float = 0.0
+    is_prefilling: bool = False
+    awaited_server: AwaitedServer | None = None
+    is_finished: bool = False
+    is_repeated: bool = False
+
+
+@attrs.define(eq=False)
+class Instance:
+    """Engines, shares, queue and evidence as one instance knows them."""
+
+    states: dict[str, ServerState]
+    fair_shares: FairShares
+    queue: RequestQueue[Call] = attrs.field(factory=RequestQueue)
+    evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
+    round_at_s: float = 0.0
+
+    def totals(self, now_s: float) -> Totals:
+        """Return what the others must know."""
+        return Totals(
+            {name: attrs.evolve(s.own_load) for name, s in self.states.items()},
+            self.fair_shares.own_usage(now_s),
+            self.queue.queued_tokens(),
+            self.evidence.reports(now_s),
+        )
+
+    def apply_totals(self, others: list[Totals], now_s: float) -> None:
+        """Replace what is known of the other instances."""
+        for name, state in self.states.items():
+            loads = [totals.loads[name] for totals in others if name in totals.loads]
+            state.peer_load = Load(
+                sum(load.pending_tokens for load in loads),
+                sum(load.running for load in loads),
+                sum(load.memory_tokens for load in loads),
+            )
+        self.fair_shares.peer_usage = _sum(totals.usage for totals in others)
+        self.fair_shares.peer_queued = _sum(totals.queued_tokens for totals in others)
+        for totals in others:
+            self.evidence.merge(totals.reports, now_s)
+
+    def start_round(self, now_s: float, random: Random) -> None:
+        """Start a new round of sends that the others don't know of yet."""
+        self.round_at_s = now_s
+        for state in self.states.values():
+            state.round_sends = RoundSends(rounding=random.random())
+
+
+def _sum(summands: Iterable[dict[str, float]]) -> dict[str, float]:
+    total: dict[str, float] = {}
+    for summand in summands:
+        for name, value in summand.items():
+            total[name] = total.get(name, 0.0) + value
+    return total
