--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -14,7 +14,7 @@
 @pytest.mark.promise("cold-backend-server")
 @pytest.mark.parametrize(
     "seed",
-    [4, 71008, 71025, 191212, 191216, 290401],
+    [4, 71008, 71025, 191212, 191216, 290401, 290513],
     ids=[
         "hold-links-and-kill-router",
         "kill-router-and-restart-engine",
@@ -22,6 +22,7 @@
         "restart-engine-and-stop-router",
         "restart-engine-and-stop-router-at-once",
         "stop-router-before-restart-engine",
+        "hold-links-and-restart-engine",
     ],
 )
 async def test_two_faults_at_a_time(tmp_path: Path, seed: int) -> None:
