Call a part that crashes engines by what it does, and say one check once

The check that nothing is accused stood three times in a test file. No bound, check or expectation is changed; of the deployed code one docstring is.

--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -197,7 +197,7 @@
         return result
 
     def abandon_quarantined(self) -> None:
-        """Take back requests whose engines have not begun to answer a deadly prompt."""
+        """Take back quarantined prompts that no engine has begun to answer."""
         for attempt in self._attempts:
             work = attempt.reservation.work
             if self._evidence.refused_part(work.parts) is not None:
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -174,14 +174,14 @@
         for instance in self._instances:
             instance.states[name] = self._state(name, self.now_s + COLD_DURATION_S)
 
-    def _crash(self, engine: EngineModel, deadly: Call) -> None:
-        """Crash an engine that begins to answer a deadly prompt.
+    def _crash(self, engine: EngineModel, crashing: Call) -> None:
+        """Crash an engine that begins to answer a crashing prompt.
 
         Without evidence the request is sent to another engine, as after any failure.
         """
         self.crashes += 1
-        evidence, parts = deadly.instance.evidence, deadly.arrival.work.parts
-        may_repeat = not deadly.is_repeated
+        evidence, parts = crashing.instance.evidence, crashing.arrival.work.parts
+        may_repeat = not crashing.is_repeated
         if self.spec.uses_crash_evidence:
             evidence.accuse(f"crash-{self.crashes}", parts, self.now_s, self.now_s)
             may_repeat &= evidence.may_repeat(parts, self.now_s)
@@ -189,7 +189,7 @@
             self._fail(call)
         self._schedule(self.now_s + RESTART_S, lambda: self._return_cold(engine.name))
         if may_repeat:
-            self._arrive(deadly.arrival, deadly.result, is_repeated=True)
+            self._arrive(crashing.arrival, crashing.result, is_repeated=True)
 
     def _arrive(
         self,
@@ -331,7 +331,7 @@
     def _finish_step(self, engine: EngineModel, step: StepResult) -> None:
         for request in step.first:
             call = self._calls_by_request[id(request)]
-            if call.arrival.is_deadly and not engine.has_failed:
+            if call.arrival.is_crashing and not engine.has_failed:
                 self._crash(engine, call)
                 break
             self._record_first_token(call)
--- a/libs/patterns/src/teaseldyke/patterns/load.py
+++ b/libs/patterns/src/teaseldyke/patterns/load.py
@@ -17,8 +17,8 @@
 RATE_FACTOR_MAX = 20.0  # upper bound of a pattern's factor on the base load
 # Start and end of a pattern's deviation from the base load.
 DISTURBANCE_S = (6.0, 14.0)
-DEADLY_PART = "deadly"  # crashes each engine that begins to answer a prompt with it
-DEADLY_TOKENS = 500
+CRASHING_PART = "crashing"  # crashes each engine that begins to answer a prompt with it
+CRASHING_TOKENS = 500
 
 
 @attrs.frozen
@@ -106,9 +106,9 @@
     late_worth: float
 
     @property
-    def is_deadly(self) -> bool:
+    def is_crashing(self) -> bool:
         """Whether its prompt crashes engines."""
-        return any(part == DEADLY_PART for part, _ in self.work.parts)
+        return any(part == CRASHING_PART for part, _ in self.work.parts)
 
 
 @attrs.frozen
@@ -140,7 +140,7 @@
     narrow_organisation : str
         Organisation whose callers all connect to one instance; empty if the callers
         of every organisation are spread over all instances.
-    deadly_share : float
+    crashing_share : float
         Fraction of the first kind's requests whose prompts crash engines. They earn
         nothing.
     """
@@ -151,7 +151,7 @@
     hot_organisation: str = ""
     loss: Loss | None = None
     narrow_organisation: str = ""
-    deadly_share: float = 0.0
+    crashing_share: float = 0.0
 
 
 def _is_disturbed(at_s: float) -> bool:
@@ -212,7 +212,7 @@
             loss=Loss(9.0, 0.25, 11.0),
             narrow_organisation="middle",
         ),
-        Pattern("deadly-part", _scaled(1.0), deadly_share=0.05),
+        Pattern("crashing-part", _scaled(1.0), crashing_share=0.05),
     )
 }
 
@@ -258,12 +258,14 @@
         (f"own-{random.getrandbits(48):x}", own_tokens),
     )
     prompt_tokens = kind.shared_tokens + own_tokens
-    is_deadly = pattern.deadly_share > 0.0 and kind is KINDS[0] and _is_disturbed(at_s)
-    if is_deadly and random.random() < pattern.deadly_share:
-        parts = parts[0], (DEADLY_PART, DEADLY_TOKENS), parts[1]
-        prompt_tokens += DEADLY_TOKENS
+    is_crashing = (
+        pattern.crashing_share > 0.0 and kind is KINDS[0] and _is_disturbed(at_s)
+    )
+    if is_crashing and random.random() < pattern.crashing_share:
+        parts = parts[0], (CRASHING_PART, CRASHING_TOKENS), parts[1]
+        prompt_tokens += CRASHING_TOKENS
     else:
-        is_deadly = False
+        is_crashing = False
     work = Work(
         organisation,
         at_s,
@@ -277,7 +279,7 @@
     )
     size = (prompt_tokens + OUTPUT_TOKEN_WEIGHT * output_tokens) / kind.mean_size
     factor = min(WORTH_FACTOR_MAX, FIXED_WORTH_RATIO + (1.0 - FIXED_WORTH_RATIO) * size)
-    if is_deadly:
+    if is_crashing:
         factor = 0.0
     return Arrival(
         kind, organisation, work, factor * kind.worth, factor * kind.late_worth
--- a/libs/patterns/tests/test_patterns.py
+++ b/libs/patterns/tests/test_patterns.py
@@ -58,9 +58,9 @@
         assert play_large(name).least_share() >= FAIR_SHARE_MIN
 
     @pytest.mark.parametrize("seed", [1, 2, 3])
-    def test_deadly_part_stops_reaching_engines(self, seed: int) -> None:
+    def test_crashing_part_stops_reaching_engines(self, seed: int) -> None:
         """Requests that share one part crash each engine that answers them."""
-        pattern = PATTERNS["deadly-part"]
+        pattern = PATTERNS["crashing-part"]
         without = ModelFleet(FleetSpec(uses_crash_evidence=False), pattern, seed).play()
         outcome = ModelFleet(FleetSpec(), pattern, seed).play()
         assert without.crashes > FREE_CRASHES
--- a/libs/placement/tests/test_crash_evidence.py
+++ b/libs/placement/tests/test_crash_evidence.py
@@ -21,7 +21,7 @@
     TRANSIT_MAX_S,
 )
 
-SHARED, DEADLY, COMPANION, OTHER = "5c1e", "dead", "91bd", "e440"
+SHARED, CRASHING, COMPANION, OTHER = "5c1e", "dead", "91bd", "e440"
 
 
 def prompt(*parts: str) -> list[tuple[str, int]]:
@@ -44,42 +44,42 @@
     @pytest.mark.parametrize(
         ("steps", "expected"),
         [
-            ([crash("e1", 5.0, SHARED, DEADLY)], set()),
+            ([crash("e1", 5.0, SHARED, CRASHING)], set()),
             (
                 [
                     sound(4.0, SHARED),
-                    crash("e1", 5.0, SHARED, DEADLY),
-                    crash("e2", 6.0, SHARED, DEADLY),
+                    crash("e1", 5.0, SHARED, CRASHING),
+                    crash("e2", 6.0, SHARED, CRASHING),
                 ],
-                {DEADLY},
+                {CRASHING},
             ),
             # The companion comes only with it, and is as deep or deeper.
             (
                 [
-                    crash("e1", 5.0, DEADLY, COMPANION),
-                    crash("e2", 6.0, DEADLY, OTHER),
+                    crash("e1", 5.0, CRASHING, COMPANION),
+                    crash("e2", 6.0, CRASHING, OTHER),
                 ],
-                {DEADLY},
+                {CRASHING},
             ),
             # Two requests about to begin at one crash: which one it was isn't known.
             (
-                [crash("e1", 5.0, COMPANION), crash("e1", 5.0, DEADLY)],
+                [crash("e1", 5.0, COMPANION), crash("e1", 5.0, CRASHING)],
                 set(),
             ),
             (
                 [
                     crash("e1", 5.0, COMPANION),
-                    crash("e1", 5.0, DEADLY),
-                    crash("e2", 6.0, DEADLY),
+                    crash("e1", 5.0, CRASHING),
+                    crash("e2", 6.0, CRASHING),
                 ],
-                {DEADLY},
+                {CRASHING},
             ),
-            # One crash for another reason before the first under the deadly part.
+            # One crash for another reason before the first under the crashing part.
             (
                 [
                     sound(4.0, SHARED),
                     crash("e1", 5.0, SHARED),
-                    crash("e2", 6.0, SHARED, DEADLY),
+                    crash("e2", 6.0, SHARED, CRASHING),
                 ],
                 set(),
             ),
@@ -87,10 +87,10 @@
             ([crash(f"e{i}", 5.0 + i / 50, COMPANION) for i in range(3)], set()),
             # So many requests with the part that engines crash faster than one learns.
             (
-                [crash(f"e{i}", 5.0 + i / 50, SHARED, DEADLY) for i in range(9)],
-                {DEADLY},
+                [crash(f"e{i}", 5.0 + i / 50, SHARED, CRASHING) for i in range(9)],
+                {CRASHING},
             ),
-            # A part that was sound for long may have become deadly.
+            # A part that was sound for long may begin to crash engines.
             (
                 [
                     sound(4.0, SHARED),
@@ -111,16 +111,16 @@
                 ],
                 set(),
             ),
-            # Two deadly parts.
+            # Two crashing parts.
             (
                 [
-                    crash("e1", 5.0, SHARED, DEADLY),
-                    crash("e2", 6.0, SHARED, DEADLY),
+                    crash("e1", 5.0, SHARED, CRASHING),
+                    crash("e2", 6.0, SHARED, CRASHING),
                     crash("e3", 7.0, SHARED, OTHER),
                     sound(7.5, SHARED),
                     crash("e4", 8.0, SHARED, OTHER),
                 ],
-                {DEADLY, OTHER},
+                {CRASHING, OTHER},
             ),
         ],
         ids=[
@@ -132,7 +132,7 @@
             "other-reason-first",
             "common-cause",
             "storm-of-requests",
-            "turned-deadly",
+            "turned-crashing",
             "sound-in-between",
             "two-parts",
         ],
@@ -147,11 +147,11 @@
 
     def test_prompt_with_it_is_refused_whatever_else_it_holds(self) -> None:
         evidence = CrashEvidence()
-        crash("e1", 5.0, SHARED, DEADLY)(evidence)
-        crash("e2", 6.0, SHARED, DEADLY)(evidence)
-        assert evidence.refused_part(prompt(OTHER, DEADLY, COMPANION)) == DEADLY
+        crash("e1", 5.0, SHARED, CRASHING)(evidence)
+        crash("e2", 6.0, SHARED, CRASHING)(evidence)
+        assert evidence.refused_part(prompt(OTHER, CRASHING, COMPANION)) == CRASHING
         assert evidence.refused_part(prompt(SHARED, OTHER)) is None
-        assert evidence.refused_part([(DEADLY, 250)]) is None  # its own last part
+        assert evidence.refused_part([(CRASHING, 250)]) is None  # its own last part
 
     def test_long_keys_are_told_apart_and_bounded(self) -> None:
         evidence = CrashEvidence()
@@ -171,27 +171,27 @@
 
     def test_quarantine_ends_and_one_more_crash_renews_it(self) -> None:
         evidence = CrashEvidence()
-        crash("e1", 5.0, DEADLY)(evidence)
-        crash("e2", 6.0, DEADLY)(evidence)
+        crash("e1", 5.0, CRASHING)(evidence)
+        crash("e2", 6.0, CRASHING)(evidence)
         evidence.refresh(6.0 + QUARANTINE_S - 1.0)
-        assert evidence.quarantined == {DEADLY}
+        assert evidence.quarantined == {CRASHING}
         evidence.refresh(6.0 + QUARANTINE_S + 1.0)
         assert not evidence.quarantined
-        crash("e3", 6.0 + QUARANTINE_S + 2.0, DEADLY)(evidence)
-        assert evidence.quarantined == {DEADLY}
+        crash("e3", 6.0 + QUARANTINE_S + 2.0, CRASHING)(evidence)
+        assert evidence.quarantined == {CRASHING}
 
     def test_memory_is_bounded_and_keeps_what_crashed_most(self) -> None:
         evidence = CrashEvidence()
-        crash("e1", 5.0, DEADLY)(evidence)
-        crash("e2", 6.0, DEADLY)(evidence)
+        crash("e1", 5.0, CRASHING)(evidence)
+        crash("e2", 6.0, CRASHING)(evidence)
         for i in range(10 * ACCUSED_MAX):
             crash(f"f{i}", 7.0 + i, f"rare-{i}")(evidence)
         for i in range(3 * CRASHES_MAX):
-            crash(f"g{i}", 500.0 + i, DEADLY)(evidence)
+            crash(f"g{i}", 500.0 + i, CRASHING)(evidence)
         reports = evidence.reports(530.0)
         assert len(reports) <= ACCUSED_MAX
         assert max(len(report.crash_ages_s) for report in reports) <= CRASHES_MAX
-        assert evidence.quarantined == {DEADLY}
+        assert evidence.quarantined == {CRASHING}
 
 
 class TestRepetition:
@@ -201,7 +201,7 @@
             ([], (), True),
             ([], (OTHER,), False),
             ([sound(4.0, SHARED)], (SHARED,), True),
-            ([sound(4.0, SHARED)], (SHARED, DEADLY), False),
+            ([sound(4.0, SHARED)], (SHARED, CRASHING), False),
             ([sound(6.0 - CLEARED_TTL_S - 1.0, SHARED)], (SHARED,), False),
             ([sound(4.0, SHARED), crash("e0", 5.0, SHARED)], (SHARED,), False),
             (
@@ -233,18 +233,18 @@
 class TestExchange:
     def test_two_crashes_seen_by_different_instances_add_up(self) -> None:
         one, other, late = CrashEvidence(), CrashEvidence(), CrashEvidence()
-        crash("e1", 5.0, SHARED, DEADLY)(one)
-        crash("e2", 6.0, SHARED, DEADLY)(other)
+        crash("e1", 5.0, SHARED, CRASHING)(one)
+        crash("e2", 6.0, SHARED, CRASHING)(other)
         sound(6.9, SHARED)(other)
         one.merge(other.reports(7.0), 7.1)
         other.merge(one.reports(7.1), 7.2)
         late.merge(other.reports(7.2), 7.3)  # an instance that has just started
-        assert one.quarantined == other.quarantined == late.quarantined == {DEADLY}
+        assert one.quarantined == other.quarantined == late.quarantined == {CRASHING}
 
     def test_one_crash_seen_by_all_instances_counts_once(self) -> None:
         instances = [CrashEvidence() for _ in range(5)]
         for i, evidence in enumerate(instances):
-            crash("e1", 5.0 + i * COMMON_CAUSE_S, DEADLY)(evidence)
+            crash("e1", 5.0 + i * COMMON_CAUSE_S, CRASHING)(evidence)
         for evidence in instances[1:]:
             instances[0].merge(evidence.reports(8.0), 8.1)
         assert not instances[0].quarantined
@@ -267,7 +267,7 @@
     @pytest.mark.parametrize("age_s", [-5.0, 1e300, float("inf")])
     def test_odd_ages_do_no_harm(self, age_s: float) -> None:
         evidence = CrashEvidence()
-        evidence.merge([PartReport(DEADLY, 1, age_s, {"e1": age_s})], 10.0)
+        evidence.merge([PartReport(CRASHING, 1, age_s, {"e1": age_s})], 10.0)
         assert not evidence.quarantined
 
 
@@ -293,7 +293,7 @@
         evidence = self.fleet[i].evidence
         if evidence.refused_part(parts) is not None:
             return
-        if DEADLY in [part for part, _ in parts]:
+        if CRASHING in [part for part, _ in parts]:
             self._crash(i, parts)
             return
         evidence.clear(parts, self.now_s)
@@ -315,9 +315,9 @@
     def start(self) -> None:
         self._send(0, prompt(SHARED, COMPANION))
 
-    @rule(i=INSTANCES, deadly=st.booleans(), companion=st.booleans())
-    def request(self, i: int, deadly: bool, companion: bool) -> None:
-        parts = [SHARED] + [COMPANION] * companion + [DEADLY] * deadly
+    @rule(i=INSTANCES, crashing=st.booleans(), companion=st.booleans())
+    def request(self, i: int, crashing: bool, companion: bool) -> None:
+        parts = [SHARED] + [COMPANION] * companion + [CRASHING] * crashing
         self._send(i, prompt(*parts))
 
     @rule(i=INSTANCES, companion=st.booleans())
@@ -346,9 +346,9 @@
         self.now_s += time_s
 
     @invariant()
-    def deadly_part_is_never_cleared(self) -> None:
+    def crashing_part_is_never_cleared(self) -> None:
         for instance in self.fleet:
-            assert DEADLY not in instance.evidence._cleared
+            assert CRASHING not in instance.evidence._cleared
 
     def _run_sound_requests(self) -> None:
         """Requests that run already begin to be answered at every instance."""
@@ -360,17 +360,17 @@
 
     @rule()
     def settle(self) -> None:
-        """Few more engines crash, and all instances refuse just the deadly part."""
+        """Few more engines crash, and all instances refuse just the crashing part."""
         before = self.crashes
         self._run_sound_requests()
         for i in (0, 1, 2, 0, 1, 2):
             self.now_s += 2.0 * COMMON_CAUSE_S
-            self._send(i, prompt(SHARED, COMPANION, DEADLY))
+            self._send(i, prompt(SHARED, COMPANION, CRASHING))
             self._exchange_all()
             self._run_sound_requests()
         assert self.crashes - before <= CAUSES_TO_QUARANTINE
         for instance in self.fleet:
-            assert instance.evidence.quarantined == {DEADLY}
+            assert instance.evidence.quarantined == {CRASHING}
 
 
 CrashingFleet.TestCase.settings = settings(
--- a/tests/platform/test_deadly_part.py
+++ b/tests/platform/test_crashing_part.py
@@ -32,7 +32,7 @@
 )
 
 PREFIX = "X-Teaseldyke-Prompt-Prefix"
-SHARED, DEADLY, OTHER = "5c1e07a2", "dead06ff", "91bd3f06"
+SHARED, CRASHING, OTHER = "5c1e07a2", "dead06ff", "91bd3f06"
 ENGINES = 4
 DOWN_S = 0.4  # from a crash to the engine's next start
 BEGINS_S = 0.02  # from the header of an answer to its first event
@@ -47,7 +47,7 @@
 
 
 @attrs.define(eq=False)
-class DeadlyFleet:
+class CrashingEngines:
     """Three gateways before engines that crash under one part."""
 
     fleet: Fleet
@@ -59,7 +59,7 @@
         self, engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
     ) -> bool:
         """Answer a stream, or crash when it begins."""
-        if DEADLY not in parts_of(arrival)[:-1]:
+        if CRASHING not in parts_of(arrival)[:-1]:
             first = int(arrival.headers.get("last-event-id", 0)) + 1
             return bool(await stream_of(first, 4)(engine, stream, arrival))
         if self.crashes >= FREE_CRASHES:
@@ -72,6 +72,11 @@
         engine.crash()
         return False
 
+    def assert_nothing_accused(self) -> None:
+        """Check that no gateway blames a part of a prompt."""
+        for gateway in self.fleet.gateways:
+            assert not gateway.evidence.reports(0.0)
+
     async def restart(self, engine: EngineStandin) -> None:
         await trio.sleep(DOWN_S)
         engine.scripts = [self.answer] * 1000
@@ -92,11 +97,13 @@
     """Have an instance know of two crashes under the part."""
     now_s = boot_time_s()
     for crash, age_s in (("e-7:1", 2.0), ("e-8:1", 1.0)):
-        gateway.evidence.accuse(crash, [(DEADLY, 1), ("own", 1)], now_s - age_s, now_s)
+        gateway.evidence.accuse(
+            crash, [(CRASHING, 1), ("own", 1)], now_s - age_s, now_s
+        )
 
 
 @pytest.fixture
-async def deadly() -> AsyncIterator[DeadlyFleet]:
+async def crashing() -> AsyncIterator[CrashingEngines]:
     async with running_fleet(engines=ENGINES) as fleet:
         value = configuration(2)
         value["routes"].append(
@@ -114,104 +121,104 @@
                     and gateway.totals.instances == 3
                 )
             )
-        running = DeadlyFleet(fleet)
+        running = CrashingEngines(fleet)
         for engine in fleet.engines.values():
             engine.scripts = [running.answer] * 1000
         yield running
 
 
-class TestDeadlyPart:
+class TestCrashingPart:
     async def test_requests_with_it_stop_reaching_engines_and_sound_ones_are_served(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
         """They went on as long as they came, each to two engines."""
         sound: list[Answer] = []
         refused: list[Answer] = []
 
         async def send_sound(i: int) -> None:
-            sound.append(await deadly.request(SHARED, f"{i % 3:08x}"))
+            sound.append(await crashing.request(SHARED, f"{i % 3:08x}"))
 
-        async def send_deadly(i: int) -> None:
-            refused.append(await deadly.request(SHARED, f"{i % 3:08x}", DEADLY))
+        async def send_crashing(i: int) -> None:
+            refused.append(await crashing.request(SHARED, f"{i % 3:08x}", CRASHING))
 
         async with trio.open_nursery() as nursery:
             for i in range(60):
                 nursery.start_soon(send_sound, i)
                 if i % 2:
-                    nursery.start_soon(send_deadly, i)
+                    nursery.start_soon(send_crashing, i)
                 await trio.sleep(0.06)
-        assert deadly.sent_late <= LATE_MAX
+        assert crashing.sent_late <= LATE_MAX
         assert all(answer.status in (502, 503) for answer in refused)
         served = sum(answer.status == 200 and answer.complete for answer in sound)
         assert served >= 0.9 * len(sound)
 
     async def test_caller_is_told_at_once_and_not_asked_to_come_back(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
-        for gateway in deadly.fleet.gateways:
+        for gateway in crashing.fleet.gateways:
             quarantine(gateway)
-        answer = await deadly.request(SHARED, DEADLY)
+        answer = await crashing.request(SHARED, CRASHING)
         assert answer.status == 503
         assert "retry-after" not in answer.headers
         assert b"prompt_quarantined" in answer.body
-        assert deadly.fleet.arrivals == 0
+        assert crashing.fleet.arrivals == 0
 
     async def test_request_whose_engine_crashed_goes_to_no_second_engine(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
         """Each request with the part crashed as many engines as it had attempts."""
-        answer = await deadly.request(SHARED, DEADLY, target="/many/a")
+        answer = await crashing.request(SHARED, CRASHING, target="/many/a")
         assert answer.status == 502
-        assert deadly.crashes == 1
+        assert crashing.crashes == 1
 
     async def test_request_in_a_queue_is_refused_once_its_part_is_quarantined(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
-        gateway = deadly.fleet.gateways[0]
+        gateway = crashing.fleet.gateways[0]
         for state in gateway.view.all_states():
             state.mark_full(float("inf"))
-        deadly.numbers = itertools.count(3)  # the first gateway
+        crashing.numbers = itertools.count(3)  # the first gateway
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(deadly.request, SHARED, DEADLY)
+            nursery.start_soon(crashing.request, SHARED, CRASHING)
             await wait_until(lambda: gateway.placer.waiting == 1)
             quarantine(gateway)
             await wait_until(lambda: not gateway.placer.waiting, 0.5)
 
     async def test_request_at_an_engine_is_taken_back_before_its_answer_begins(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
         """It crashed an engine although its part was known."""
-        for engine in deadly.fleet.engines.values():
+        for engine in crashing.fleet.engines.values():
             engine.scripts = [hang]
-        deadly.numbers = itertools.count(3)  # the first gateway
+        crashing.numbers = itertools.count(3)  # the first gateway
         answers: list[Answer] = []
 
         async def send() -> None:
-            answers.append(await deadly.request(SHARED, DEADLY, target="/single/a"))
+            answers.append(await crashing.request(SHARED, CRASHING, target="/single/a"))
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
-            await wait_until(lambda: deadly.fleet.arrivals == 1)
-            quarantine(deadly.fleet.gateways[1])  # which tells the first
+            await wait_until(lambda: crashing.fleet.arrivals == 1)
+            quarantine(crashing.fleet.gateways[1])  # which tells the first
             await wait_until(lambda: bool(answers), 1.0)
         assert answers[0].status == 502
-        engines = deadly.fleet.engines.values()
+        engines = crashing.fleet.engines.values()
         await wait_until(lambda: sum(e.closed_by_peer for e in engines) == 1)
-        assert deadly.fleet.arrivals == 1
+        assert crashing.fleet.arrivals == 1
 
     async def test_instance_that_has_just_started_learns_of_it_from_others(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
-        quarantine(deadly.fleet.gateways[0])
-        late = await deadly.fleet.add_gateway("g-late")
-        await wait_until(lambda: late.evidence.quarantined == {DEADLY}, 2.0)
+        quarantine(crashing.fleet.gateways[0])
+        late = await crashing.fleet.add_gateway("g-late")
+        await wait_until(lambda: late.evidence.quarantined == {CRASHING}, 2.0)
 
 
 class TestOtherFailures:
     """None of them may put a sound part away."""
 
     async def test_answer_that_breaks_off_accuses_nothing(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
         async def break_off(
             _engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
@@ -221,15 +228,14 @@
             await stream.aclose()
             return False
 
-        for engine in deadly.fleet.engines.values():
+        for engine in crashing.fleet.engines.values():
             engine.scripts = [break_off, reset, break_off]
         for _ in range(6):
-            await deadly.request(OTHER, target="/many/a")
-        for gateway in deadly.fleet.gateways:
-            assert not gateway.evidence.reports(0.0)
+            await crashing.request(OTHER, target="/many/a")
+        crashing.assert_nothing_accused()
 
     async def test_crash_accuses_no_stream_that_had_begun(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
         async def begin_and_crash(
             engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
@@ -243,19 +249,18 @@
         scripts = [begin_and_crash]
 
         async def crash_once(*fields: Any) -> bool:
-            script = scripts.pop() if scripts else deadly.answer
+            script = scripts.pop() if scripts else crashing.answer
             return bool(await script(*fields))
 
-        for engine in deadly.fleet.engines.values():
+        for engine in crashing.fleet.engines.values():
             engine.scripts = [crash_once] * 2
-        answer = await deadly.request(SHARED)
+        answer = await crashing.request(SHARED)
         assert answer.complete
         assert answer.body == b"".join(event(i) for i in range(1, 5))
-        for gateway in deadly.fleet.gateways:
-            assert not gateway.evidence.reports(0.0)
+        crashing.assert_nothing_accused()
 
     async def test_crash_before_any_answer_accuses_nothing_and_is_repeated(
-        self, deadly: DeadlyFleet
+        self, crashing: CrashingEngines
     ) -> None:
         async def crash(
             engine: EngineStandin, _stream: trio.SocketStream, _arrival: Arrival
@@ -263,9 +268,8 @@
             engine.crash()
             return False
 
-        for engine in deadly.fleet.engines.values():
-            engine.scripts = [crash, *[deadly.answer] * 1000]
-        await deadly.request(OTHER, target="/many/a")
-        assert deadly.fleet.arrivals > 1
-        for gateway in deadly.fleet.gateways:
-            assert not gateway.evidence.reports(0.0)
+        for engine in crashing.fleet.engines.values():
+            engine.scripts = [crash, *[crashing.answer] * 1000]
+        await crashing.request(OTHER, target="/many/a")
+        assert crashing.fleet.arrivals > 1
+        crashing.assert_nothing_accused()
