Count data that arrives in a pause of the process as unread since the poll

Callers would see (GONE, BUDGET): a request that arrived while the process was paused in its poll looked as if it had just arrived, however long the pause was.

Cause: a poll that took long was taken for a wait without data. A pause of the process inside the poll looks the same, but for the poll's own time-out. Class: an age that is measured only while the process runs.

Fix: a poll that ends over 0.05 s after its time-out was interrupted, and what it finds may have arrived since its start. What lies below is a timer's usual lateness.

Evidence: the rows pause and pause-without-wait of test_passes.py failed before (0.0 s for 2.0 s).

--- a/libs/timers/src/teaseldyke/timers/passes.py
+++ b/libs/timers/src/teaseldyke/timers/passes.py
@@ -7,6 +7,9 @@
 from .clock import boot_time_s
 
 EMPTY_POLL_S = 0.0005  # a poll that took longer had no ready socket at its start
+# A poll that ends so much later than its time-out was interrupted by a pause of the
+# process, in which data may have arrived at any time.
+PAUSE_MIN_S = 0.05
 
 
 class SchedulerPasses(trio.abc.Instrument):
@@ -30,22 +33,29 @@
         self.longest_s = 0.0
         self._started_at_s = now_s
         self._polled_at_s = now_s
+        self._poll_timeout_s = 0.0
 
     @property
     def elapsed_s(self) -> float:
         """Duration of the current pass so far."""
         return boot_time_s() - self._started_at_s
 
-    def before_io_wait(self, _timeout: float) -> None:
+    def before_io_wait(self, timeout: float) -> None:
         """Record the end of a pass."""
+        self._poll_timeout_s = timeout
         self._polled_at_s = boot_time_s()
         self.longest_s = max(self.longest_s, self._polled_at_s - self._started_at_s)
 
     def after_io_wait(self, _timeout: float) -> None:
         """Record the start of a pass."""
         now_s = boot_time_s()
-        waited = now_s - self._polled_at_s > EMPTY_POLL_S
-        self.unread_since_s = now_s if waited else self._started_at_s
+        poll_s = now_s - self._polled_at_s
+        if poll_s > self._poll_timeout_s + PAUSE_MIN_S:
+            self.unread_since_s = self._polled_at_s
+        elif poll_s > EMPTY_POLL_S:
+            self.unread_since_s = now_s
+        else:
+            self.unread_since_s = self._started_at_s
         self._started_at_s = now_s
 
     def take_longest_s(self) -> float:
--- a/libs/timers/tests/test_passes.py
+++ b/libs/timers/tests/test_passes.py
@@ -6,11 +6,29 @@
 import pytest
 import trio
 
-from teaseldyke.timers import boot_time_s, scheduler_passes
+from teaseldyke.timers import SchedulerPasses, boot_time_s, passes, scheduler_passes
 
 BUSY_S = 0.05
 
 
+@pytest.mark.parametrize(
+    ("timeout_s", "poll_s", "unread_s"),
+    [(0.1, 0.02, 0.0), (0.1, 0.11, 0.0), (0.1, 2.0, 2.0), (0.0, 2.0, 2.0)],
+    ids=["data", "timer", "pause", "pause-without-wait"],
+)
+def test_data_arriving_in_a_pause_of_the_process_is_unread_since_the_poll(
+    monkeypatch: pytest.MonkeyPatch, timeout_s: float, poll_s: float, unread_s: float
+) -> None:
+    """A paused poll looked like a long wait for data that has just arrived."""
+    now_s = 7.0
+    monkeypatch.setattr(passes, "boot_time_s", lambda: now_s)
+    measured = SchedulerPasses()
+    measured.before_io_wait(timeout_s)
+    now_s += poll_s
+    measured.after_io_wait(timeout_s)
+    assert now_s - measured.unread_since_s == pytest.approx(unread_s)
+
+
 @pytest.mark.parametrize("busy", [False, True])
 async def test_data_arriving_during_a_pass_is_unread_since_its_start(
     busy: bool,
