Count a caller's deadline from the arrival at the socket

Cause: deadlines counted from the moment of reading. The longest time that the request may have lain unread was known (unread_since_s) and only logged. Class: a time measured from when it was noticed, not from when it began.

Fix: the deadline and the wait for the first event count from the earliest moment at which the request can have arrived. On an idle instance both moments are the same.

Evidence: test_request_that_outlived_its_caller_in_the_socket_is_not_sent[0.6-0] and test_engine_is_told_the_time_left_since_the_request_arrived failed before.

--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -161,14 +161,20 @@
     organisation: KeyedOrganisation | None,
     arrived_at_s: float,
     *,
+    unread_since_s: float,
     resubmitted: bool,
 ) -> Work:
     """Return the size and deadlines of a request for a backend server.
 
+    The caller's time runs from the arrival at the socket, so the deadlines count from
+    the earliest moment at which that may have been.
+
     Parameters
     ----------
     arrived_at_s : float
-        On the clock of `boot_time_s`.
+        When it was read, on the clock of `boot_time_s`.
+    unread_since_s : float
+        Time before which it cannot have arrived.
     resubmitted : bool
         Whether the caller has resubmitted it; it then has no target latency left.
     """
@@ -178,7 +184,8 @@
     priority = route.priority
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
-    deadline_at_s = arrived_at_s + min(
+    waiting_since_s = min(arrived_at_s, unread_since_s)
+    deadline_at_s = waiting_since_s + min(
         caller_timeout_s - FINAL_MARGIN_S, route.timeout_s
     )
     return Work(
@@ -186,7 +193,7 @@
         arrived_at_s=arrived_at_s,
         on_time_until_s=arrived_at_s + (0.0 if resubmitted else route.target_latency_s),
         caller_timeout_at_s=min(
-            deadline_at_s, arrived_at_s + first_event_wait_s(route)
+            deadline_at_s, waiting_since_s + first_event_wait_s(route)
         ),
         deadline_at_s=deadline_at_s,
         prompt_tokens=facts.prompt_tokens,
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -122,6 +122,7 @@
             route,
             organisation,
             arrived_at_s,
+            unread_since_s=request.unread_since_s,
             resubmitted=self._is_resubmission(route, facts),
         )
         is_stream = route.kind is RouteKind.STREAMING
--- a/tests/platform/test_late_fleet.py
+++ b/tests/platform/test_late_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from typing import Any
 
@@ -9,7 +10,8 @@
 import trio
 
 from teaseldyke.gateway import Gateway
-from tests.platform.conftest import Caller, Fleet, wait_until
+from tests.platform.conftest import HOST, Caller, Fleet, wait_until
+from tests.platform.standins import Arrival
 
 DEADLINE = "X-Teaseldyke-Deadline-Ms"
 INSTANCES = 8
@@ -91,3 +93,42 @@
         time.sleep(0.8)  # the whole fleet
     await wait_until(lambda: not any(g.calls.running for g in fleet.gateways))
     assert fleet.arrivals == 0
+
+
+async def answer_after_a_pause(
+    fleet: Fleet, caller_timeout_ms: int, pause_s: float
+) -> list[Arrival]:
+    """Have a request lie in the socket; return what engines got of it.
+
+    Its caller gives up after the time that it states, without closing.
+    """
+    address = fleet.gateways[0].settings.callers
+    with socket.create_connection((address.host, address.port)) as sock:
+        await trio.sleep(0.1)  # to be accepted
+        lines = [
+            "POST /safe/a HTTP/1.1",
+            f"Host: {HOST}",
+            "X-Teaseldyke-Request-Id: r-1",
+            f"{DEADLINE}: {caller_timeout_ms}",
+            "Content-Length: 0",
+        ]
+        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+        time.sleep(pause_s)  # the whole process
+        await trio.lowlevel.wait_readable(sock)
+    return [a for engine in fleet.engines.values() for a in engine.arrivals]
+
+
+@pytest.mark.parametrize(("pause_s", "sent"), [(0.0, 1), (0.6, 0)])
+async def test_request_that_outlived_its_caller_in_the_socket_is_not_sent(
+    fleet: Fleet, pause_s: float, sent: int
+) -> None:
+    """The deadline was counted from the moment of reading."""
+    assert len(await answer_after_a_pause(fleet, 500, pause_s)) == sent
+
+
+async def test_engine_is_told_the_time_left_since_the_request_arrived(
+    fleet: Fleet,
+) -> None:
+    """It was told as much more as the request had waited in the socket (BUDGET)."""
+    (arrival,) = await answer_after_a_pause(fleet, 1500, 0.7)
+    assert int(arrival.headers[DEADLINE.lower()]) <= 1500 - 700
