Reset the connection of a request that is given up

Cause: the connection was closed without a reset, after which the kernel goes on delivering what was written. The check right before the first byte had passed. Class: an order is given up by its giver and still on its way.

Fix: an exchange that ended before its answer was complete, by a caller that left, a deadline, a time-out or a quarantined prompt, resets its connection, so that the kernel drops what the engine doesn't have yet. What it already has in its buffer it may still read; the reset tells it at once that nobody waits.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -140,10 +140,10 @@
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
 
     def abandon_unless_begun(self) -> None:
-        """Close the connection if no event has come, so that the server drops it."""
+        """Reset the connection if no event has come, so that the server drops it."""
         if self._connection is None or self.reservation.measured_first_s:
             return
-        self._connection.close()
+        self._connection.abort()
 
     async def run(
         self,
--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -186,9 +186,15 @@
         )
 
     def release(self, connection: ServerConnection, exchange: Exchange) -> None:
-        """Return a connection to the pool if it is reusable, else close it."""
+        """Return a connection to the pool if it is reusable, else close it.
+
+        A request that was given up must not reach a server that reads it later.
+        """
         exchange.stop_watch()
-        if not (exchange.complete and connection.is_reusable):
+        if not exchange.complete:
+            connection.abort()
+            return
+        if not connection.is_reusable:
             connection.close()
             return
         connection.idle_since_s = boot_time_s()
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -11,7 +11,7 @@
 
 from .errors import AnswerBroken, AnswerTimedOut, AnswerTooLarge, ExchangeBroken
 from .headers import Headers, first_header
-from .stream import TcpStream, close_now, is_idle
+from .stream import TcpStream, close_now, close_with_reset, is_idle
 from .watchdog import Watch
 
 RESPONSE_HEADER_MAX_BYTES = 64 * 1024
@@ -91,6 +91,10 @@
         """Close without waiting."""
         close_now(self.stream)
 
+    def abort(self) -> None:
+        """Close with a reset, which drops what the server has not received yet."""
+        close_with_reset(self.stream)
+
     def encode(self, request: OutgoingRequest) -> bytes:
         """Return a request as bytes; raises `h11.LocalProtocolError` if invalid."""
         headers = request.headers
@@ -216,7 +220,7 @@
         self.complete = False
         self.ends_with_connection = False
         self._connection = connection
-        self._watch = Watch(connection.stream)
+        self._watch = Watch(connection.stream, close_with_reset)
         self._answer_limit_bytes = answer_limit_bytes
         self._lenient = lenient
         self._body_bytes = 0
--- a/libs/http/src/teaseldyke/http/watchdog.py
+++ b/libs/http/src/teaseldyke/http/watchdog.py
@@ -25,6 +25,8 @@
     ----------
     stream : Stream
         Connection to close.
+    close : callable
+        Closes it; by default without a reset.
 
     Attributes
     ----------
@@ -34,10 +36,13 @@
         Whether the connection has been closed.
     """
 
-    __slots__ = ("deadline_s", "expired", "stream")
+    __slots__ = ("close", "deadline_s", "expired", "stream")
 
-    def __init__(self, stream: Stream) -> None:
+    def __init__(
+        self, stream: Stream, close: Callable[[Stream], None] = close_now
+    ) -> None:
         self.stream = stream
+        self.close = close
         self.deadline_s = math.inf
         self.expired = False
 
@@ -128,7 +133,7 @@
                 continue
             watch.deadline_s = math.inf
             watch.expired = True
-            close_now(watch.stream)
+            watch.close(watch.stream)
 
 
 _SWEEPER: trio.lowlevel.RunVar[_Sweeper] = trio.lowlevel.RunVar("http_sweeper")
