Send a request again to the same engine on a new connection

Cause: answers are told apart by the request's id, and both sends have the same one. Class: an identity that doesn't change with what it identifies.

Fix: a send to an address that has got this request before uses a connection of its own, on which no earlier answer can arrive. That covers whatever is read from an answer: refusals, 421, an answer before the body is written, limits.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -119,6 +119,9 @@
         Learns which prompts are answered.
     has_crashed : callable
         Finds out whether the server has crashed.
+    is_repeated : bool
+        Whether the server has got this request before. A faulty one may write its
+        earlier answer again, which has the same id, so another connection is needed.
 
     Attributes
     ----------
@@ -136,6 +139,7 @@
     policy: AttemptPolicy
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
+    is_repeated: bool
     sent: bool = False
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
 
@@ -191,7 +195,10 @@
         )
         try:
             connection = await self.pool.acquire(
-                server.host, server.port, keep_alive_share=keep_alive_share
+                server.host,
+                server.port,
+                fresh=self.is_repeated,
+                keep_alive_share=keep_alive_share,
             )
         except ConnectFailed as exc:
             return SendResult(Outcome.NOT_SENT, exc.detail)
--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -59,6 +59,8 @@
         Number of sends so far.
     avoid : set of str
         Ids of the servers that it was sent to.
+    addresses : set of (str, int)
+        Hosts and ports that it was sent to.
     version : int
         Version of the configuration that it was resolved with.
     last_failure : str
@@ -74,6 +76,7 @@
     work: Work
     relay: Relay
     avoid: set[str] = attrs.field(factory=set)
+    addresses: set[tuple[str, int]] = attrs.field(factory=set)
     possible_runs: int = 0
     sends: int = 0
     version: int = 0
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -165,7 +165,9 @@
             ),
             self._evidence,
             lambda: self._probe.has_crashed(server),
+            (server.host, server.port) in call.addresses,
         )
+        call.addresses.add((server.host, server.port))
         call.avoid.add(server.id)
         call.possible_runs += 1  # until ruled out
         self._attempts.add(attempt)
