Take an empty answer to a resumed stream as broken off

Cause: an answer without any event was passed on as one, also as the rest of a stream that had begun. Class: the absence of an error taken for completeness.

Weighed: an empty answer is right where the stream had only lost its end. Nothing on the wire tells the two apart (events have no last id, the stated tokens are a maximum). A caller with all events and a broken end asks once more, with the id of its last event, and gets the empty answer as it is; one that is told that half an answer is whole never asks again. So the stream ends incomplete.

Evidence: the rows no-body and no-chunks of test_broken_streams.py failed before; the other 13 kinds of second answer, and what the caller resumes itself, held.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -322,6 +322,10 @@
                     "bytes arrived, but no complete event before the time-out"
                 )
         if is_first_chunk:
+            if self.relay.started:
+                # Nothing tells a stream that had only lost its end from one that an
+                # engine didn't go on with, and the caller can resume it itself.
+                raise StreamBroken("resumed stream ended without an event")
             if exchange.ends_with_connection:
                 raise StreamBroken("stream without length ended before its first event")
             await self.relay.start_stream(exchange, headers)
