Let small requests use a stated limit that would otherwise go unused

Callers saw: refusals while part of a limit was left.

Cause: a fixed price kept small requests off limited engines also when no large one came, and the expected wait reckoned with requests of mean size, where limited engines get larger ones.

Fix: the price falls to zero while a possible request waits for a taker (0.4 s, for which sends are made up for), and the rate of a limited engine counts the mean size of what was sent there.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -444,7 +444,7 @@
             state.pending_tokens,
         )
         if state.limit.is_in_force:
-            state.limit.record_send(now_s)
+            state.limit.record_send(now_s, work.prompt_tokens)
             reservation.counts_in_limit = True
         own = state.own_load
         own.running += 1
--- a/libs/gateway/src/teaseldyke/gateway/reservation.py
+++ b/libs/gateway/src/teaseldyke/gateway/reservation.py
@@ -160,7 +160,7 @@
         now_s = boot_time_s()
         if not limit.allows_send(now_s):
             return False
-        limit.record_send(now_s)
+        limit.record_send(now_s, self.work.prompt_tokens)
         self.counts_in_limit = True
         return True
 
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -237,7 +237,7 @@
             uncached + COPY_PENALTY_FACTOR * copied
         )
         if state.limit.is_in_force:
-            cost_s += limit_penalty_s
+            cost_s += limit_penalty_s * state.limit.scarcity(now_s)
         if first_s > SLACK_FRACTION * slack_s:
             cost_s += LATE_PENALTY_S * work.cost_tokens
         if cost_s >= best_cost_s:
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -247,10 +247,12 @@
         Parameters
         ----------
         request_tokens : float
-            Mean prompt tokens of the requests that are sent to it.
+            Mean prompt tokens of requests for its service, until some were sent within
+            its limit.
         """
         if self.limit.per_s is None:
             return self.rate_tokens_per_s
+        request_tokens = self.limit.mean_prompt_tokens or request_tokens
         return min(self.rate_tokens_per_s, self.limit.per_s * request_tokens)
 
     def cached_tokens(self, work: Work, has_affinity: bool, now_s: float) -> int:
--- a/libs/placement/src/teaseldyke/placement/stated_limit.py
+++ b/libs/placement/src/teaseldyke/placement/stated_limit.py
@@ -25,10 +25,11 @@
 # Of a lower limit, zero included: only an answer tells that a limit has ended.
 PROBE_RATE_PER_S = 0.5
 # Sends that are made up for, because the queues are looked at only in intervals.
-CREDIT_S = 0.2
+CREDIT_S = 0.4
 # Part of the limit that is split evenly, so that an instance without recent demand
 # isn't shut out.
 EVEN_FRACTION = 0.1
+SIZE_SMOOTHING = 0.1  # weight of the newest request in the mean size
 END_REPORT_S = 10.0  # for which the others are told that a limit has ended
 
 
@@ -58,12 +59,15 @@
         Requests a second from the whole fleet; ``None`` if there is no limit.
     own_per_s : float
         Part of them that this instance may send; 0 until it is known.
+    mean_prompt_tokens : float
+        Mean size of the requests that this instance sent within the limit.
     changed_at_s : float
         When another limit than before became known.
     """
 
     per_s: float | None = None
     own_per_s: float = 0.0
+    mean_prompt_tokens: float = 0.0
     changed_at_s: float = 0.0
     _stated_at_s: float = -math.inf
     _heard_per_s: float | None = None
@@ -132,10 +136,21 @@
         """Return whether a request may be sent now."""
         return self.wait_s(0, now_s) == 0.0
 
-    def record_send(self, now_s: float) -> None:
+    def scarcity(self, now_s: float) -> float:
+        """Return how short the limit is here, from 1 to 0 when it would go unused."""
+        if self.per_s is None:
+            return 0.0
+        self._refill(now_s)
+        left = self._level_max - max(1.0, self._level)
+        return max(0.0, min(1.0, left / max(1e-9, self._level_max - 1.0)))
+
+    def record_send(self, now_s: float, prompt_tokens: float = 0.0) -> None:
         """Count a request."""
         self._refill(now_s)
         self._level -= 1.0
+        difference = prompt_tokens - self.mean_prompt_tokens
+        smoothing = SIZE_SMOOTHING if self.mean_prompt_tokens else 1.0
+        self.mean_prompt_tokens += smoothing * difference
 
     def take_back_send(self) -> None:
         """Undo `record_send` for a request that did not reach the server."""
