Share a service out fairly while its engines state limits

Cause: the wait until limits allow a request counted all that waits here, not what goes before it, and the capacity to share was the operator's stated production, of which limits leave a part. Class: two orders, one to refuse by and one to serve by.

Fix: what goes before is counted by the order of the queue, and each engine counts in the shared capacity with what its limit leaves at the mean cost of a request; what is given beyond that is shared, too, so too low a value does no harm. Sends are made up for up to 0.5 s instead of 0.4 s.

teaseldyke-replay plays limits now: patterns stated-limits (two thirds of the engines) and stated-limits-of-all, which fail if a limit is exceeded or less than nine tenths of it are used.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -19,6 +19,7 @@
     ServerState,
     ServiceDemand,
     Work,
+    capacity_within_limits,
     check_admission,
     choose_engine,
     choose_plain,
@@ -31,7 +32,7 @@
 )
 from teaseldyke.telemetry import counter, histogram
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import ServiceDescription
+from teaseldyke.types import RoutingTable, ServiceDescription
 
 from .crashes import ensure_not_quarantined
 from .errors import NoServer, Overloaded
@@ -143,8 +144,8 @@
         now_s = boot_time_s()
         self._divide_limits(now_s)
         if self._view.table is not None:
-            stated = self._view.table.bounds.tokens_per_s
-            self.fair_shares.tokens_per_s = stated * self._unlimited_fraction()
+            tokens_per_s = self._capacity_tokens_per_s(self._view.table)
+            self.fair_shares.tokens_per_s = tokens_per_s
         self.fair_shares.recompute(self.queued_tokens(), now_s)
         self.wake()
 
@@ -167,14 +168,19 @@
             )
             state.limit.set_share(share, now_s)
 
-    def _unlimited_fraction(self) -> float:
-        """Return which part of the engines' prompt rate their stated limits leave."""
-        full = left = 0.0
-        for state in self._view.all_states():
-            tokens = self.demand.mean_prompt_tokens(state.server.service)
-            full += state.rate_tokens_per_s
-            left += state.served_rate(tokens)
-        return left / full if full > 0.0 else 1.0
+    def _capacity_tokens_per_s(self, table: RoutingTable) -> float:
+        """Return the stated production of all engines, as far as limits leave it."""
+        engines = [
+            (name, state)
+            for name, service in table.services.items()
+            if service.is_engine
+            for state in self._view.states_of(name)
+        ]
+        mean = max(
+            (self.demand.mean_cost_tokens(name) for name, _ in engines), default=0.0
+        )
+        states = [state for _, state in engines]
+        return capacity_within_limits(states, table.bounds.tokens_per_s, mean)
 
     def report_shares(self) -> None:
         """Log what organisations requested and received; called at a fixed interval."""
@@ -276,7 +282,7 @@
         ]
         pause_s = max(
             next_accepting_in_s(states, now_s),
-            limits_allow_in_s(usable, len(queue), now_s),
+            self._limits_allow_in_s(usable, queue, work, now_s),
         )
         if not service.is_engine:
             return pause_s
@@ -287,6 +293,16 @@
         ahead_tokens = queue.tokens_ahead(work, self.fair_shares, now_s)
         return max(pause_s, ahead_tokens / rate)
 
+    def _limits_allow_in_s(
+        self,
+        states: list[ServerState],
+        queue: RequestQueue[_PendingReservation],
+        work: Work,
+        now_s: float,
+    ) -> float:
+        ahead = queue.requests_ahead(work.organisation, self.fair_shares, now_s)
+        return limits_allow_in_s(states, ahead, now_s)
+
     def _refuse_if_late(
         self,
         service: ServiceDescription,
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -25,11 +25,13 @@
     Standing,
     check_admission,
     choose_engine,
+    limits_allow_in_s,
 )
 from teaseldyke.types import AnnouncedServer, ServiceDescription
 
 from .engine import EngineModel, EngineRequest, EngineSpec, StepResult
-from .instance import Call, Instance, Totals
+from .instance import SERVICE, Call, Instance, Totals
+from .limits import LimitedEngines
 from .load import Arrival, Loss, Pattern, generate_arrivals, produced_tokens_per_s
 from .outcome import Outcome, Result
 
@@ -99,20 +101,21 @@
         engine = spec.engine
         names = [f"engine-{i}" for i in range(spec.engines)]
         self.engines = {name: EngineModel(name, engine) for name in names}
+        self.limits = LimitedEngines(pattern.limits, names)
         self._stepping: set[str] = set()
         self.service = ServiceDescription(
-            "model",
+            SERVICE,
             600,
             COLD_DURATION_S,
             COLD_RATE_PER_S,
             slots=engine.slots,
             memory_tokens=engine.memory_tokens,
         )
-        tokens_per_s = spec.engines * produced_tokens_per_s(engine.busy_s)
+        self._tokens_per_s = spec.engines * produced_tokens_per_s(engine.busy_s)
         self._instances = [
             Instance(
                 {name: self._state(name, 0.0) for name in names},
-                FairShares(tokens_per_s=tokens_per_s),
+                FairShares(tokens_per_s=self._tokens_per_s),
             )
             for _ in range(spec.instances)
         ]
@@ -141,7 +144,13 @@
             self.now_s = at_s
             action()
         return Outcome(
-            self.spec, arrivals, self.results, self.reread_tokens, self.crashes
+            self.spec,
+            arrivals,
+            self.results,
+            self.reread_tokens,
+            self.crashes,
+            self.limits.largest_excess(),
+            self.limits.used_fraction(),
         )
 
     def _schedule(self, at_s: float, action: Callable[[], None]) -> None:
@@ -206,6 +215,8 @@
             instance = self._instances[0]
         call = Call(arrival, result, instance, is_repeated=is_repeated)
         work = arrival.work
+        standing = instance.fair_shares.standing(work.organisation, self.now_s)
+        instance.demand.record_arrival(SERVICE, work, standing, self.now_s)
         if instance.evidence.refused_part(work.parts) is not None:
             self._end_unanswered(call)
             return
@@ -219,9 +230,16 @@
             )
             if self._try_send(call, quota):
                 return
-        rate = sum(state.rate_tokens_per_s for state in instance.states.values())
+        states = list(instance.states.values())
+        mean_tokens = instance.demand.mean_prompt_tokens(SERVICE)
+        rate = sum(state.served_rate(mean_tokens) for state in states)
         ahead = instance.queue.tokens_ahead(work, instance.fair_shares, self.now_s)
-        refusal = check_admission(work, ahead / rate, self.now_s, self._random.random())
+        requests_ahead = instance.queue.requests_ahead(
+            work.organisation, instance.fair_shares, self.now_s
+        )
+        wait_s = limits_allow_in_s(states, requests_ahead, self.now_s)
+        wait_s = max(wait_s, ahead / rate)
+        refusal = check_admission(work, wait_s, self.now_s, self._random.random())
         if refusal is not None:
             self._refuse(call, refusal.retry_after_s)
             return
@@ -274,6 +292,7 @@
             quota=quota,
             lag_s=max(EXCHANGE_INTERVAL_S, self.spec.totals_delay_s),
             may_use_cold=lambda state: state.cold_rate_limit.allows_send(self.now_s),
+            mean_cost_tokens=instance.demand.mean_cost_tokens(SERVICE),
         )
         state = choice.state
         if state is None:
@@ -283,6 +302,8 @@
             return False
         if state.is_cold(self.now_s):
             state.cold_rate_limit.record_send(self.now_s, self.spec.instances)
+        if state.limit.is_in_force:
+            state.limit.record_send(self.now_s, work.prompt_tokens)
         call.state, call.uncached_tokens = state, choice.uncached_tokens
         call.is_prefilling = True
         state.round_sends.add(work.organisation, choice.uncached_tokens)
@@ -303,6 +324,7 @@
         if engine.has_failed:
             self._fail(call)
             return
+        self.limits.record_arrival(name, self.now_s)
         engine.enqueue(request)
         self._schedule(
             call.arrival.work.deadline_at_s, lambda: self._disconnect(call, name)
@@ -360,6 +382,9 @@
         if call.is_finished:
             return
         call.result.first_at_s = self.now_s
+        if call.state is not None:
+            per_s = self.limits.stated_per_s(call.state.server.id, self.now_s)
+            call.state.limit.hear(per_s, self.now_s, self.now_s)
         call.instance.evidence.clear(call.arrival.work.parts, self.now_s)
         self._finish_prefill(call)
         self._scan_queue(call.instance)
@@ -394,7 +419,7 @@
 
     def _scan_queue(self, instance: Instance) -> None:
         for state in instance.states.values():
-            state.backlog_tokens = 0.0
+            state.clear_backlog()
         misses = 0
         available = set(instance.states.values())
         quotas: dict[str, CapacityQuota] = {}
@@ -426,8 +451,10 @@
         self._schedule(
             self.now_s + self.spec.totals_delay_s, lambda: self._apply_totals(totals)
         )
-        for instance in self._instances:
-            instance.fair_shares.recompute(instance.queue.queued_tokens(), self.now_s)
+        names = [f"instance-{number}" for number in range(self.spec.instances)]
+        for name, instance in zip(names, self._instances, strict=True):
+            instance.divide_limits(names, name, self.now_s)
+            instance.recompute_shares(self._tokens_per_s, self.now_s)
             self._scan_queue(instance)
         if self.now_s < last_s:
             self._schedule(
@@ -437,7 +464,7 @@
     def _apply_totals(self, totals: list[Totals]) -> None:
         for number, instance in enumerate(self._instances):
             others = [part for i, part in enumerate(totals) if i != number]
-            instance.apply_totals(others, self.now_s)
+            instance.apply_totals(others, self.spec.totals_delay_s, self.now_s)
             self._start_send_round(instance)
             self._scan_queue(instance)
 
--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -11,17 +11,24 @@
     AwaitedServer,
     CrashEvidence,
     FairShares,
+    LimitReport,
     Load,
     PartReport,
     RequestQueue,
     RoundSends,
     ServerState,
+    ServiceDemand,
+    capacity_within_limits,
+    limit_share,
+    rendezvous_weight,
 )
 
 from .engine import EngineRequest
 from .load import Arrival
 from .outcome import Result
 
+SERVICE = "model"  # that all engines belong to
+
 
 @attrs.frozen
 class Totals:
@@ -35,12 +42,18 @@
         By organisation.
     reports : list of PartReport
         Parts of prompts that crashes accuse.
+    limits : dict of LimitReport
+        What engines told it of their limits.
+    demand : float
+        Its recent requests.
     """
 
     loads: dict[str, Load]
     usage: dict[str, float]
     queued_tokens: dict[str, float]
     reports: list[PartReport]
+    limits: dict[str, LimitReport]
+    demand: float
 
 
 @attrs.define(eq=False)
@@ -67,6 +80,7 @@
     fair_shares: FairShares
     queue: RequestQueue[Call] = attrs.field(factory=RequestQueue)
     evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
+    demand: ServiceDemand = attrs.field(factory=ServiceDemand)
     round_at_s: float = 0.0
 
     def totals(self, now_s: float) -> Totals:
@@ -76,10 +90,51 @@
             self.fair_shares.own_usage(now_s),
             self.queue.queued_tokens(),
             self.evidence.reports(now_s),
+            {
+                name: report
+                for name, state in self.states.items()
+                if (report := state.limit.report(now_s)) is not None
+            },
+            self.demand.own(now_s).get(SERVICE, 0.0),
+        )
+
+    def divide_limits(self, names: list[str], own_name: str, now_s: float) -> None:
+        """Set the parts of stated limits that this instance may send.
+
+        Parameters
+        ----------
+        names : list of str
+            All instances.
+        """
+        own, fleet = self.demand.own_and_fleet(SERVICE, now_s)
+        for engine, state in self.states.items():
+            per_s = state.limit.per_s
+            if per_s is None:
+                continue
+            weight = rendezvous_weight(engine, own_name)
+            rank = sum(rendezvous_weight(engine, name) > weight for name in names)
+            size = len(names)
+            share = limit_share(per_s, rank, size, size, own, fleet)
+            state.limit.set_share(share, now_s)
+
+    def recompute_shares(self, tokens_per_s: float, now_s: float) -> None:
+        """Recompute the fair shares in what all engines together produce."""
+        self.fair_shares.tokens_per_s = capacity_within_limits(
+            list(self.states.values()),
+            tokens_per_s,
+            self.demand.mean_cost_tokens(SERVICE),
         )
+        self.fair_shares.recompute(self.queue.queued_tokens(), now_s)
+
+    def apply_totals(self, others: list[Totals], delay_s: float, now_s: float) -> None:
+        """Replace what is known of the other instances.
 
-    def apply_totals(self, others: list[Totals], now_s: float) -> None:
-        """Replace what is known of the other instances."""
+        Parameters
+        ----------
+        delay_s : float
+            Age of what they tell.
+        """
+        self.demand.of_peers = {SERVICE: sum(totals.demand for totals in others)}
         for name, state in self.states.items():
             loads = [totals.loads[name] for totals in others if name in totals.loads]
             state.peer_load = Load(
@@ -91,6 +146,11 @@
         self.fair_shares.peer_queued = _sum(totals.queued_tokens for totals in others)
         for totals in others:
             self.evidence.merge(totals.reports, now_s)
+            for name, report in totals.limits.items():
+                if name not in self.states:
+                    continue
+                aged = attrs.evolve(report, age_s=report.age_s + delay_s)
+                self.states[name].limit.merge(aged, now_s)
 
     def start_round(self, now_s: float, random: Random) -> None:
         """Start a new round of sends that the others don't know of yet."""
--- a/libs/patterns/src/teaseldyke/patterns/load.py
+++ b/libs/patterns/src/teaseldyke/patterns/load.py
@@ -120,6 +120,22 @@
     back_at_s: float
 
 
+@attrs.frozen
+class StatedLimits:
+    """Limits on requests that a share of the engines states during the disturbance.
+
+    Parameters
+    ----------
+    share : float
+        Share of the engines.
+    per_s : float
+        Requests a second that each of them takes from all instances.
+    """
+
+    share: float
+    per_s: float
+
+
 Rate = Callable[[Kind, str, float], float]
 
 
@@ -143,6 +159,8 @@
     crashing_share : float
         Fraction of the first kind's requests whose prompts crash engines. They earn
         nothing.
+    limits : StatedLimits or None
+        Limits that engines state.
     """
 
     name: str
@@ -152,6 +170,7 @@
     loss: Loss | None = None
     narrow_organisation: str = ""
     crashing_share: float = 0.0
+    limits: StatedLimits | None = None
 
 
 def _is_disturbed(at_s: float) -> bool:
@@ -213,6 +232,8 @@
             narrow_organisation="middle",
         ),
         Pattern("crashing-part", _scaled(1.0), crashing_share=0.05),
+        Pattern("stated-limits", _scaled(1.0), limits=StatedLimits(0.67, 5.0)),
+        Pattern("stated-limits-of-all", _scaled(1.0), limits=StatedLimits(1.0, 6.0)),
     )
 }
 
--- a/libs/patterns/src/teaseldyke/patterns/outcome.py
+++ b/libs/patterns/src/teaseldyke/patterns/outcome.py
@@ -81,6 +81,10 @@
         Shared tokens prefilled again although some engine had prefilled them before.
     crashes : int
         Engines that crashed under a prompt.
+    limit_excess : float
+        Most requests of an engine in a window, against those that its limit allows.
+    limit_used : float
+        Used part of all stated limits.
     """
 
     spec: FleetSpec
@@ -88,6 +92,8 @@
     results: list[Result]
     reread_tokens: int
     crashes: int = 0
+    limit_excess: float = 0.0
+    limit_used: float = 0.0
 
     @property
     def worth(self) -> float:
@@ -157,6 +163,11 @@
             f"tokens read again {self.reread_tokens}, "
             f"engines crashed by prompts {self.crashes}",
         ]
+        if self.limit_used:
+            lines.append(
+                f"stated limits: {self.limit_used:.2f} used, "
+                f"busiest window {self.limit_excess:.2f} of what is allowed"
+            )
         for title, key in KEYS.items():
             fractions = self.worth_by(key)
             lines.append(
--- a/libs/patterns/tests/test_patterns.py
+++ b/libs/patterns/tests/test_patterns.py
@@ -10,6 +10,7 @@
 
 FREE_CRASHES = 5  # after them hardly a request with the part may reach an engine
 FAIR_SHARE_MIN = 0.5  # smallest `Outcome.least_share`
+LIMIT_USED_MIN = 0.9  # of stated limits, while there is demand above them
 
 LARGE_FLEET_DELAY_S = 0.3  # two exchanges of totals in a fleet of 70 to 90 instances
 
@@ -81,3 +82,12 @@
             assert word in outcome.table()
         outcome.plot(tmp_path / "plot.png")
         assert (tmp_path / "plot.png").stat().st_size > 1000
+
+
+class TestStatedLimits:
+    @pytest.mark.parametrize("name", ["stated-limits", "stated-limits-of-all"])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_limits_are_kept_and_used(self, name: str, seed: int) -> None:
+        outcome = play(name, seed)
+        assert outcome.limit_excess <= 1.0
+        assert outcome.limit_used >= LIMIT_USED_MIN
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -330,6 +330,34 @@
     return healthy if 2 * len(healthy) >= len(all_states) else all_states
 
 
+def capacity_within_limits(
+    states: Sequence[ServerState], tokens_per_s: float, mean_cost_tokens: float
+) -> float:
+    """Return what engines produce within their stated limits, in tokens a second.
+
+    It is what fair shares distribute. Too low a value does no harm: what is given is
+    distributed, too.
+
+    Parameters
+    ----------
+    states : sequence of ServerState
+        All engines.
+    tokens_per_s : float
+        What they produce without limits, together.
+    mean_cost_tokens : float
+        Mean cost of a request.
+    """
+    if not states:
+        return tokens_per_s
+    each_per_s = tokens_per_s / len(states)
+    return sum(
+        each_per_s
+        if state.limit.per_s is None
+        else min(each_per_s, state.limit.per_s * mean_cost_tokens)
+        for state in states
+    )
+
+
 def limits_allow_in_s(
     states: Sequence[ServerState], queued: int, now_s: float
 ) -> float:
--- a/libs/placement/src/teaseldyke/placement/stated_limit.py
+++ b/libs/placement/src/teaseldyke/placement/stated_limit.py
@@ -25,7 +25,7 @@
 # Of a lower limit, zero included: only an answer tells that a limit has ended.
 PROBE_RATE_PER_S = 0.5
 # Sends that are made up for, because the queues are looked at only in intervals.
-CREDIT_S = 0.4
+CREDIT_S = 0.5
 # Part of the limit that is split evenly, so that an instance without recent demand
 # isn't shut out.
 EVEN_FRACTION = 0.1
--- a/libs/placement/src/teaseldyke/placement/waiting.py
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -182,6 +182,17 @@
         peer_tokens = fair_shares.peer_tokens_ahead(work.organisation, now_s)
         return ahead_tokens * (own_tokens + peer_tokens) / own_tokens
 
+    def requests_ahead(
+        self, organisation: str, fair_shares: FairShares, now_s: float
+    ) -> int:
+        """Return the requests queued here of organisations that go before or are it."""
+        own_key = fair_shares.scheduling_key(organisation, now_s)
+        return sum(
+            len(requests)
+            for name, requests in self._requests.items()
+            if fair_shares.scheduling_key(name, now_s) <= own_key
+        )
+
     def _refresh_sums(self, now_s: float) -> None:
         if abs(now_s - self._sums_updated_at_s) < SUMS_TTL_S:
             return
--- a/libs/placement/tests/test_limited_choice.py
+++ b/libs/placement/tests/test_limited_choice.py
@@ -10,6 +10,7 @@
     AwaitedServer,
     ServerState,
     Work,
+    capacity_within_limits,
     choose_engine,
     choose_plain,
     limits_allow_in_s,
@@ -183,3 +184,26 @@
             if per_s is not None:
                 limit(state, per_s)
         assert limits_allow_in_s(states, queued, NOW_S) == pytest.approx(expected_s)
+
+
+@pytest.mark.parametrize(
+    ("limits", "mean_cost_tokens", "expected"),
+    [
+        ([], 500.0, 9000.0),
+        ([None, None, None], 500.0, 9000.0),
+        ([None, 2.0, 2.0], 500.0, 5000.0),
+        ([2.0, 2.0, 2.0], 500.0, 3000.0),
+        ([None, 99.0, 99.0], 500.0, 9000.0),
+    ],
+)
+def test_capacity_that_is_shared_is_what_limits_leave(
+    make_state: MakeState,
+    limits: list[float | None],
+    mean_cost_tokens: float,
+    expected: float,
+) -> None:
+    states = [make_state(f"e-{i}") for i in range(len(limits))]
+    for state, per_s in zip(states, limits, strict=True):
+        if per_s is not None:
+            limit(state, per_s)
+    assert capacity_within_limits(states, 9000.0, mean_cost_tokens) == expected
--- a/libs/placement/tests/test_waiting.py
+++ b/libs/placement/tests/test_waiting.py
@@ -64,6 +64,8 @@
         fair_shares.recompute(queue.queued_tokens(), 0.0)
         assert queue.tokens_ahead(make_work("small"), fair_shares, 0.0) == 0
         assert queue.tokens_ahead(make_work("hot"), fair_shares, 0.0) == 115_000
+        assert queue.requests_ahead("small", fair_shares, 0.0) == 0
+        assert queue.requests_ahead("hot", fair_shares, 0.0) == 10
 
     def test_requests_queued_elsewhere_count_by_organisation(
         self, make_work: MakeWork
