Draw a limit's senders by demand, and give each a part by demand

Cause, as far as traced: in a fleet larger than the bound on senders, those that may send to a limited engine were chosen by rank, with equal parts. An instance where many callers of one organisation stand got what an idle one gets, and the rest of its limit lay idle elsewhere.

Fix: senders are drawn for each engine with a chance by demand (weighted draw, the same at all instances), and their parts go by demand, too; parts always add up to the limit, and their number stays within the bound. In fleets with neighbourhoods these are drawn first, by their sums, then their members: both are known to each neighbour.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -166,6 +166,16 @@
 class Fleet(Protocol):
     """The instances that share the fleet's limits."""
 
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        ...
+
+    @property
+    def neighbourhood(self) -> str:
+        """Name of this instance's neighbourhood."""
+        ...
+
     @property
     def instances(self) -> int:
         """Number of these instances, this one included."""
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -14,6 +14,7 @@
     Choice,
     CrashEvidence,
     FairShares,
+    FleetDemand,
     QueuedRequest,
     RequestQueue,
     ServerState,
@@ -151,23 +152,28 @@
 
     def _divide_limits(self, now_s: float) -> None:
         """Set the part of each stated limit that this instance may send."""
-        fleet = self._fleet
+        demands: dict[str, FleetDemand] = {}
         for state in self._view.all_states():
             per_s = state.limit.per_s
             if per_s is None:
                 continue
-            server = state.server
-            own, total = self.demand.own_and_fleet(server.service, now_s)
-            share = limit_share(
-                per_s,
-                fleet.rank(server.id),
-                fleet.instances,
-                fleet.alive,
-                own,
-                total,
-            )
+            service = state.server.service
+            if service not in demands:
+                demands[service] = self._fleet_demand(service, now_s)
+            share = limit_share(per_s, state.server.id, demands[service])
             state.limit.set_share(share, now_s)
 
+    def _fleet_demand(self, service: str, now_s: float) -> FleetDemand:
+        fleet = self._fleet
+        return self.demand.of_fleet(
+            service,
+            now_s,
+            own=fleet.name,
+            own_neighbourhood=fleet.neighbourhood,
+            instances=fleet.instances,
+            alive=fleet.alive,
+        )
+
     def _capacity_tokens_per_s(self, table: RoutingTable) -> float:
         """Return the stated production of all engines, as far as limits leave it."""
         engines = [
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -15,6 +15,7 @@
 from .interfaces import KnownVersions, Peer
 from .membership import Membership
 
+DEMAND_UNITS = 100  # in a request; datagrams hold whole numbers
 NumberedLimit = tuple[int, float, float]
 
 
@@ -214,6 +215,29 @@
             for number, per_s, age_s in received.message.stated_limits
         ]
 
+    def demand_of_neighbours(self, now_s: float) -> dict[str, dict[str, float]]:
+        """Return the requests at each other live instance of the neighbourhood."""
+        neighbourhood_of = self.membership.neighbourhood_of
+        own = neighbourhood_of(self.membership.own.name)
+        return {
+            name: _in_requests(received.message.sums.demand)
+            for name, received in self._by_instance.items()
+            if neighbourhood_of(name) == own
+            and now_s - received.at_s <= self.membership.alive_s
+        }
+
+    def demand_of_neighbourhoods(self, now_s: float) -> dict[str, dict[str, float]]:
+        """Return the requests in each other neighbourhood."""
+        count = self.membership.neighbourhoods
+        own = self.membership.neighbourhood_of(self.membership.own.name)
+        return {
+            str(number): _in_requests(received.message.sums.demand)
+            for (number, of), received in self._by_neighbourhood.items()
+            if of == count
+            and number != own
+            and now_s - received.at_s <= self.membership.alive_s
+        }
+
     def oldest_age_s(self, now_s: float) -> float:
         """Return the age in seconds of the oldest totals still in use."""
         received = [*self._by_instance.values(), *self._by_neighbourhood.values()]
@@ -233,6 +257,10 @@
         ]
 
 
+def _in_requests(demand: dict[str, int]) -> dict[str, float]:
+    return {name: requests / DEMAND_UNITS for name, requests in demand.items()}
+
+
 @lru_cache(maxsize=4096)
 def server_number(server_id: str) -> int:
     """Return a hash of a backend server's id, which is shorter in datagrams."""
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -15,6 +15,7 @@
 
 from teaseldyke.placement import (
     CrashEvidence,
+    FairShares,
     Load,
     PartReport,
     RoundSends,
@@ -26,6 +27,7 @@
 from .membership import ALIVE_TIMEOUT_S, Membership
 from .placing import Placer
 from .sums import (
+    DEMAND_UNITS,
     FleetTotals,
     RelayedChanges,
     Sums,
@@ -48,7 +50,6 @@
 USAGE_ROUNDS = 4  # a large fleet sends usage in one of so many rounds
 # Rounds until all instances know of a send: one to the neighbours, one to the others.
 PROPAGATION_ROUNDS = 2
-DEMAND_UNITS = 100  # in a request; datagrams hold whole numbers
 IDLE_SKIP_MAX = 2  # rounds skipped in a row; an idle instance still counts as alive
 
 
@@ -100,6 +101,16 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
 
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.own.name
+
+    @property
+    def neighbourhood(self) -> str:
+        """Name of this instance's neighbourhood."""
+        return str(self._membership.neighbourhood_of(self.own.name))
+
     @property
     def instances(self) -> int:
         """Number of instances that share the fleet's limits, this one included."""
@@ -198,7 +209,11 @@
             others = self._totals.other_neighbourhood_sums(now_s)
             self._oldest_age_s = self._totals.oldest_age_s(now_s)
             self._summed_at_s = now_s
-            self._apply_totals(add_up([*neighbours, *others]), placer)
+            self._apply_totals(add_up([*neighbours, *others]), placer.fair_shares)
+            placer.demand.of_neighbours = self._totals.demand_of_neighbours(now_s)
+            placer.demand.of_neighbourhoods = self._totals.demand_of_neighbourhoods(
+                now_s
+            )
         self._start_send_round(now_s)
         own = self._own_sums(placer, now_s)
         if self._may_skip_round([own, *neighbours], now_s):
@@ -324,9 +339,8 @@
         for server in self._view.all_states():
             server.round_sends = RoundSends(rounding=random.random())
 
-    def _apply_totals(self, peer_sums: Sums, placer: Placer) -> None:
-        """Replace the other instances' load per server, usage, queue and demand."""
-        fair_shares = placer.fair_shares
+    def _apply_totals(self, peer_sums: Sums, fair_shares: FairShares) -> None:
+        """Replace the other instances' load per server, usage and queued tokens."""
         for server in self._view.all_states():
             totals = peer_sums.loads.get(server_number(server.server.id), (0, 0, 0))
             pending, running, memory = totals
@@ -334,6 +348,3 @@
         usage = peer_sums.usage or {}
         fair_shares.peer_usage = {k: float(v) for k, v in usage.items()}
         fair_shares.peer_queued = {k: float(v) for k, v in peer_sums.waiting.items()}
-        placer.demand.of_peers = {
-            name: requests / DEMAND_UNITS for name, requests in peer_sums.demand.items()
-        }
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -114,10 +114,11 @@
         self._tokens_per_s = spec.engines * produced_tokens_per_s(engine.busy_s)
         self._instances = [
             Instance(
+                f"instance-{number}",
                 {name: self._state(name, 0.0) for name in names},
                 FairShares(tokens_per_s=self._tokens_per_s),
             )
-            for _ in range(spec.instances)
+            for number in range(spec.instances)
         ]
 
     def _state(self, name: str, cold_until_s: float) -> ServerState:
@@ -451,9 +452,8 @@
         self._schedule(
             self.now_s + self.spec.totals_delay_s, lambda: self._apply_totals(totals)
         )
-        names = [f"instance-{number}" for number in range(self.spec.instances)]
-        for name, instance in zip(names, self._instances, strict=True):
-            instance.divide_limits(names, name, self.now_s)
+        for instance in self._instances:
+            instance.divide_limits(self.spec.instances, self.now_s)
             instance.recompute_shares(self._tokens_per_s, self.now_s)
             self._scan_queue(instance)
         if self.now_s < last_s:
--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -20,7 +20,6 @@
     ServiceDemand,
     capacity_within_limits,
     limit_share,
-    rendezvous_weight,
 )
 
 from .engine import EngineRequest
@@ -36,6 +35,8 @@
 
     Parameters
     ----------
+    name : str
+        Of the instance.
     loads : dict of Load
         Its own load of each engine.
     usage, queued_tokens : dict of float
@@ -48,6 +49,7 @@
         Its recent requests.
     """
 
+    name: str
     loads: dict[str, Load]
     usage: dict[str, float]
     queued_tokens: dict[str, float]
@@ -76,6 +78,7 @@
 class Instance:
     """Engines, shares, queue and evidence as one instance knows them."""
 
+    name: str
     states: dict[str, ServerState]
     fair_shares: FairShares
     queue: RequestQueue[Call] = attrs.field(factory=RequestQueue)
@@ -86,6 +89,7 @@
     def totals(self, now_s: float) -> Totals:
         """Return what the others must know."""
         return Totals(
+            self.name,
             {name: attrs.evolve(s.own_load) for name, s in self.states.items()},
             self.fair_shares.own_usage(now_s),
             self.queue.queued_tokens(),
@@ -98,23 +102,20 @@
             self.demand.own(now_s).get(SERVICE, 0.0),
         )
 
-    def divide_limits(self, names: list[str], own_name: str, now_s: float) -> None:
-        """Set the parts of stated limits that this instance may send.
-
-        Parameters
-        ----------
-        names : list of str
-            All instances.
-        """
-        own, fleet = self.demand.own_and_fleet(SERVICE, now_s)
+    def divide_limits(self, instances: int, now_s: float) -> None:
+        """Set the parts of stated limits that this instance may send."""
+        demand = self.demand.of_fleet(
+            SERVICE,
+            now_s,
+            own=self.name,
+            own_neighbourhood="0",
+            instances=instances,
+            alive=instances,
+        )
         for engine, state in self.states.items():
-            per_s = state.limit.per_s
-            if per_s is None:
+            if state.limit.per_s is None:
                 continue
-            weight = rendezvous_weight(engine, own_name)
-            rank = sum(rendezvous_weight(engine, name) > weight for name in names)
-            size = len(names)
-            share = limit_share(per_s, rank, size, size, own, fleet)
+            share = limit_share(state.limit.per_s, engine, demand)
             state.limit.set_share(share, now_s)
 
     def recompute_shares(self, tokens_per_s: float, now_s: float) -> None:
@@ -134,7 +135,9 @@
         delay_s : float
             Age of what they tell.
         """
-        self.demand.of_peers = {SERVICE: sum(totals.demand for totals in others)}
+        self.demand.of_neighbours = {
+            totals.name: {SERVICE: totals.demand} for totals in others
+        }
         for name, state in self.states.items():
             loads = [totals.loads[name] for totals in others if name in totals.loads]
             state.peer_load = Load(
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -5,6 +5,7 @@
 from .choice import Choice, choose_engine, choose_plain, rendezvous_weight, shortlist
 from .crash_evidence import CrashEvidence, PartReport
 from .demand import ServiceDemand
+from .limit_shares import FleetDemand, limit_senders, limit_share
 from .recheck import CHOICE_TTL_S, lapse_reason
 from .refusal import Refusal, check_admission, retry_delay_s, service_time_s
 from .servers import (
@@ -19,7 +20,7 @@
     usable,
 )
 from .shares import DecayingSum, FairShares, Standing, water_level
-from .stated_limit import LimitReport, StatedLimit, limit_senders, limit_share
+from .stated_limit import LimitReport, StatedLimit
 from .waiting import AwaitedServer, QueuedRequest, RequestQueue
 from .window_budget import ColdRateLimit, RetryBudget, cold_senders_max
 from .work import Work
@@ -34,6 +35,7 @@
     "CrashEvidence",
     "DecayingSum",
     "FairShares",
+    "FleetDemand",
     "LimitReport",
     "Load",
     "PartReport",
--- a/libs/placement/src/teaseldyke/placement/demand.py
+++ b/libs/placement/src/teaseldyke/placement/demand.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from .limit_shares import FleetDemand
 from .shares import DecayingSum, Standing
 from .work import Work
 
@@ -22,11 +23,13 @@
 
     Attributes
     ----------
-    of_peers : dict of str to float
-        Recent requests at the other instances, by service.
+    of_neighbours, of_neighbourhoods : dict
+        Recent requests at each other instance of the own neighbourhood, and in each
+        other neighbourhood, by service.
     """
 
-    of_peers: dict[str, float] = attrs.field(factory=dict)
+    of_neighbours: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    of_neighbourhoods: dict[str, dict[str, float]] = attrs.field(factory=dict)
     _own: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
     _mean_cost_tokens: dict[str, float] = attrs.field(factory=dict, init=False)
     _mean_prompt_tokens: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -52,11 +55,34 @@
         """Return the recent requests at this instance, by service."""
         return {name: requests.at(now_s) for name, requests in self._own.items()}
 
-    def own_and_fleet(self, service: str, now_s: float) -> tuple[float, float]:
-        """Return the recent requests at this instance and in the whole fleet."""
-        own = self._own.get(service)
-        own_requests = own.at(now_s) if own is not None else 0.0
-        return own_requests, own_requests + self.of_peers.get(service, 0.0)
+    def of_fleet(
+        self,
+        service: str,
+        now_s: float,
+        *,
+        own: str,
+        own_neighbourhood: str,
+        instances: int,
+        alive: int,
+    ) -> FleetDemand:
+        """Return the recent requests for a service by instance and neighbourhood."""
+        requests = self._own.get(service)
+        neighbours = {
+            name: demand.get(service, 0.0)
+            for name, demand in self.of_neighbours.items()
+        }
+        neighbours[own] = requests.at(now_s) if requests is not None else 0.0
+        return FleetDemand(
+            own,
+            neighbours,
+            own_neighbourhood,
+            {
+                name: demand.get(service, 0.0)
+                for name, demand in self.of_neighbourhoods.items()
+            },
+            instances,
+            alive,
+        )
 
     def mean_cost_tokens(self, service: str) -> float:
         """Return the mean cost of recent requests; 0 before the first."""
--- a/libs/placement/src/teaseldyke/placement/stated_limit.py
+++ b/libs/placement/src/teaseldyke/placement/stated_limit.py
@@ -7,7 +7,7 @@
 
 Each instance gets a part of the limit as a rate of its own, so that no news that is
 late, lost or repeated makes the fleet exceed the limit: what an instance may send
-depends on nobody else's sends. The parts follow the demand of the instances.
+depends on nobody else's sends. How large the parts are: `limit_share`.
 """
 
 from __future__ import annotations
@@ -16,19 +16,10 @@
 
 import attrs
 
-# The operator's bound: in any window a server gets at most this multiple of what its
-# limit allows, plus the slack.
-WINDOW_S = 4.0
-WINDOW_FACTOR = 1.5
-WINDOW_SLACK = 5.0  # requests
-SENDERS_FRACTION = 0.8  # of those that the bound allows; ranks change with the fleet
 # Of a lower limit, zero included: only an answer tells that a limit has ended.
 PROBE_RATE_PER_S = 0.5
 # Sends that are made up for, because the queues are looked at only in intervals.
 CREDIT_S = 0.5
-# Part of the limit that is split evenly, so that an instance without recent demand
-# isn't shut out.
-EVEN_FRACTION = 0.1
 SIZE_SMOOTHING = 0.1  # weight of the newest request in the mean size
 END_REPORT_S = 10.0  # for which the others are told that a limit has ended
 
@@ -178,67 +169,3 @@
             self._level, self.own_per_s, self._updated_at_s = 0.0, 0.0, now_s
         self.per_s, self.changed_at_s = per_s, now_s
         return True
-
-
-def limit_senders(per_s: float, instances: int) -> int:
-    """Return how many instances of a fleet may send to a server with a limit.
-
-    Each of them may send one request beyond its part in a window, so the operator's
-    bound on a window limits their number.
-
-    Examples
-    --------
-    >>> limit_senders(2.0, 7)
-    7
-    >>> limit_senders(2.0, 100)
-    6
-    >>> limit_senders(0.0, 100)
-    2
-    """
-    rate_per_s = max(per_s, PROBE_RATE_PER_S)
-    allowed = WINDOW_FACTOR * WINDOW_S * per_s + WINDOW_SLACK
-    excess = allowed - rate_per_s * (WINDOW_S + CREDIT_S)
-    if instances <= excess:
-        return instances
-    return min(instances, max(1, int(SENDERS_FRACTION * excess)))
-
-
-def limit_share(
-    per_s: float,
-    rank: int,
-    instances: int,
-    alive: int,
-    own_demand: float,
-    fleet_demand: float,
-) -> float:
-    """Return the part of a server's limit that this instance may send.
-
-    If all instances may send, the parts follow their demand. If only those of the
-    first ranks may, as in a large fleet, the parts are equal.
-
-    Parameters
-    ----------
-    rank : int
-        Of this instance among all, for this server, from 0.
-    instances, alive : int
-        Instances of the fleet, and those that this one has heard of lately. One that
-        hears of less than half of them may be cut off, so it leaves the others their
-        parts.
-    own_demand, fleet_demand : float
-        Recent requests for the service, in any unit.
-
-    Examples
-    --------
-    >>> limit_share(5.0, 3, 4, 4, 20.0, 60.0)
-    0.325
-    >>> limit_share(5.0, 99, 100, 100, 30.0, 60.0)
-    0.0
-    """
-    senders = limit_senders(per_s, instances)
-    if rank >= senders:
-        return 0.0
-    if senders < instances or fleet_demand <= 0.0:
-        return 1.0 / senders
-    demanded = min(1.0, own_demand / fleet_demand)
-    share = (1.0 - EVEN_FRACTION) * demanded + EVEN_FRACTION / instances
-    return share if 2 * alive > instances else min(share, 1.0 / instances)
