Show that an ended limit is still reported by who heard it and sends no more

Found by reading: an instance that starts would keep to a limit that has ended until its first answer of that engine.

--- a/libs/placement/tests/test_stated_limit.py
+++ b/libs/placement/tests/test_stated_limit.py
@@ -96,6 +96,12 @@
         assert limit.report(3.0) == LimitReport(None, 1.0)
         assert limit.report(100.0) is None
 
+    def test_limit_whose_end_others_told_is_not_reported(self) -> None:
+        """An instance that starts would take it for one in force."""
+        limit = limited(5.0, now_s=1.0)
+        limit.merge(LimitReport(None, 0.0), 20.0)
+        assert limit.report(60.0) is None
+
     def test_server_without_limits_is_not_reported(self) -> None:
         limit = StatedLimit()
         limit.hear(None, 1.0, 1.0)
