--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -14,7 +14,7 @@
 @pytest.mark.promise("cold-backend-server")
 @pytest.mark.parametrize(
     "seed",
-    [4, 71008, 71025, 191212, 191216, 290401, 290513],
+    [4, 71008, 71025, 191212, 191216, 290401, 290513, 320513, 320518, 320520],
     ids=[
         "hold-links-and-kill-router",
         "kill-router-and-restart-engine",
@@ -23,6 +23,9 @@
         "restart-engine-and-stop-router-at-once",
         "stop-router-before-restart-engine",
         "hold-links-and-restart-engine",
+        "restart-engine-before-freeze-router",
+        "restart-engine-before-cut-links",
+        "restart-engine-before-freeze-router-at-its-end",
     ],
 )
 async def test_two_faults_at_a_time(tmp_path: Path, seed: int) -> None:
