Report no limit whose end others told

An instance that starts would have kept to a limit that has ended until its first answer of that engine: who heard the limit and sends nothing there any more went on reporting it, although others had told it of the end.

Cause: a report was made of what was heard, whether or not it still holds. Fix: a limit that doesn't hold any more here is not reported.

--- a/libs/placement/src/teaseldyke/placement/stated_limit.py
+++ b/libs/placement/src/teaseldyke/placement/stated_limit.py
@@ -98,11 +98,16 @@
     def report(self, now_s: float) -> LimitReport | None:
         """Return what the others must know of this instance's own answers.
 
-        What others told is not passed on: it would be taken for newer at each step.
+        What others told is not passed on: it would be taken for newer at each step. Nor
+        is a limit whose end others told.
         """
         age_s = now_s - self._heard_at_s
+        if age_s == math.inf:
+            return None
+        if self._heard_per_s is not None and self.per_s is None:
+            return None
         is_news = now_s - self._last_limit_at_s < END_REPORT_S
-        if age_s == math.inf or (self._heard_per_s is None and not is_news):
+        if self._heard_per_s is None and not is_news:
             return None
         return LimitReport(self._heard_per_s, max(0.0, age_s))
 
