Split the placer, and take the limits' work off paths that don't need it

What limits leave a service is a module of placement (limited_service.py) that names its load pattern; their log has one place.

Hot paths: arrivals walk the queue's order only if all servers state limits, the shared capacity is summed up only if one does, demand of others is collected only for a division, weights are computed once a division and draws are kept.

Tests: three that repeated each other are rows of one table, with the same cases; the demand of others is tested where it now stands (test_limits.py, test_totals.py). No bound, check or expectation is loosened.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -186,6 +186,14 @@
         """Number of instances heard of lately, this one included."""
         ...
 
+    def demand_of_neighbours(self, service: str) -> dict[str, float]:
+        """Return recent requests at each other instance of the neighbourhood."""
+        ...
+
+    def demand_of_neighbourhoods(self, service: str) -> dict[str, float]:
+        """Return recent requests in each other neighbourhood."""
+        ...
+
     @property
     def lag_s(self) -> float:
         """Time until the other instances know of a send of this one."""
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -14,30 +14,26 @@
     Choice,
     CrashEvidence,
     FairShares,
-    FleetDemand,
     QueuedRequest,
     RequestQueue,
     ServerState,
-    ServiceDemand,
     Work,
-    capacity_within_limits,
-    check_admission,
     choose_engine,
     choose_plain,
     cold_senders_max,
-    limit_share,
-    limits_allow_in_s,
     next_accepting_in_s,
     retry_delay_s,
     service_time_s,
 )
-from teaseldyke.telemetry import counter, histogram
+from teaseldyke.telemetry import histogram
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import RoutingTable, ServiceDescription
+from teaseldyke.types import ServiceDescription
 
 from .crashes import ensure_not_quarantined
 from .errors import NoServer, Overloaded
 from .interfaces import Fleet
+from .limits import LimitDivision
+from .refusing import AdmissionControl
 from .reservation import Reservation
 from .settings import FleetBounds
 from .share_log import ShareLog
@@ -47,12 +43,10 @@
 SCAN_PAUSE_MIN_S = 0.004  # between two scans of the queues
 SCAN_TIME_SHARE = 0.25  # of elapsed time spent on scans; the rest serves requests
 SCAN_PAUSE_MAX_S = 0.05  # a scan also looks long when the process was descheduled
-NO_SERVER_RETRY_S = 1.0  # a new server's entry may appear within this time
 FULL_SERVER_BACKOFF_S = 0.05  # after a server refused a request as full
 LOADED_FIRST_EVENT_S = 0.2  # minimum time to first event at a loaded engine
 
 QUEUE_TIME = histogram("teaseldyke_wait_seconds", "Time from arrival to the send.")
-REFUSED = counter("teaseldyke_refused_total", "Requests refused, by reason.")
 
 
 @attrs.define(eq=False)
@@ -88,8 +82,8 @@
 
     Attributes
     ----------
-    demand : ServiceDemand
-        Recent requests for each service.
+    limits : LimitDivision
+        This instance's parts of the limits that backend servers state.
     """
 
     def __init__(
@@ -102,13 +96,16 @@
         evidence: CrashEvidence,
     ) -> None:
         self.fair_shares = fair_shares
-        self.demand = ServiceDemand()
+        self.limits = LimitDivision(view, fleet)
         self._view = view
         self._fleet = fleet
         self.bounds = bounds
         self._failure_domain = failure_domain
         self._evidence = evidence
         self._share_log = ShareLog(fair_shares)
+        self._admission = AdmissionControl(
+            view, fair_shares, self.limits.demand, self._share_log
+        )
         self._queues: dict[str, RequestQueue[_PendingReservation]] = {}
         self._changed = trio.Event()
 
@@ -143,51 +140,13 @@
     def recompute(self) -> None:
         """Recompute the fair shares and request a scan; called at a fixed interval."""
         now_s = boot_time_s()
-        self._divide_limits(now_s)
-        if self._view.table is not None:
-            tokens_per_s = self._capacity_tokens_per_s(self._view.table)
-            self.fair_shares.tokens_per_s = tokens_per_s
+        self.limits.divide(now_s)
+        table = self._view.table
+        if table is not None:
+            self.fair_shares.tokens_per_s = self.limits.capacity_tokens_per_s(table)
         self.fair_shares.recompute(self.queued_tokens(), now_s)
         self.wake()
 
-    def _divide_limits(self, now_s: float) -> None:
-        """Set the part of each stated limit that this instance may send."""
-        demands: dict[str, FleetDemand] = {}
-        for state in self._view.all_states():
-            per_s = state.limit.per_s
-            if per_s is None:
-                continue
-            service = state.server.service
-            if service not in demands:
-                demands[service] = self._fleet_demand(service, now_s)
-            share = limit_share(per_s, state.server.id, demands[service])
-            state.limit.set_share(share, now_s)
-
-    def _fleet_demand(self, service: str, now_s: float) -> FleetDemand:
-        fleet = self._fleet
-        return self.demand.of_fleet(
-            service,
-            now_s,
-            own=fleet.name,
-            own_neighbourhood=fleet.neighbourhood,
-            instances=fleet.instances,
-            alive=fleet.alive,
-        )
-
-    def _capacity_tokens_per_s(self, table: RoutingTable) -> float:
-        """Return the stated production of all engines, as far as limits leave it."""
-        engines = [
-            (name, state)
-            for name, service in table.services.items()
-            if service.is_engine
-            for state in self._view.states_of(name)
-        ]
-        mean = max(
-            (self.demand.mean_cost_tokens(name) for name, _ in engines), default=0.0
-        )
-        states = [state for _, state in engines]
-        return capacity_within_limits(states, table.bounds.tokens_per_s, mean)
-
     def report_shares(self) -> None:
         """Log what organisations requested and received; called at a fixed interval."""
         table = self._view.table
@@ -220,11 +179,11 @@
         now_s = boot_time_s()
         if not avoid:
             standing = self.fair_shares.standing(work.organisation, now_s)
-            self.demand.record_arrival(service.name, work, standing, now_s)
+            self.limits.demand.record_arrival(service.name, work, standing, now_s)
         if not avoid and service.is_engine:
             self._share_log.record_arrival(work)
         if self._view.servers_known and not states:
-            raise self._no_server(service, work)
+            raise self._admission.no_server(service, work)
         if all(state.server.id in avoid for state in states):
             avoid = frozenset()  # retrying a failed server is better than refusing
         queue = self._queues.setdefault(service.name, RequestQueue())
@@ -235,7 +194,7 @@
             choice = self._choose(service, work, avoid, quota, now_s)
             if choice.state is not None:
                 return self._reserve(service, work, choice, now_s)
-        self._refuse_if_late(service, work, queue, now_s)
+        self._admission.refuse_if_late(service, work, queue, now_s)
         latest_at_s = latest_send_at_s(work, now_s)
         pending = _PendingReservation(service, avoid, latest_at_s)
         queued = QueuedRequest(work, pending)
@@ -254,7 +213,7 @@
             return pending.reservation
         ensure_not_quarantined(self._evidence, work)
         reason = pending.reason
-        self._count_refused(service, work, reason)
+        self._admission.count_refused(service, work, reason)
         left_s = work.deadline_at_s - boot_time_s()
         raise Overloaded(
             f"no capacity at a backend server within {latest_at_s - now_s:.3f} s: "
@@ -266,81 +225,6 @@
         """Return the time until a server of a service accepts requests again."""
         return next_accepting_in_s(self._view.states_of(service), boot_time_s())
 
-    def expected_wait_s(
-        self,
-        service: ServiceDescription,
-        queue: RequestQueue[_PendingReservation],
-        work: Work,
-    ) -> float:
-        """Return the expected queueing time of a new request, by prefill rate.
-
-        Ejected engines and engines that asked for a pause don't count; while all
-        servers pause, it is at least the time until the first pause ends, and while all
-        state limits, the time until these allow it. Otherwise 0 while no rate is known
-        and for plain services.
-        """
-        now_s = boot_time_s()
-        states = self._view.states_of(service.name)
-        usable = [
-            state
-            for state in states
-            if not state.is_ejected(now_s) and state.accepts_requests(now_s)
-        ]
-        pause_s = max(
-            next_accepting_in_s(states, now_s),
-            self._limits_allow_in_s(usable, queue, work, now_s),
-        )
-        if not service.is_engine:
-            return pause_s
-        mean_tokens = self.demand.mean_prompt_tokens(service.name)
-        rate = sum(state.served_rate(mean_tokens) for state in usable)
-        if rate <= 0.0:
-            return pause_s
-        ahead_tokens = queue.tokens_ahead(work, self.fair_shares, now_s)
-        return max(pause_s, ahead_tokens / rate)
-
-    def _limits_allow_in_s(
-        self,
-        states: list[ServerState],
-        queue: RequestQueue[_PendingReservation],
-        work: Work,
-        now_s: float,
-    ) -> float:
-        ahead = queue.requests_ahead(work.organisation, self.fair_shares, now_s)
-        return limits_allow_in_s(states, ahead, now_s)
-
-    def _refuse_if_late(
-        self,
-        service: ServiceDescription,
-        work: Work,
-        queue: RequestQueue[_PendingReservation],
-        now_s: float,
-    ) -> None:
-        expected_s = self.expected_wait_s(service, queue, work)
-        refusal = check_admission(work, expected_s, now_s, random.random())
-        if refusal is None:
-            return
-        self._count_refused(service, work, refusal.reason)
-        raise Overloaded(
-            f"{refusal.reason}; expected wait: {expected_s:.3f} s",
-            retry_after_s=refusal.retry_after_s,
-        )
-
-    def _count_refused(
-        self, service: ServiceDescription, work: Work, reason: str
-    ) -> None:
-        REFUSED.bind(reason=reason).add()
-        if service.is_engine:
-            self._share_log.record_refusal(work, boot_time_s())
-
-    def _no_server(self, service: ServiceDescription, work: Work) -> NoServer:
-        self._count_refused(service, work, "no server")
-        left_s = work.deadline_at_s - boot_time_s()
-        return NoServer(
-            f"service {service.name} has no backend server available",
-            retry_after_s=retry_delay_s(NO_SERVER_RETRY_S, left_s, random.random()),
-        )
-
     def _scan_queue(self, name: str, queue: RequestQueue[_PendingReservation]) -> None:
         """Place queued requests in order, until too many placements have failed."""
         now_s = boot_time_s()
@@ -436,7 +320,7 @@
             lag_s=self._fleet.lag_s,
             avoid=avoid,
             may_use_cold=may_use_cold,
-            mean_cost_tokens=self.demand.mean_cost_tokens(service.name),
+            mean_cost_tokens=self.limits.demand.mean_cost_tokens(service.name),
         )
 
     def _cold_senders(self, state: ServerState) -> int:
--- a/libs/gateway/src/teaseldyke/gateway/reservation.py
+++ b/libs/gateway/src/teaseldyke/gateway/reservation.py
@@ -7,10 +7,11 @@
 import attrs
 
 from teaseldyke.placement import ServerState, Work
-from teaseldyke.telemetry import counter, gauge, log_decision
+from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s, scheduler_passes
 
 from .interfaces import AnswerFacts
+from .limit_log import log_limit_changed
 
 # Smaller samples are no measure of the prefill rate: request set-up dominates them.
 MEASURED_FIRST_EVENT_MIN_S = 0.02
@@ -25,36 +26,6 @@
     "teaseldyke_servers_said_leaving_total",
     "Backend servers whose answers said that they leave, by service.",
 )
-LIMIT = gauge(
-    "teaseldyke_server_limit_per_s",
-    "Requests a second that a backend server states it takes; -1 without a limit.",
-)
-
-
-def log_limit_changed(
-    state: ServerState, was_per_s: float | None, source: str, age_s: float
-) -> None:
-    """Log and export that a backend server states another limit.
-
-    Parameters
-    ----------
-    source : str
-        ``answer`` of the server, or the instance that told of it.
-    age_s : float
-        Longest time since the server stated it.
-    """
-    server = state.server
-    per_s = state.limit.per_s
-    LIMIT.bind(server=server.id).set(-1.0 if per_s is None else per_s)
-    log_decision(
-        "server_limit_changed",
-        server=server.id,
-        service=server.service,
-        per_s=per_s,
-        was_per_s=was_per_s,
-        source=source,
-        age_s=round(age_s, 3),
-    )
 
 
 @attrs.define(eq=False)
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -215,23 +215,23 @@
             for number, per_s, age_s in received.message.stated_limits
         ]
 
-    def demand_of_neighbours(self, now_s: float) -> dict[str, dict[str, float]]:
+    def demand_of_neighbours(self, service: str, now_s: float) -> dict[str, float]:
         """Return the requests at each other live instance of the neighbourhood."""
         neighbourhood_of = self.membership.neighbourhood_of
         own = neighbourhood_of(self.membership.own.name)
         return {
-            name: _in_requests(received.message.sums.demand)
+            name: received.message.sums.demand.get(service, 0) / DEMAND_UNITS
             for name, received in self._by_instance.items()
             if neighbourhood_of(name) == own
             and now_s - received.at_s <= self.membership.alive_s
         }
 
-    def demand_of_neighbourhoods(self, now_s: float) -> dict[str, dict[str, float]]:
+    def demand_of_neighbourhoods(self, service: str, now_s: float) -> dict[str, float]:
         """Return the requests in each other neighbourhood."""
         count = self.membership.neighbourhoods
         own = self.membership.neighbourhood_of(self.membership.own.name)
         return {
-            str(number): _in_requests(received.message.sums.demand)
+            str(number): received.message.sums.demand.get(service, 0) / DEMAND_UNITS
             for (number, of), received in self._by_neighbourhood.items()
             if of == count
             and number != own
@@ -257,10 +257,6 @@
         ]
 
 
-def _in_requests(demand: dict[str, int]) -> dict[str, float]:
-    return {name: requests / DEMAND_UNITS for name, requests in demand.items()}
-
-
 @lru_cache(maxsize=4096)
 def server_number(server_id: str) -> int:
     """Return a hash of a backend server's id, which is shorter in datagrams."""
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -116,6 +116,14 @@
         """Number of instances that share the fleet's limits, this one included."""
         return self._membership.instances
 
+    def demand_of_neighbours(self, service: str) -> dict[str, float]:
+        """Return recent requests at each other instance of the neighbourhood."""
+        return self._totals.demand_of_neighbours(service, boot_time_s())
+
+    def demand_of_neighbourhoods(self, service: str) -> dict[str, float]:
+        """Return recent requests in each other neighbourhood."""
+        return self._totals.demand_of_neighbourhoods(service, boot_time_s())
+
     @property
     def lag_s(self) -> float:
         """Time until the other instances know of a send, at the current interval."""
@@ -210,10 +218,6 @@
             self._oldest_age_s = self._totals.oldest_age_s(now_s)
             self._summed_at_s = now_s
             self._apply_totals(add_up([*neighbours, *others]), placer.fair_shares)
-            placer.demand.of_neighbours = self._totals.demand_of_neighbours(now_s)
-            placer.demand.of_neighbourhoods = self._totals.demand_of_neighbourhoods(
-                now_s
-            )
         self._start_send_round(now_s)
         own = self._own_sums(placer, now_s)
         if self._may_skip_round([own, *neighbours], now_s):
@@ -269,7 +273,7 @@
             {name: int(value) for name, value in usage.items() if value >= 1.0},
             {
                 name: int(DEMAND_UNITS * value)
-                for name, value in placer.demand.own(now_s).items()
+                for name, value in placer.limits.demand.own(now_s).items()
             },
         )
 
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -13,7 +13,7 @@
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer, RoutingTable
 
-from .reservation import log_limit_changed
+from .limit_log import log_limit_changed
 from .sums import NumberedLimit, start_number
 
 LEFT_SERVERS_MAX = 1000  # remembered starts of servers that left
--- a/libs/gateway/tests/test_totals.py
+++ b/libs/gateway/tests/test_totals.py
@@ -82,7 +82,7 @@
         membership = instance.membership
         membership.refresh(self.now_s)
         instance.number += 1
-        own = Sums({SERVER: (10, 1, 100)})
+        own = Sums({SERVER: (10, 1, 100)}, demand={"app": 100})
         near, far = membership.receivers(self.now_s)
         instance.sent += len(near) + len(far)
         message = TotalsMessage(
@@ -246,6 +246,18 @@
     def test_starts_of_a_server_are_told_apart(self) -> None:
         assert start_number("e-0", 1) != start_number("e-0", 2)
 
+    @pytest.mark.parametrize("size", [1, 2, 12, 69])
+    def test_demand_is_known_by_neighbour_and_neighbourhood(self, size: int) -> None:
+        fleet = SimulatedFleet(size)
+        fleet.run(3.0)
+        for instance in fleet.alive():
+            neighbours = instance.totals.demand_of_neighbours("app", fleet.now_s)
+            others = instance.totals.demand_of_neighbourhoods("app", fleet.now_s)
+            assert instance.name not in neighbours
+            assert set(neighbours.values()) <= {1.0}
+            assert 1.0 + sum(neighbours.values()) + sum(others.values()) == size
+            assert len(others) == instance.membership.neighbourhoods - 1
+
     def test_demand_is_added_up(self) -> None:
         parts = [Sums(demand={"app": 150}), Sums(demand={"app": 50, "llm": 7})]
         assert add_up(parts).demand == {"app": 200, "llm": 7}
--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -11,6 +11,7 @@
     AwaitedServer,
     CrashEvidence,
     FairShares,
+    FleetDemand,
     LimitReport,
     Load,
     PartReport,
@@ -84,6 +85,7 @@
     queue: RequestQueue[Call] = attrs.field(factory=RequestQueue)
     evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     demand: ServiceDemand = attrs.field(factory=ServiceDemand)
+    demand_of_others: dict[str, float] = attrs.field(factory=dict)
     round_at_s: float = 0.0
 
     def totals(self, now_s: float) -> Totals:
@@ -104,14 +106,9 @@
 
     def divide_limits(self, instances: int, now_s: float) -> None:
         """Set the parts of stated limits that this instance may send."""
-        demand = self.demand.of_fleet(
-            SERVICE,
-            now_s,
-            own=self.name,
-            own_neighbourhood="0",
-            instances=instances,
-            alive=instances,
-        )
+        own = self.demand.own(now_s).get(SERVICE, 0.0)
+        neighbours = {**self.demand_of_others, self.name: own}
+        demand = FleetDemand(self.name, neighbours, "0", {}, instances, instances)
         for engine, state in self.states.items():
             if state.limit.per_s is None:
                 continue
@@ -135,9 +132,7 @@
         delay_s : float
             Age of what they tell.
         """
-        self.demand.of_neighbours = {
-            totals.name: {SERVICE: totals.demand} for totals in others
-        }
+        self.demand_of_others = {totals.name: totals.demand for totals in others}
         for name, state in self.states.items():
             loads = [totals.loads[name] for totals in others if name in totals.loads]
             state.peer_load = Load(
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -6,6 +6,7 @@
 from .crash_evidence import CrashEvidence, PartReport
 from .demand import ServiceDemand
 from .limit_shares import FleetDemand, limit_senders, limit_share
+from .limited_service import capacity_within_limits, limits_allow_in_s
 from .recheck import CHOICE_TTL_S, lapse_reason
 from .refusal import Refusal, check_admission, retry_delay_s, service_time_s
 from .servers import (
@@ -14,8 +15,6 @@
     Load,
     RoundSends,
     ServerState,
-    capacity_within_limits,
-    limits_allow_in_s,
     next_accepting_in_s,
     usable,
 )
--- a/libs/placement/src/teaseldyke/placement/demand.py
+++ b/libs/placement/src/teaseldyke/placement/demand.py
@@ -1,4 +1,4 @@
-"""Recent requests for each service, at this instance and at the others.
+"""Recent requests of callers for each service at this instance.
 
 Load pattern: engines that state limits while load is uneven between the instances, one
 organisation far over its share. Replayed in ``tests/test_demand.py``.
@@ -8,28 +8,18 @@
 
 import attrs
 
-from .limit_shares import FleetDemand
 from .shares import DecayingSum, Standing
 from .work import Work
 
 DEMAND_TIME_CONSTANT_S = 2.0  # long against the age of what others tell
 OVER_SHARE_WEIGHT = 0.2  # requests that fair shares won't serve draw less capacity
-MEAN_COST_SMOOTHING = 0.02  # weight of the newest request in a service's mean
+MEAN_SMOOTHING = 0.02  # weight of the newest request in the means
 
 
 @attrs.define
 class ServiceDemand:
-    """Recent requests for services.
+    """Number and mean size of recent requests, by service."""
 
-    Attributes
-    ----------
-    of_neighbours, of_neighbourhoods : dict
-        Recent requests at each other instance of the own neighbourhood, and in each
-        other neighbourhood, by service.
-    """
-
-    of_neighbours: dict[str, dict[str, float]] = attrs.field(factory=dict)
-    of_neighbourhoods: dict[str, dict[str, float]] = attrs.field(factory=dict)
     _own: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
     _mean_cost_tokens: dict[str, float] = attrs.field(factory=dict, init=False)
     _mean_prompt_tokens: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -49,41 +39,12 @@
             (self._mean_cost_tokens, work.cost_tokens),
             (self._mean_prompt_tokens, float(work.prompt_tokens)),
         ):
-            means[service] += MEAN_COST_SMOOTHING * (tokens - means[service])
+            means[service] += MEAN_SMOOTHING * (tokens - means[service])
 
     def own(self, now_s: float) -> dict[str, float]:
         """Return the recent requests at this instance, by service."""
         return {name: requests.at(now_s) for name, requests in self._own.items()}
 
-    def of_fleet(
-        self,
-        service: str,
-        now_s: float,
-        *,
-        own: str,
-        own_neighbourhood: str,
-        instances: int,
-        alive: int,
-    ) -> FleetDemand:
-        """Return the recent requests for a service by instance and neighbourhood."""
-        requests = self._own.get(service)
-        neighbours = {
-            name: demand.get(service, 0.0)
-            for name, demand in self.of_neighbours.items()
-        }
-        neighbours[own] = requests.at(now_s) if requests is not None else 0.0
-        return FleetDemand(
-            own,
-            neighbours,
-            own_neighbourhood,
-            {
-                name: demand.get(service, 0.0)
-                for name, demand in self.of_neighbourhoods.items()
-            },
-            instances,
-            alive,
-        )
-
     def mean_cost_tokens(self, service: str) -> float:
         """Return the mean cost of recent requests; 0 before the first."""
         return self._mean_cost_tokens.get(service, 0.0)
--- a/libs/placement/src/teaseldyke/placement/limit_shares.py
+++ b/libs/placement/src/teaseldyke/placement/limit_shares.py
@@ -10,6 +10,7 @@
 import heapq
 import math
 from collections.abc import Mapping
+from functools import cached_property, lru_cache
 
 import attrs
 
@@ -53,6 +54,17 @@
     instances: int
     alive: int
 
+    @cached_property
+    def neighbour_weights(self) -> dict[str, float]:
+        """Weights of the own neighbourhood's instances."""
+        return draw_weights(self.neighbours)
+
+    @cached_property
+    def neighbourhood_weights(self) -> dict[str, float]:
+        """Weights of all neighbourhoods."""
+        own = sum(self.neighbours.values())
+        return draw_weights({**self.neighbourhoods, self.own_neighbourhood: own})
+
 
 def limit_senders(per_s: float, instances: int) -> int:
     """Return how many instances of a fleet may send to a server with a limit.
@@ -94,43 +106,41 @@
     0.35
     """
     senders = limit_senders(per_s, demand.instances)
-    own = demand.own_neighbourhood
-    of_neighbourhoods = {
-        **demand.neighbourhoods,
-        own: sum(demand.neighbours.values()),
-    }
-    drawn = draw_parts(of_neighbourhoods, server_id, senders)
-    part = drawn.get(own, 0.0)
+    drawn = draw_parts(demand.neighbourhood_weights, server_id, senders)
+    part = drawn.get(demand.own_neighbourhood, 0.0)
     if part <= 0.0:
         return 0.0
     members = 1 + int((senders - len(drawn)) * part)
-    share = part * draw_parts(demand.neighbours, server_id, members).get(
-        demand.own, 0.0
-    )
+    parts = draw_parts(demand.neighbour_weights, server_id, members)
+    share = part * parts.get(demand.own, 0.0)
     if 2 * demand.alive > demand.instances:
         return share
     return min(share, 1.0 / demand.instances)
 
 
+def draw_weights(demands: Mapping[str, float]) -> dict[str, float]:
+    """Return by name a weight for draws, which follows demand."""
+    mean = sum(demands.values()) / max(1, len(demands))
+    if mean <= 0.0:
+        return dict.fromkeys(demands, 1.0)
+    return {
+        name: (1.0 - EVEN_FRACTION) * demand + EVEN_FRACTION * mean
+        for name, demand in demands.items()
+    }
+
+
 def draw_parts(
-    demands: Mapping[str, float], server_id: str, count: int
+    weights: Mapping[str, float], server_id: str, count: int
 ) -> dict[str, float]:
     """Return the parts of the drawn names, which add up to one.
 
     Parameters
     ----------
-    demands : mapping
-        Demand by name.
+    weights : mapping
+        By name, for its chance and its part.
     count : int
-        Names to draw, with a chance and a part by demand.
+        Names to draw.
     """
-    mean = sum(demands.values()) / max(1, len(demands))
-    weights = dict.fromkeys(demands, 1.0)
-    if mean > 0.0:
-        weights = {
-            name: (1.0 - EVEN_FRACTION) * demand + EVEN_FRACTION * mean
-            for name, demand in demands.items()
-        }
     names = list(weights)
     if len(names) > count:
         # The first arrivals of processes with these rates, which is a draw by weight.
@@ -141,6 +151,7 @@
     return {name: weights[name] / total for name in names}
 
 
+@lru_cache(maxsize=16384)
 def _draw(server_id: str, name: str) -> float:
     """Return an exponentially distributed number, the same at all instances."""
     uniform = (rendezvous_weight(server_id, name) + 1.0) / (HASH_RANGE + 1.0)
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -3,7 +3,8 @@
 Load patterns: engines that fail a fraction of their requests while otherwise healthy
 (`srv_grey`), run slowly (`srv_slow`), are cold after a start (`cold_return`), crash
 and leave their address to another server (`srv_crash`), are full and ask for a pause,
-or say that they leave before the store does. Replayed in ``tests/test_servers.py``.
+say that they leave before the store does, or state a limit on requests (capped).
+Replayed in ``tests/test_servers.py`` and ``tests/test_limited_choice.py``.
 """
 
 from __future__ import annotations
@@ -330,58 +331,6 @@
     return healthy if 2 * len(healthy) >= len(all_states) else all_states
 
 
-def capacity_within_limits(
-    states: Sequence[ServerState], tokens_per_s: float, mean_cost_tokens: float
-) -> float:
-    """Return what engines produce within their stated limits, in tokens a second.
-
-    It is what fair shares distribute. Too low a value does no harm: what is given is
-    distributed, too.
-
-    Parameters
-    ----------
-    states : sequence of ServerState
-        All engines.
-    tokens_per_s : float
-        What they produce without limits, together.
-    mean_cost_tokens : float
-        Mean cost of a request.
-    """
-    if not states:
-        return tokens_per_s
-    each_per_s = tokens_per_s / len(states)
-    return sum(
-        each_per_s
-        if state.limit.per_s is None
-        else min(each_per_s, state.limit.per_s * mean_cost_tokens)
-        for state in states
-    )
-
-
-def limits_allow_in_s(
-    states: Sequence[ServerState], queued: int, now_s: float
-) -> float:
-    """Return the time until stated limits allow one more request of this instance.
-
-    0 if a server states no limit or none is known.
-
-    Parameters
-    ----------
-    states : sequence of ServerState
-        Servers that may get requests but for their limits.
-    queued : int
-        Requests that are sent before.
-    """
-    if not states or not all(state.limit.is_in_force for state in states):
-        return 0.0
-    own_per_s = sum(state.limit.own_per_s for state in states)
-    if own_per_s <= 0.0:
-        return 0.0  # the parts are not known yet
-    if not queued:
-        return min(state.limit.wait_s(0, now_s) for state in states)
-    return (queued + 1) / own_per_s
-
-
 def next_accepting_in_s(states: Sequence[ServerState], now_s: float) -> float:
     """Return the time until a server accepts requests again.
 
--- a/libs/placement/tests/test_demand.py
+++ b/libs/placement/tests/test_demand.py
@@ -8,15 +8,11 @@
 WORK = Work("a", 0.0, 1.0, 2.0, 3.0, prompt_tokens=100, output_tokens=10)
 
 
-def test_demand_is_known_by_instance_and_neighbourhood() -> None:
-    demand = ServiceDemand({"b": {"app": 6.0}}, {"1": {"app": 9.0}, "2": {}})
+def test_requests_are_counted_by_service() -> None:
+    demand = ServiceDemand()
     for _ in range(2):
         demand.record_arrival("app", WORK, Standing.FAIR, 1.0)
-    names = {"own": "a", "own_neighbourhood": "0"}
-    found = demand.of_fleet("app", 1.0, **names, instances=9, alive=8)
-    assert found.neighbours == {"a": 2.0, "b": 6.0}
-    assert found.neighbourhoods == {"1": 9.0, "2": 0.0}
-    assert (found.instances, found.alive) == (9, 8)
+    assert demand.own(1.0) == {"app": 2.0}
 
 
 def test_old_requests_count_less() -> None:
--- a/libs/placement/tests/test_limited_choice.py
+++ b/libs/placement/tests/test_limited_choice.py
@@ -10,10 +10,8 @@
     AwaitedServer,
     ServerState,
     Work,
-    capacity_within_limits,
     choose_engine,
     choose_plain,
-    limits_allow_in_s,
 )
 from teaseldyke.types import ServiceDescription
 
@@ -50,24 +48,31 @@
 
 class TestEngines:
     @pytest.mark.parametrize(
-        ("own_tokens", "output_tokens", "chosen"),
-        [(12_000, 400, "e-limited"), (800, 300, "e-free"), (1_000, 10, "e-free")],
-        ids=["long", "query", "tag"],
+        ("own_tokens", "output_tokens", "unused_s", "queued_tokens", "chosen"),
+        [
+            (12_000, 400, 0.01, 15_000.0, "e-limited"),
+            (800, 300, 0.01, 15_000.0, "e-free"),
+            (1_000, 10, 0.01, 15_000.0, "e-free"),
+            (800, 300, 9.0, 15_000.0, "e-limited"),
+            (800, 50, 0.01, 200_000.0, "e-limited"),
+        ],
+        ids=["long", "query", "tag", "unused", "high-load"],
     )
-    def test_limit_goes_to_the_largest_requests(
+    def test_limit_goes_to_the_largest_requests_unless_it_would_go_unused(
         self,
         engines: ServiceDescription,
         make_state: MakeState,
         make_work: MakeWork,
         own_tokens: int,
         output_tokens: int,
+        unused_s: float,
+        queued_tokens: float,
         chosen: str,
     ) -> None:
-        """The other engine has some queued prompts, so that by time alone all choose
-        the limited one, whose next request has just become possible."""
+        """By time alone all would choose the limited engine."""
         free = make_state("e-free")
-        limited = limit(make_state("e-limited"), 5.0, at_s=NOW_S - 0.21)
-        free.own_load.pending_tokens = 15_000.0
+        limited = limit(make_state("e-limited"), 5.0, at_s=NOW_S - 0.2 - unused_s)
+        free.own_load.pending_tokens = queued_tokens
         work = make_work(parts=(), own_tokens=own_tokens, output_tokens=output_tokens)
         choice = choose_engine(
             [limited, free], engines, work, NOW_S, mean_cost_tokens=MEAN_COST_TOKENS
@@ -75,35 +80,6 @@
         assert choice.state is not None
         assert choice.state.server.id == chosen
 
-    def test_small_requests_use_a_limit_that_large_ones_leave(
-        self,
-        engines: ServiceDescription,
-        limited: ServerState,
-        free: ServerState,
-        make_work: MakeWork,
-    ) -> None:
-        """It would have gone unused."""
-        free.own_load.pending_tokens = 15_000.0
-        work = make_work(parts=(), own_tokens=800, output_tokens=300)
-        choice = choose_engine(
-            [limited, free], engines, work, NOW_S, mean_cost_tokens=MEAN_COST_TOKENS
-        )
-        assert choice.state is limited
-
-    def test_small_requests_use_a_limit_that_is_left_under_high_load(
-        self,
-        engines: ServiceDescription,
-        limited: ServerState,
-        free: ServerState,
-        make_work: MakeWork,
-    ) -> None:
-        free.own_load.pending_tokens = 200_000.0
-        work = make_work(parts=(), own_tokens=800, output_tokens=50)
-        choice = choose_engine(
-            [limited, free], engines, work, NOW_S, mean_cost_tokens=MEAN_COST_TOKENS
-        )
-        assert choice.state is limited
-
     def test_used_up_limit_is_waited_for_or_passed_by(
         self,
         engines: ServiceDescription,
@@ -159,51 +135,3 @@
         assert choose_plain([limited, free], NOW_S, failure_domain="a").state is free
         choice = choose_plain([limited], NOW_S, failure_domain="a")
         assert choice.reason == "waits for the stated limit of a server"
-
-
-class TestExpectedWait:
-    @pytest.mark.parametrize(
-        ("limits", "queued", "expected_s"),
-        [
-            ([None, 2.0], 50, 0.0),
-            ([], 50, 0.0),
-            ([2.0, 3.0], 0, 0.0),
-            ([2.0, 3.0], 9, 2.0),
-        ],
-        ids=["one-without", "no-server", "nobody-waits", "queue"],
-    )
-    def test_wait_while_all_servers_state_limits(
-        self,
-        make_state: MakeState,
-        limits: list[float | None],
-        queued: int,
-        expected_s: float,
-    ) -> None:
-        states = [make_state(f"s-{i}") for i in range(len(limits))]
-        for state, per_s in zip(states, limits, strict=True):
-            if per_s is not None:
-                limit(state, per_s)
-        assert limits_allow_in_s(states, queued, NOW_S) == pytest.approx(expected_s)
-
-
-@pytest.mark.parametrize(
-    ("limits", "mean_cost_tokens", "expected"),
-    [
-        ([], 500.0, 9000.0),
-        ([None, None, None], 500.0, 9000.0),
-        ([None, 2.0, 2.0], 500.0, 5000.0),
-        ([2.0, 2.0, 2.0], 500.0, 3000.0),
-        ([None, 99.0, 99.0], 500.0, 9000.0),
-    ],
-)
-def test_capacity_that_is_shared_is_what_limits_leave(
-    make_state: MakeState,
-    limits: list[float | None],
-    mean_cost_tokens: float,
-    expected: float,
-) -> None:
-    states = [make_state(f"e-{i}") for i in range(len(limits))]
-    for state, per_s in zip(states, limits, strict=True):
-        if per_s is not None:
-            limit(state, per_s)
-    assert capacity_within_limits(states, 9000.0, mean_cost_tokens) == expected
--- a/libs/placement/tests/test_stated_limit.py
+++ b/libs/placement/tests/test_stated_limit.py
@@ -226,25 +226,17 @@
                 for name, (own, _, at_s) in receiver.heard.items()
                 if self.now_s - at_s < 0.6
             }
-            receiver.demand.of_neighbours = {
-                str(name): {"app": own} for name, own in alive.items()
-            }
             if receiver.limit.per_s is None:
                 continue
-            share = limit_share(
-                receiver.limit.per_s, "e-1", self._demand(receiver, len(alive) + 1)
-            )
+            demand = self._demand(receiver, alive)
+            share = limit_share(receiver.limit.per_s, "e-1", demand)
             receiver.limit.set_share(share, self.now_s)
 
-    def _demand(self, instance: Instance, alive: int) -> FleetDemand:
-        return instance.demand.of_fleet(
-            "app",
-            self.now_s,
-            own=str(instance.name),
-            own_neighbourhood="0",
-            instances=self.size,
-            alive=alive,
-        )
+    def _demand(self, instance: Instance, others: dict[int, float]) -> FleetDemand:
+        own = str(instance.name)
+        neighbours = {str(name): demand for name, demand in others.items()}
+        neighbours[own] = instance.demand.own(self.now_s).get("app", 0.0)
+        return FleetDemand(own, neighbours, "0", {}, self.size, len(neighbours))
 
     def busiest_window(self, since_s: float) -> int:
         """Return the most requests in four seconds after a moment."""
