Log the requests that were at a crashed server, and what makes them the same

The logs could not tell which requests were at a server when it crashed, nor whether one that comes again is the same. `crash_suspect` names each, with a digest of caller, method, host, target and body, which is computed for such requests only. The probe for a crash now follows each answer that breaks before its first event; what is decided from it has not changed.

--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -8,7 +8,7 @@
 import attrs
 
 from teaseldyke.http import Request
-from teaseldyke.placement import ServerState, Work
+from teaseldyke.placement import RequestIdentity, ServerState, Work
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
     KeyedOrganisation,
@@ -166,6 +166,7 @@
     *,
     unread_since_s: float,
     resubmitted: bool,
+    identity: RequestIdentity,
 ) -> Work:
     """Return the size and deadlines of a request for a backend server.
 
@@ -180,6 +181,8 @@
         Time before which it cannot have arrived.
     resubmitted : bool
         Whether the caller has resubmitted it; it then has no target latency left.
+    identity : RequestIdentity
+        Tells whether it is the same as an earlier one.
     """
     caller_timeout_s = facts.caller_timeout_s
     if caller_timeout_s is None:
@@ -204,4 +207,5 @@
         parts=facts.parts,
         priority=priority,
         resubmitted=resubmitted,
+        identity=identity,
     )
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -8,7 +8,7 @@
 import trio
 
 from teaseldyke.http import CallerGone, Request
-from teaseldyke.placement import Work, service_time_s
+from teaseldyke.placement import RequestIdentity, Work, service_time_s
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import Route, RouteKind, TeaseldykeError
@@ -124,6 +124,13 @@
             arrived_at_s,
             unread_since_s=request.unread_since_s,
             resubmitted=self._is_resubmission(route, facts),
+            identity=RequestIdentity(
+                organisation.name if organisation else "",
+                request.method,
+                facts.host,
+                request.raw_target,
+                body,
+            ),
         )
         is_stream = route.kind is RouteKind.STREAMING
         self._check_time_left(work, is_stream)
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -218,13 +218,7 @@
         If its engine crashed between the header of the answer and the first event, the
         parts of its prompt are accused.
         """
-        was_about_to_begin = (
-            result.outcome is Outcome.BROKEN
-            and result.status in SUCCESSES
-            and not reservation.measured_first_s
-        )
-        parts = call.work.parts
-        if not was_about_to_begin or len(parts) < 2:
+        if result.outcome is not Outcome.BROKEN or call.relay.events:
             return False
         broken_at_s = boot_time_s()
         server = reservation.state.server
@@ -234,6 +228,13 @@
             return False
         now_s = boot_time_s()
         crash = f"{server.id}:{server.started}"
+        _log_suspect(call, reservation, crash, result)
+        was_about_to_begin = (
+            result.status in SUCCESSES and not reservation.measured_first_s
+        )
+        parts = call.work.parts
+        if not was_about_to_begin or len(parts) < 2:
+            return False
         self._evidence.accuse(crash, parts, broken_at_s, now_s)
         self.abandon_quarantined()
         may_repeat = self._evidence.may_repeat(parts, now_s)
@@ -370,6 +371,29 @@
     return left_s
 
 
+def _log_suspect(
+    call: Call, reservation: Reservation, crash: str, result: SendResult
+) -> None:
+    """Log a request that was at a server, without an answer, when it crashed."""
+    identity = call.work.identity
+    log_decision(
+        "crash_suspect",
+        id=call.text_id,
+        crash=crash,
+        service=call.service.name,
+        request=identity.key if identity else None,
+        organisation=call.organisation.name if call.organisation else None,
+        target=call.request.raw_target[:80],
+        body_bytes=len(call.body),
+        parts=[part for part, _ in call.work.parts],
+        status=result.status,
+        head_s=round(reservation.measured_head_s, 4),
+        first_s=round(reservation.measured_first_s, 4),
+        after_s=round(boot_time_s() - reservation.sent_at_s, 4),
+        send=call.sends - 1,
+    )
+
+
 def caller_gone(call: Call) -> CallerGone:
     """Log and count a caller's disconnect; return the error that ends its request."""
     CALLERS_GONE.bind(route=call.route.name).add()
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -9,6 +9,7 @@
 from .limited_service import capacity_within_limits, limits_allow_in_s
 from .recheck import CHOICE_TTL_S, lapse_reason
 from .refusal import Refusal, check_admission, retry_delay_s, service_time_s
+from .request_identity import RequestIdentity
 from .servers import (
     FAILURE_RATE_MAX,
     CapacityQuota,
@@ -40,6 +41,7 @@
     "PartReport",
     "QueuedRequest",
     "Refusal",
+    "RequestIdentity",
     "RequestQueue",
     "RetryBudget",
     "RoundSends",
--- a/libs/placement/src/teaseldyke/placement/work.py
+++ b/libs/placement/src/teaseldyke/placement/work.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .request_identity import RequestIdentity
+
 OUTPUT_TOKEN_WEIGHT = 2.0  # in prompt tokens; defined by the operator
 
 
@@ -33,6 +35,8 @@
         Priority, 0 the highest.
     resubmitted : bool
         Whether the caller sent the request again after a refusal.
+    identity : RequestIdentity or None
+        Tells whether it is the same as an earlier one; ``None`` if that isn't asked.
     """
 
     organisation: str
@@ -45,6 +49,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     priority: int = 0
     resubmitted: bool = False
+    identity: RequestIdentity | None = None
 
     @property
     def cost_tokens(self) -> float:
--- a/tests/platform/test_given_up_sends.py
+++ b/tests/platform/test_given_up_sends.py
@@ -26,6 +26,12 @@
         received += data
 
 
+def read_to_the_end(connection: socket.socket) -> None:
+    """Read until EOF; raises if the connection was reset."""
+    while connection.recv(65536):
+        continue
+
+
 @pytest.mark.parametrize("target", ["/safe/a", "/once/a", "/stream/a"])
 async def test_engine_that_reads_late_gets_no_whole_request_of_a_gone_caller(
     target: str,
@@ -78,7 +84,6 @@
             await caller.close()
             await wait_until(lambda: not gateway.calls.running)
             connection, _ = listener.accept()
+            connection.settimeout(1.0)
             with connection, pytest.raises(ConnectionResetError):
-                connection.settimeout(1.0)
-                while connection.recv(65536):
-                    pass
+                read_to_the_end(connection)
