Hold a request that has crashed servers, whatever else shares its prompt

Cause: evidence was kept about the wrong thing. Only shared parts of prompts could be accused, and the next answer to a sound request with the same part cleared them; a request of a plain service has no parts, and a crash before the header of an answer accused nothing. The class: a conclusion about a group that needs a fact about one member of it.

The request itself is now a suspect like a part, in the same mechanism: its key is a digest of body, target, host and method, keyed by the caller. Each request without an answer at a crashed server is accused; its own answer, a failure included, clears it, and an answer to another doesn't. The narrowest suspect that explains most crashes is held, parts after requests, so that different requests with one crashing part still put the part away. A held request is refused at once with the crashes named and without a time to come back, at the queue and right before the first byte, and is taken back from engines that have not begun.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -11,6 +11,7 @@
 
 from teaseldyke.http import (
     AnswerBroken,
+    AnswerTimedOut,
     AnswerTooLarge,
     BackendPool,
     ConnectFailed,
@@ -68,12 +69,15 @@
         Status of the server's answer; 0 without one.
     first_event_s : float
         Time from the send to the first event of a stream; 0 without one.
+    timed_out : bool
+        Whether this instance gave the answer up, rather than the server.
     """
 
     outcome: Outcome
     detail: str = ""
     status: int = 0
     first_event_s: float = 0.0
+    timed_out: bool = False
 
 
 @attrs.frozen
@@ -116,7 +120,7 @@
     policy : AttemptPolicy
         When this attempt is given up.
     evidence : CrashEvidence
-        Learns which prompts are answered.
+        Learns which requests are answered.
     has_crashed : callable
         Finds out whether the server has crashed.
     is_repeated : bool
@@ -127,6 +131,10 @@
     ----------
     sent : bool
         Whether a connection was open, so that the server may have the request.
+    is_proven : bool
+        Whether the server has run the request, at least for a moment, and lives.
+    is_trial : bool
+        Whether the request is sent to find out if it still crashes servers.
     """
 
     pool: BackendPool
@@ -141,6 +149,8 @@
     has_crashed: Callable[[], Awaitable[bool]]
     is_repeated: bool
     sent: bool = False
+    is_proven: bool = attrs.field(default=False, init=False)
+    is_trial: bool = attrs.field(default=False, init=False)
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
 
     def abandon_unless_begun(self) -> None:
@@ -219,7 +229,12 @@
             await exchange.start(request, self.policy.first_byte_s)
             return await self._read(connection, exchange, resumed_after)
         except (ExchangeBroken, AnswerTooLarge) as exc:
-            return SendResult(Outcome.BROKEN, exc.detail, exchange.status)
+            return SendResult(
+                Outcome.BROKEN,
+                exc.detail,
+                exchange.status,
+                timed_out=isinstance(exc, AnswerTimedOut),
+            )
         finally:
             self._connection = None
             self.pool.release(connection, exchange)
@@ -254,6 +269,7 @@
             exchange.complete = False
             return SendResult(Outcome.BROKEN, fault, status)
         if status >= 500 and not self.policy.forwards_errors:
+            self._record_survived()
             await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             return SendResult(Outcome.FAILED, f"server answered {status}", status)
         headers = self.wire.answer_headers(exchange.headers)
@@ -271,6 +287,8 @@
             await self.relay.request.respond(status, body, headers)
             if status < 400:
                 self._record_sound(boot_time_s())
+            else:
+                self._record_survived()
             if not self.service.is_engine and status < 500:
                 self.reservation.record_answer()
         if status >= 500:
@@ -342,5 +360,12 @@
             raise AnswerBroken("server crashed at the end of an answer without length")
 
     def _record_sound(self, now_s: float) -> None:
-        """Record that the engine has begun to answer the prompt and lives."""
-        self.evidence.clear(self.reservation.work.parts, now_s)
+        """Record that the server has begun to answer the request and lives."""
+        self.is_proven = True
+        work = self.reservation.work
+        self.evidence.clear(work.parts, now_s, work.identity)
+
+    def _record_survived(self) -> None:
+        """Record that the server failed the request and lives."""
+        self.is_proven = True
+        self.evidence.clear((), boot_time_s(), self.reservation.work.identity)
--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -65,6 +65,8 @@
         Version of the configuration that it was resolved with.
     last_failure : str
         Why the last send failed.
+    crashes : int
+        Number of servers that crashed while they had it.
     """
 
     request: Request
@@ -81,6 +83,7 @@
     sends: int = 0
     version: int = 0
     last_failure: str = ""
+    crashes: int = 0
 
     @property
     def text_id(self) -> str:
--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Finds crashed backend servers, and the prompts that must not reach others."""
+"""Finds crashed backend servers, and the requests that must not reach others."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 import trio
 
 from teaseldyke.http import refuses_connections
-from teaseldyke.placement import CrashEvidence, Work
-from teaseldyke.telemetry import counter, log_decision
+from teaseldyke.placement import CrashEvidence, Work, is_request
+from teaseldyke.telemetry import counter, gauge, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer
 
-from .errors import PromptQuarantined
+from .errors import PromptQuarantined, RequestHeld
 
 PROBE_TIMEOUT_S = 0.1  # many round trips between failure domains
 # A process that ends may close its connections a moment before its port.
@@ -31,6 +31,15 @@
     "Requests refused because a part of their prompt has crashed engines.",
 )
 
+HELD = counter(
+    "teaseldyke_requests_held_total",
+    "Requests refused because the same request has crashed servers.",
+)
+SUSPECTS_HELD = gauge(
+    "teaseldyke_suspects_held",
+    "Requests and parts of prompts that must not reach a server.",
+).bind()
+
 
 @attrs.define(eq=False)
 class _Probe:
@@ -41,18 +50,30 @@
     refused: bool = False
 
 
-def ensure_not_quarantined(evidence: CrashEvidence, work: Work) -> None:
-    """Raise `PromptQuarantined` if a part of the prompt has crashed engines."""
-    part = evidence.refused_part(work.parts)
-    if part is None:
+def ensure_not_held(evidence: CrashEvidence, work: Work) -> None:
+    """Raise an error if a request, or a part of its prompt, has crashed servers.
+
+    Raises
+    ------
+    RequestHeld, PromptQuarantined
+        It names the crashes.
+    """
+    suspect = evidence.refused_suspect(work)
+    if suspect is None:
         return
+    crashes = ", ".join(evidence.crashes_of(suspect))
+    if is_request(suspect):
+        HELD.bind().add()
+        raise RequestHeld(f"request {suspect!r} has crashed servers: {crashes}")
     QUARANTINED.bind().add()
-    raise PromptQuarantined(f"part {part[:40]!r} of the prompt has crashed engines")
+    raise PromptQuarantined(
+        f"part {suspect[:40]!r} of the prompt has crashed engines: {crashes}"
+    )
 
 
 @attrs.define
 class QuarantineLog:
-    """Logs changes of the quarantine, by whatever instance they were noticed."""
+    """Logs changes of what is held, by whatever instance they were noticed."""
 
     evidence: CrashEvidence
     _logged: frozenset[str] = frozenset()
@@ -62,16 +83,19 @@
 
         Called at intervals.
         """
-        self.evidence.refresh(boot_time_s())
-        quarantined = self.evidence.quarantined
-        if quarantined == self._logged:
+        evidence = self.evidence
+        evidence.refresh(boot_time_s())
+        held = evidence.quarantined | evidence.held
+        if held == self._logged:
             return False
-        log_decision(
-            "quarantine_changed",
-            parts=sorted(quarantined),
-            released=sorted(self._logged - quarantined),
-        )
-        self._logged = quarantined
+        SUSPECTS_HELD.set(len(held))
+        for suspect in sorted(held - self._logged):
+            log_decision(
+                "suspect_held", suspect=suspect, crashes=evidence.crashes_of(suspect)
+            )
+        for suspect in sorted(self._logged - held):
+            log_decision("suspect_released", suspect=suspect)
+        self._logged = held
         return True
 
 
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -72,6 +72,17 @@
     executed = "no"
 
 
+class RequestHeld(TeaseldykeError):
+    """The same request has crashed several servers, so no further one gets it.
+
+    There is no time after which it would be served.
+    """
+
+    code = "request_held"
+    status = 503
+    executed = "no"
+
+
 class ServerBroke(TeaseldykeError):
     """A backend server may have run the request, but its answer is incomplete."""
 
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -29,7 +29,7 @@
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import ServiceDescription
 
-from .crashes import ensure_not_quarantined
+from .crashes import ensure_not_held
 from .errors import NoServer, Overloaded
 from .interfaces import Fleet
 from .limits import LimitDivision
@@ -78,7 +78,7 @@
     failure_domain : str
         Failure domain of this instance.
     evidence : CrashEvidence
-        What crashed engines say of parts of prompts.
+        What crashed servers say of requests.
 
     Attributes
     ----------
@@ -171,10 +171,10 @@
             If the request can't be sent in time.
         NoServer
             If the service has no backend server that may get requests.
-        PromptQuarantined
-            If a part of its prompt has crashed engines, also while it waits.
+        RequestHeld, PromptQuarantined
+            If it or a part of its prompt has crashed servers, also while it waits.
         """
-        ensure_not_quarantined(self._evidence, work)
+        ensure_not_held(self._evidence, work)
         states = self._view.states_of(service.name)
         now_s = boot_time_s()
         if not avoid:
@@ -211,7 +211,7 @@
             queue.remove(queued)
         if pending.reservation is not None:
             return pending.reservation
-        ensure_not_quarantined(self._evidence, work)
+        ensure_not_held(self._evidence, work)
         reason = pending.reason
         self._admission.count_refused(service, work, reason)
         left_s = work.deadline_at_s - boot_time_s()
@@ -240,7 +240,7 @@
             state.clear_backlog()
         for queued in list(queue.in_order(self.fair_shares, now_s)):
             pending = queued.payload
-            if self._evidence.refused_part(queued.work.parts) is not None:
+            if self._evidence.refused_suspect(queued.work) is not None:
                 queue.remove(queued)
                 pending.ready.set()
                 continue
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -97,7 +97,9 @@
     sender: Sender = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
     admission: Admission = attrs.field(init=False)
-    evidence: CrashEvidence = attrs.field(factory=CrashEvidence, init=False)
+    evidence: CrashEvidence = attrs.field(
+        factory=lambda: CrashEvidence(random.random()), init=False
+    )
     quarantine_log: QuarantineLog = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -184,7 +186,7 @@
     async def _exchange(self) -> None:
         self.totals.read()
         if self.quarantine_log.refresh():
-            self.sender.abandon_quarantined()
+            self.sender.abandon_held()
         self.view.refresh()
         self.totals.send(self.placer)
         self.placer.recompute()
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -19,7 +19,7 @@
 
 from .attempts import UNBOUNDED_S, Attempt, AttemptPolicy, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
-from .crashes import CrashProbe, ensure_not_quarantined
+from .crashes import CrashProbe, ensure_not_held
 from .errors import ChoiceLapsed, NoServer, Overloaded, ServerBroke
 from .interfaces import Fleet, Wire
 from .placing import FULL_SERVER_BACKOFF_S, Placer
@@ -64,7 +64,7 @@
     fleet : Fleet
         Instances that share these limits.
     evidence : CrashEvidence
-        What crashed engines say of parts of prompts.
+        What crashed servers say of requests.
     """
 
     def __init__(
@@ -136,8 +136,11 @@
 
         def prepare_request() -> OutgoingRequest:
             left_s = _ensure_wanted(call)
-            ensure_not_quarantined(self._evidence, call.work)
+            ensure_not_held(self._evidence, call.work)
             self._ensure_choice_holds(reservation)
+            attempt.is_trial = self._evidence.record_send(
+                call.work.identity, boot_time_s()
+            )
             self._log_sent(call, reservation, left_s)
             return self._wire.outgoing(
                 call.request.method,
@@ -184,7 +187,7 @@
             reservation.state.mark_full(boot_time_s() + FULL_SERVER_BACKOFF_S)
         if result.outcome is Outcome.OTHER_SERVER:
             reservation.state.mark_replaced(boot_time_s())
-        must_not_repeat = await self._must_not_repeat(call, reservation, result)
+        must_not_repeat = await self._must_not_repeat(call, attempt, result)
         if result.outcome is not Outcome.DONE:
             log_decision(
                 "send_ended",
@@ -200,25 +203,33 @@
                 parts=[part for part, _ in call.work.parts[:-1]],
             )
         if must_not_repeat:
-            raise ServerBroke(f"the engine crashed at its answer: {result.detail}")
+            raise ServerBroke(f"the server crashed under it: {result.detail}")
         return result
 
-    def abandon_quarantined(self) -> None:
-        """Take back quarantined prompts that no engine has begun to answer."""
+    def abandon_held(self) -> None:
+        """Take back held requests that no server has begun to answer."""
         for attempt in self._attempts:
+            if attempt.is_trial:
+                continue
             work = attempt.reservation.work
-            if self._evidence.refused_part(work.parts) is not None:
+            if self._evidence.refused_suspect(work) is not None:
                 attempt.abandon_unless_begun()
 
     async def _must_not_repeat(
-        self, call: Call, reservation: Reservation, result: SendResult
+        self, call: Call, attempt: Attempt, result: SendResult
     ) -> bool:
-        """Return whether a broken request may crash other engines.
+        """Return whether a broken request may crash other servers.
 
-        If its engine crashed between the header of the answer and the first event, the
-        parts of its prompt are accused.
+        If its server crashed before it had answered, the request is accused. So are the
+        parts of its prompt, if it broke between the header and the first event.
         """
-        if result.outcome is not Outcome.BROKEN or call.relay.events:
+        if result.outcome is not Outcome.BROKEN or attempt.is_proven:
+            return False
+        reservation = attempt.reservation
+        was_about_to_begin = (
+            result.status in SUCCESSES and not reservation.measured_first_s
+        )
+        if result.timed_out and not was_about_to_begin:
             return False
         broken_at_s = boot_time_s()
         server = reservation.state.server
@@ -228,23 +239,15 @@
             return False
         now_s = boot_time_s()
         crash = f"{server.id}:{server.started}"
-        _log_suspect(call, reservation, crash, result)
-        was_about_to_begin = (
-            result.status in SUCCESSES and not reservation.measured_first_s
-        )
-        parts = call.work.parts
-        if not was_about_to_begin or len(parts) < 2:
-            return False
-        self._evidence.accuse(crash, parts, broken_at_s, now_s)
-        self.abandon_quarantined()
-        may_repeat = self._evidence.may_repeat(parts, now_s)
-        log_decision(
-            "prompt_accused",
-            id=call.text_id,
-            server=server.id,
-            parts=[part for part, _ in parts[:-1]],
-            may_repeat=may_repeat,
+        parts = call.work.parts if was_about_to_begin else ()
+        identity = call.work.identity
+        self._evidence.accuse(
+            crash, parts, broken_at_s, now_s, identity, is_sequel=call.crashes > 0
         )
+        call.crashes += 1
+        self.abandon_held()
+        may_repeat = self._evidence.may_repeat(parts, now_s, identity)
+        _log_suspect(call, attempt, crash, result, may_repeat)
         return not may_repeat
 
     def _ensure_choice_holds(self, reservation: Reservation) -> None:
@@ -372,9 +375,10 @@
 
 
 def _log_suspect(
-    call: Call, reservation: Reservation, crash: str, result: SendResult
+    call: Call, attempt: Attempt, crash: str, result: SendResult, may_repeat: bool
 ) -> None:
     """Log a request that was at a server, without an answer, when it crashed."""
+    reservation = attempt.reservation
     identity = call.work.identity
     log_decision(
         "crash_suspect",
@@ -383,14 +387,14 @@
         service=call.service.name,
         request=identity.key if identity else None,
         organisation=call.organisation.name if call.organisation else None,
-        target=call.request.raw_target[:80],
-        body_bytes=len(call.body),
         parts=[part for part, _ in call.work.parts],
         status=result.status,
         head_s=round(reservation.measured_head_s, 4),
         first_s=round(reservation.measured_first_s, 4),
         after_s=round(boot_time_s() - reservation.sent_at_s, 4),
         send=call.sends - 1,
+        is_trial=attempt.is_trial,
+        may_repeat=may_repeat,
     )
 
 
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from teaseldyke.placement import REQUEST_DEPTH, SuspectReport
 from teaseldyke.telemetry import log_decision
 from teaseldyke.types import StoreVersion
 
@@ -17,6 +18,8 @@
 
 DEMAND_UNITS = 100  # in a request; datagrams hold whole numbers
 NumberedLimit = tuple[int, float, float]
+AccusedPart = tuple[str, int, float, dict[str, float]]
+AccusedRequest = tuple[str, float, dict[str, float], int, float, int]
 
 
 class Sums(msgspec.Struct, array_like=True):
@@ -72,8 +75,9 @@
         Failure domains that it keeps evacuated although a restored store lost the
         entries.
     accused_parts : list of tuple
-        Parts of prompts that crashes accuse, as the fields of `PartReport`; empty in
-        most rounds without a change.
+        Parts of prompts that crashes accuse: key, depth, time since the last clearance
+        and since each crash, as in `SuspectReport`; empty in most rounds without a
+        change.
     stated_limits : list of tuple
         What servers said of their limits, to the sender or, in sums, to its neighbours:
         number of the server's start, requests a second (-1 for no limit), and the time
@@ -81,6 +85,9 @@
     said_leaving : list of int
         Numbers of the starts of servers whose answers said that they leave, to any
         instance.
+    accused_requests : list of tuple
+        Requests that crashes accuse: key, time since the last clearance and since each
+        crash, trials, time since the last trial, and sequels.
     """
 
     name: str
@@ -96,9 +103,10 @@
     era: int = 0
     configuration: int = -1
     kept_evacuated: list[str] = []
-    accused_parts: list[tuple[str, int, float, dict[str, float]]] = []
+    accused_parts: list[AccusedPart] = []
     stated_limits: list[NumberedLimit] = []
     said_leaving: list[int] = []
+    accused_requests: list[AccusedRequest] = []
 
     @property
     def known_versions(self) -> KnownVersions:
@@ -110,6 +118,24 @@
             self.configuration,
         )
 
+    def suspects(self) -> list[SuspectReport]:
+        """Return the accused parts and requests."""
+        reports = [SuspectReport(*fields) for fields in self.accused_parts]
+        for request in self.accused_requests:
+            key, cleared_age_s, crash_ages_s, trials, tried_age_s, sequels = request
+            reports.append(
+                SuspectReport(
+                    key,
+                    REQUEST_DEPTH,
+                    cleared_age_s,
+                    crash_ages_s,
+                    trials,
+                    tried_age_s,
+                    sequels,
+                )
+            )
+        return reports
+
 
 def encoded_versions(known: KnownVersions) -> tuple[tuple[int, int], int]:
     """Return the numbers of a message's ``versions``, and their era.
@@ -273,6 +299,31 @@
     return zlib.crc32(f"{server_id}:{started}".encode())
 
 
+def accused_parts(reports: Iterable[SuspectReport]) -> list[AccusedPart]:
+    """Return the parts among the suspects, as messages hold them."""
+    return [
+        (report.key, report.depth, report.cleared_age_s, report.crash_ages_s)
+        for report in reports
+        if not report.is_request
+    ]
+
+
+def accused_requests(reports: Iterable[SuspectReport]) -> list[AccusedRequest]:
+    """Return the requests among the suspects, as messages hold them."""
+    return [
+        (
+            report.key,
+            report.cleared_age_s,
+            report.crash_ages_s,
+            report.trials,
+            report.tried_age_s,
+            report.sequels,
+        )
+        for report in reports
+        if report.is_request
+    ]
+
+
 def newest_limits(limits: Iterable[NumberedLimit]) -> list[NumberedLimit]:
     """Return the newest statement of each server."""
     newest: dict[int, NumberedLimit] = {}
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -17,8 +17,8 @@
     CrashEvidence,
     FairShares,
     Load,
-    PartReport,
     RoundSends,
+    SuspectReport,
 )
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s
@@ -32,6 +32,8 @@
     RelayedChanges,
     Sums,
     TotalsMessage,
+    accused_parts,
+    accused_requests,
     add_up,
     encoded_versions,
     newest_limits,
@@ -46,7 +48,8 @@
 TOTALS_TTL_ROUNDS = 4.0  # totals that were not renewed for so many rounds expire
 DATAGRAM_BYTES = 65536
 DATAGRAMS_PER_READ_MAX = 512  # several seconds' worth in the largest fleet
-EVIDENCE_NEWS_S = 1.0  # a few rounds of the largest fleet, as datagrams may be lost
+SAMPLE_ROUNDS = 16  # suspects that aren't held are told in one of so many rounds
+SUSPECTS_SAMPLE = 32  # of them, at a time
 USAGE_ROUNDS = 4  # a large fleet sends usage in one of so many rounds
 # Rounds until all instances know of a send: one to the neighbours, one to the others.
 PROPAGATION_ROUNDS = 2
@@ -63,7 +66,7 @@
     view, directory
         What this instance knows of the fleet and of the store's entries.
     evidence : CrashEvidence
-        What crashed engines say of parts of prompts, exchanged like the totals.
+        What crashed servers say of requests, exchanged like the totals.
 
     Attributes
     ----------
@@ -195,9 +198,8 @@
         self._view.keep_evacuated_for_peer(message.kept_evacuated)
         self._view.merge_limits(message.stated_limits, message.name)
         self._view.merge_said_leaving(message.said_leaving, message.name)
-        if message.accused_parts:
-            reports = [PartReport(*fields) for fields in message.accused_parts]
-            self._evidence.merge(reports, boot_time_s())
+        if message.accused_parts or message.accused_requests:
+            self._evidence.merge(message.suspects(), boot_time_s())
         stated = (message.era, message.versions, message.configuration)
         if stated == self._versions_known:
             return
@@ -295,6 +297,7 @@
             sums = Sums(sums.loads, sums.waiting, None, sums.demand)
         known = self._directory.versions
         versions, era = encoded_versions(known)
+        suspects = self._evidence_to_send(is_far=bool(members))
         limits = self._view.limits_to_report()
         if members:
             limits += self._totals.neighbour_limits(boot_time_s())
@@ -313,23 +316,27 @@
                 era,
                 known.configuration,
                 self._view.kept_evacuated,
-                self._evidence_to_send(),
+                accused_parts(suspects),
                 newest_limits(limits),
                 self._view.said_leaving(),
+                accused_requests(suspects),
             )
         )
         self._send_data(peers, data)
 
-    def _evidence_to_send(self) -> list[tuple[str, int, float, dict[str, float]]]:
-        """Return the accused parts if they changed, and now and then for newcomers."""
+    def _evidence_to_send(self, *, is_far: bool) -> list[SuspectReport]:
+        """Return the suspects that changed, and now and then some for newcomers.
+
+        Neighbours hear of each change from the instance that found it.
+        """
         now_s = boot_time_s()
-        is_news = now_s - self._evidence.changed_at_s < EVIDENCE_NEWS_S
-        if not is_news and self._number % USAGE_ROUNDS:
-            return []
-        return [
-            (report.part, report.depth, report.cleared_age_s, report.crash_ages_s)
-            for report in self._evidence.reports(now_s)
-        ]
+        reports = self._evidence.news(now_s, relayed=is_far)
+        if self._number % USAGE_ROUNDS:
+            return reports
+        known = {report.key for report in reports}
+        is_long = self._number % SAMPLE_ROUNDS == 0
+        sample = self._evidence.sample(now_s, SUSPECTS_SAMPLE if is_long else 0)
+        return reports + [report for report in sample if report.key not in known]
 
     def _send_data(self, peers: list[Peer], data: bytes) -> None:
         for peer in peers:
--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -14,11 +14,11 @@
     FleetDemand,
     LimitReport,
     Load,
-    PartReport,
     RequestQueue,
     RoundSends,
     ServerState,
     ServiceDemand,
+    SuspectReport,
     capacity_within_limits,
     limit_share,
 )
@@ -42,8 +42,8 @@
         Its own load of each engine.
     usage, queued_tokens : dict of float
         By organisation.
-    reports : list of PartReport
-        Parts of prompts that crashes accuse.
+    reports : list of SuspectReport
+        Parts of prompts and requests that crashes accuse.
     limits : dict of LimitReport
         What engines told it of their limits.
     demand : float
@@ -54,7 +54,7 @@
     loads: dict[str, Load]
     usage: dict[str, float]
     queued_tokens: dict[str, float]
-    reports: list[PartReport]
+    reports: list[SuspectReport]
     limits: dict[str, LimitReport]
     demand: float
 
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .choice import Choice, choose_engine, choose_plain, rendezvous_weight, shortlist
-from .crash_evidence import CrashEvidence, PartReport
+from .crash_evidence import CrashEvidence
 from .demand import ServiceDemand
 from .limit_shares import FleetDemand, limit_senders, limit_share
 from .limited_service import capacity_within_limits, limits_allow_in_s
@@ -21,6 +21,7 @@
 )
 from .shares import DecayingSum, FairShares, Standing, water_level
 from .stated_limit import LimitReport, StatedLimit
+from .suspects import REQUEST_DEPTH, SuspectReport, is_request
 from .waiting import AwaitedServer, QueuedRequest, RequestQueue
 from .window_budget import ColdRateLimit, RetryBudget, cold_senders_max
 from .work import Work
@@ -28,6 +29,7 @@
 __all__ = [
     "CHOICE_TTL_S",
     "FAILURE_RATE_MAX",
+    "REQUEST_DEPTH",
     "AwaitedServer",
     "CapacityQuota",
     "Choice",
@@ -38,7 +40,6 @@
     "FleetDemand",
     "LimitReport",
     "Load",
-    "PartReport",
     "QueuedRequest",
     "Refusal",
     "RequestIdentity",
@@ -49,12 +50,14 @@
     "ServiceDemand",
     "Standing",
     "StatedLimit",
+    "SuspectReport",
     "Work",
     "capacity_within_limits",
     "check_admission",
     "choose_engine",
     "choose_plain",
     "cold_senders_max",
+    "is_request",
     "lapse_reason",
     "limit_senders",
     "limit_share",
--- a/libs/placement/src/teaseldyke/placement/crash_evidence.py
+++ b/libs/placement/src/teaseldyke/placement/crash_evidence.py
@@ -1,105 +1,94 @@
-"""Which parts of prompts crash the engines that begin to answer them.
+"""Which requests, and which parts of prompts, crash the engines that begin them.
 
 Load pattern: requests of all kinds of origin share one part that crashes each engine
-that begins to write an answer (`poison`), among engines that crash for other reasons
-(`srv_crash`, `release`, `node_freeze`). Replayed in ``tests/test_crash_evidence.py``.
-
-A crash accuses the parts of the requests that were about to begin there. A request that
-begins to be answered clears its parts of all accusations before it. A part is
-quarantined once several crashes that can't have a common cause accuse it, unless
-another quarantined part explains them. Accusations and clearances are exchanged between
-instances; they may arrive in any order, late and repeatedly.
+that begins to write an answer, or one request does that comes again (`poison`), among
+engines that crash for other reasons (`srv_crash`, `release`, `node_freeze`). Replayed
+in ``tests/test_crash_evidence.py`` and ``tests/test_crashing_requests.py``.
+
+A crash accuses each request that was at the engine without an answer, and the parts of
+those that were about to begin there. A request that is answered clears itself and its
+parts of all accusations before it. A suspect is held once several crashes that can't
+have a common cause accuse it, unless another one explains them. Accusations and
+clearances are exchanged between instances; they may arrive in any order, late and
+repeatedly.
 """
 
 from __future__ import annotations
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
-from hashlib import blake2b
-
-import attrs
-
-CAUSES_TO_QUARANTINE = 2
-# Of a part that was sound a short time ago; many requests are likely to have it.
-CAUSES_TO_QUARANTINE_SOUND = 3
-# Engines that crash within this time may have a common cause, such as the power of a
-# failure domain; ages that instances tell each other are off by up to as much.
-COMMON_CAUSE_S = 0.3
-TOGETHER_PER_CAUSE = 3  # further crashes within that time that count as one more cause
-# After the last crash. Longer than an operator needs to find the part and its caller;
-# then a request with it is tried, and one more crash quarantines it again.
-QUARANTINE_S = 600.0
-EVIDENCE_TTL_S = 2.0 * QUARANTINE_S
-CLEARED_TTL_S = 60.0  # for which a request may be repeated since its parts were sound
+from collections.abc import Iterable, Set
+from typing import TypeGuard
+
+from .request_identity import RequestIdentity, origin_of
+from .suspects import (
+    CLEARED_TTL_S,
+    REQUEST_DEPTH,
+    Accused,
+    Parts,
+    SuspectReport,
+    explanation,
+    is_request,
+    shared_keys,
+)
+from .work import Work
+
 # For which a clearance is told to others. Longer than a round of the largest fleet.
 CLEARANCE_TOLD_S = 3.0
 # Longest time from an instance's report to the last that hears of it. A clearance
 # counts as this much older, since one that seems newer would clear later crashes.
 TRANSIT_MAX_S = 0.5
+NEWS_S = 1.0  # for which a change is told; datagrams may be lost
 ACCUSED_MAX = 32  # parts; each crash accuses a few
-CRASHES_MAX = 8  # for each part
+REQUESTS_MAX = 256  # accused; a crash accuses up to some 30
+REFRESH_INTERVAL_S = 1.0  # without news, only the ends of holds are awaited
+CRASHES_MAX = 8  # for each suspect
 CLEARED_MAX = 4000  # parts, the least recently cleared are forgotten first
-KEY_MAX = 32  # characters; longer keys of parts are kept as digests
-
-Parts = Sequence[tuple[str, int]]
 
 
-@attrs.frozen
-class PartReport:
-    """What one instance tells others of an accused part.
+class CrashEvidence:
+    """Accused, cleared and held suspects, as known to one instance.
 
     Parameters
     ----------
-    part : str
-        Key of the part.
-    depth : int
-        Its largest position in a prompt, from 0.
-    cleared_age_s : float
-        Time since it was last cleared; infinite if it was not.
-    crash_ages_s : dict of float
-        Time since each crash that accuses it, by the crash's key.
-    """
-
-    part: str
-    depth: int
-    cleared_age_s: float
-    crash_ages_s: dict[str, float]
-
-
-@attrs.define
-class _Accused:
-    """Crashes that accuse a part, by key, with their times."""
-
-    depth: int = 0
-    crashes: dict[str, float] = attrs.field(factory=dict)
-    told_until_s: float = -math.inf
-
-    @property
-    def last_s(self) -> float:
-        """Time of the last crash."""
-        return max(self.crashes.values(), default=-math.inf)
-
-
-class CrashEvidence:
-    """Accused, cleared and quarantined parts of prompts, as known to one instance.
+    spread : float
+        From 0 to 1, drawn for each instance: how much longer it holds requests.
 
     Attributes
     ----------
     quarantined : frozenset of str
         Keys of the parts that must not reach an engine.
+    held : frozenset of str
+        Keys of the requests that must not reach an engine.
     changed_at_s : float
         Last change that other instances must learn of, on the clock of `boot_time_s`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, spread: float = 0.0) -> None:
         self.quarantined: frozenset[str] = frozenset()
+        self.held: frozenset[str] = frozenset()
         self.changed_at_s = -math.inf
-        self._accused: dict[str, _Accused] = {}
+        self._spread = spread
+        self._accused: dict[str, Accused] = {}
         self._cleared: OrderedDict[str, float] = OrderedDict()
-
-    def accuse(self, crash: str, parts: Parts, at_s: float, now_s: float) -> None:
-        """Accuse the parts of a request that was about to begin at a crash.
+        self._on_trial: frozenset[str] = frozenset()
+        # Of the accused requests: others are told from them without their bodies.
+        self._origins: frozenset[str] = frozenset()
+        self._next_told = 0
+        self._refreshed_at_s = -math.inf
+        self._is_changed = False
+
+    def accuse(
+        self,
+        crash: str,
+        parts: Parts,
+        at_s: float,
+        now_s: float,
+        request: RequestIdentity | None = None,
+        *,
+        is_sequel: bool = False,
+    ) -> None:
+        """Accuse a request that was at a crashed engine, and parts of its prompt.
 
         The last part belongs to the request alone and is not accused.
 
@@ -107,22 +96,45 @@
         ----------
         crash : str
             Key of the crash, the same at all instances that noticed it.
+        parts : sequence of (str, int)
+            Parts of the prompt if it was about to begin; otherwise empty.
         at_s, now_s : float
             Time of the crash, and now, on the clock of `boot_time_s`.
+        request : RequestIdentity, optional
+            The request.
+        is_sequel : bool
+            Whether it was sent again after a crash that accused it.
         """
         for depth, part in enumerate(shared_keys(parts)):
             self._add(part, depth, {crash: at_s}, now_s)
+        if request is not None:
+            suspect = self._add(request.key, REQUEST_DEPTH, {crash: at_s}, now_s)
+            suspect.sequels += is_sequel
+            self._is_changed = True
         self.refresh(now_s)
 
-    def clear(self, parts: Parts, now_s: float) -> None:
-        """Clear the parts of a request that is being answered."""
+    def clear(
+        self, parts: Parts, now_s: float, request: RequestIdentity | None = None
+    ) -> None:
+        """Clear a request that is being answered, and the parts of its prompt."""
         accused = False
         for part in shared_keys(parts):
             accused = accused or part in self._accused
             self._record_clearance(part, now_s, now_s)
+        if self._is_accused(request):
+            accused = True
+            self._record_clearance(request.key, now_s, now_s)
         if accused:
             self.refresh(now_s)
 
+    def release(self, key: str, now_s: float) -> bool:
+        """Clear a suspect at an operator's wish; return whether it was accused."""
+        if key not in self._accused:
+            return False
+        self._record_clearance(key, now_s, now_s)
+        self.refresh(now_s)
+        return True
+
     def refused_part(self, parts: Parts) -> str | None:
         """Return the quarantined part of a prompt, if there is one."""
         if not self.quarantined:
@@ -132,161 +144,213 @@
                 return part
         return None
 
-    def may_repeat(self, parts: Parts, now_s: float) -> bool:
-        """Return whether a request that was about to begin at a crash may be repeated.
+    def is_held(self, request: RequestIdentity | None) -> bool:
+        """Return whether a request must not reach an engine."""
+        if not self.held or not self._is_accused(request):
+            return False
+        return request.key in self.held
 
-        It may if each of its parts was sound a short time ago and only this crash
-        accuses it since.
+    def refused_suspect(self, work: Work) -> str | None:
+        """Return what of a request must not reach an engine: itself, or a part."""
+        if self.is_held(work.identity):
+            return work.identity.key if work.identity else None
+        return self.refused_part(work.parts)
+
+    def crashes_of(self, key: str) -> list[str]:
+        """Return the keys of the crashes that accuse a suspect."""
+        suspect = self._accused.get(key)
+        return sorted(suspect.crashes) if suspect else []
+
+    def record_send(self, request: RequestIdentity | None, now_s: float) -> bool:
+        """Record that a request is sent; return whether it is a trial.
+
+        A request whose hold has ended is held again until this send has told more.
+        """
+        if not self._on_trial or not self._is_accused(request):
+            return False
+        if request.key not in self._on_trial:
+            return False
+        suspect = self._accused[request.key]
+        suspect.trials += 1
+        suspect.tried_at_s = now_s
+        self._record_change(suspect, now_s, heard=False)
+        self.refresh(now_s)
+        return True
+
+    def may_repeat(
+        self, parts: Parts, now_s: float, request: RequestIdentity | None = None
+    ) -> bool:
+        """Return whether a request that was at a crashed engine may be repeated.
+
+        It may if only this crash accuses it since it was last answered, and each of the
+        parts that it was about to begin with was sound a short time ago and is accused
+        by this crash only, too.
         """
         for part in shared_keys(parts):
             if now_s - self._cleared.get(part, -math.inf) > CLEARED_TTL_S:
                 return False
-            accused = self._accused.get(part)
-            if accused is not None and len(accused.crashes) > 1:
+            if len(self.crashes_of(part)) > 1:
                 return False
-        return True
+        return request is None or len(self.crashes_of(request.key)) <= 1
+
+    def reports(self, now_s: float) -> list[SuspectReport]:
+        """Return all that other instances must know."""
+        return [self._report(key, now_s) for key in self._accused]
+
+    def news(self, now_s: float, *, relayed: bool) -> list[SuspectReport]:
+        """Return what changed lately.
 
-    def reports(self, now_s: float) -> list[PartReport]:
-        """Return what other instances must know."""
+        Parameters
+        ----------
+        relayed : bool
+            Whether to include what other instances have found.
+        """
         return [
-            PartReport(
-                part,
-                accused.depth,
-                now_s - self._cleared.get(part, -math.inf),
-                {crash: now_s - at_s for crash, at_s in accused.crashes.items()},
-            )
-            for part, accused in self._accused.items()
+            self._report(key, now_s)
+            for key, suspect in self._accused.items()
+            if now_s - suspect.changed_at_s < NEWS_S
+            or (relayed and now_s - suspect.heard_at_s < NEWS_S)
         ]
 
-    def merge(self, reports: Iterable[PartReport], now_s: float) -> None:
+    def sample(self, now_s: float, most: int) -> list[SuspectReport]:
+        """Return the suspects that are held, and some of the others in turn."""
+        in_force = self.held | self.quarantined | self._on_trial
+        others = [key for key in self._accused if key not in in_force]
+        keys = list(in_force)
+        for _ in range(min(len(others), most)):
+            self._next_told = (self._next_told + 1) % len(others)
+            keys.append(others[self._next_told])
+        return [self._report(key, now_s) for key in keys]
+
+    def merge(self, reports: Iterable[SuspectReport], now_s: float) -> None:
         """Add what another instance knows."""
         for report in reports:
             crashes = {
                 crash: now_s - max(0.0, age_s)
                 for crash, age_s in report.crash_ages_s.items()
             }
-            self._add(report.part, report.depth, crashes, now_s)
+            suspect = self._add(report.key, report.depth, crashes, now_s, heard=True)
+            if report.trials > suspect.trials:
+                suspect.trials = report.trials
+                self._record_change(suspect, now_s, heard=True)
+            if report.sequels > suspect.sequels:
+                suspect.sequels = report.sequels
+                self._record_change(suspect, now_s, heard=True)
+            tried_at_s = now_s - max(0.0, report.tried_age_s)
+            suspect.tried_at_s = max(suspect.tried_at_s, tried_at_s)
             cleared_at_s = now_s - max(0.0, report.cleared_age_s) - TRANSIT_MAX_S
-            self._record_clearance(report.part, cleared_at_s, now_s)
+            self._record_clearance(report.key, cleared_at_s, now_s)
         self.refresh(now_s)
 
     def refresh(self, now_s: float) -> None:
-        """Drop what is out of date and recompute the quarantine."""
-        for part, accused in list(self._accused.items()):
-            if now_s >= max(accused.last_s + EVIDENCE_TTL_S, accused.told_until_s):
-                del self._accused[part]
-        while len(self._accused) > ACCUSED_MAX:
-            del self._accused[self._least_important()]
-        self.quarantined = frozenset(self._explanation(now_s))
+        """Drop what is out of date and recompute what is held."""
+        is_recent = 0.0 <= now_s - self._refreshed_at_s < REFRESH_INTERVAL_S
+        if is_recent and not self._is_changed:
+            return
+        self._refreshed_at_s = now_s
+        self._is_changed = False
+        for key, suspect in list(self._accused.items()):
+            if now_s >= max(suspect.kept_until_s(key), suspect.told_until_s):
+                del self._accused[key]
+        requests = {key for key in self._accused if is_request(key)}
+        self._forget_least(self._accused.keys() - requests, ACCUSED_MAX)
+        self._forget_least(requests, REQUESTS_MAX)
+        found = explanation(self._accused, self._cleared, now_s)
+        ended = {
+            key
+            for key in found
+            if now_s >= self._accused[key].held_until_s(key, self._spread)
+        }
+        self.quarantined = frozenset(found) - requests
+        self.held = frozenset(requests.intersection(found) - ended)
+        self._on_trial = frozenset(requests & ended)
+        self._origins = frozenset(
+            origin_of(key) for key in requests if key in self._accused
+        )
+
+    def _is_accused(
+        self, request: RequestIdentity | None
+    ) -> TypeGuard[RequestIdentity]:
+        """Return whether crashes accuse a request; most bodies aren't hashed."""
+        if not self._origins or request is None:
+            return False
+        return request.origin in self._origins and request.key in self._accused
+
+    def _report(self, key: str, now_s: float) -> SuspectReport:
+        suspect = self._accused[key]
+        return SuspectReport(
+            key,
+            suspect.depth,
+            now_s - self._cleared.get(key, -math.inf),
+            {crash: now_s - at_s for crash, at_s in suspect.crashes.items()},
+            suspect.trials,
+            now_s - suspect.tried_at_s,
+            suspect.sequels,
+        )
 
     def _add(
-        self, part: str, depth: int, crashes: dict[str, float], now_s: float
-    ) -> None:
-        cleared_at_s = self._cleared.get(part, -math.inf)
-        accused = self._accused.setdefault(part, _Accused())
-        accused.depth = max(accused.depth, depth)
+        self,
+        key: str,
+        depth: int,
+        crashes: dict[str, float],
+        now_s: float,
+        *,
+        heard: bool = False,
+    ) -> Accused:
+        cleared_at_s = self._cleared.get(key, -math.inf)
+        suspect = self._accused.setdefault(key, Accused())
+        suspect.depth = max(suspect.depth, depth)
         for crash, at_s in crashes.items():
             if at_s <= cleared_at_s:
-                accused.told_until_s = now_s + CLEARANCE_TOLD_S
+                suspect.told_until_s = now_s + CLEARANCE_TOLD_S
                 continue
-            known_s = accused.crashes.get(crash, math.inf)
+            known_s = suspect.crashes.get(crash, math.inf)
             if known_s == math.inf:
-                self.changed_at_s = now_s
-            accused.crashes[crash] = min(known_s, at_s)
-        while len(accused.crashes) > CRASHES_MAX:
-            oldest = min(accused.crashes, key=lambda key: accused.crashes[key])
-            del accused.crashes[oldest]
-
-    def _record_clearance(self, part: str, at_s: float, now_s: float) -> None:
-        if at_s <= self._cleared.get(part, -math.inf):
+                self._record_change(suspect, now_s, heard=heard)
+            suspect.crashes[crash] = min(known_s, at_s)
+        while len(suspect.crashes) > CRASHES_MAX:
+            oldest = min(suspect.crashes, key=lambda key: suspect.crashes[key])
+            del suspect.crashes[oldest]
+        return suspect
+
+    def _record_change(self, suspect: Accused, now_s: float, *, heard: bool) -> None:
+        self.changed_at_s = now_s
+        self._is_changed = True
+        if heard:
+            suspect.heard_at_s = now_s
+        else:
+            suspect.changed_at_s = now_s
+
+    def _record_clearance(self, key: str, at_s: float, now_s: float) -> None:
+        if at_s <= self._cleared.get(key, -math.inf):
             return
-        self._cleared[part] = at_s
-        self._cleared.move_to_end(part)
+        self._cleared[key] = at_s
+        self._cleared.move_to_end(key)
         while len(self._cleared) > CLEARED_MAX:
             self._cleared.popitem(last=False)
-        accused = self._accused.get(part)
-        if accused is None:
+        suspect = self._accused.get(key)
+        if suspect is None:
             return
         kept = {
-            key: crash_s for key, crash_s in accused.crashes.items() if crash_s > at_s
+            crash: crash_s
+            for crash, crash_s in suspect.crashes.items()
+            if crash_s > at_s
         }
-        if len(kept) == len(accused.crashes):
+        if len(kept) == len(suspect.crashes):
+            return
+        suspect.crashes = kept
+        suspect.trials = suspect.sequels = 0
+        suspect.told_until_s = now_s + CLEARANCE_TOLD_S
+        self._record_change(suspect, now_s, heard=at_s < now_s)
+
+    def _forget_least(self, keys: Set[str], most: int) -> None:
+        """Forget those with the fewest crashes, the oldest among them."""
+        if len(keys) <= most:
             return
-        accused.crashes = kept
-        accused.told_until_s = now_s + CLEARANCE_TOLD_S
-        self.changed_at_s = now_s
-
-    def _least_important(self) -> str:
-        """Return the accused part with the fewest crashes, the oldest among them."""
-
-        def importance(part: str) -> tuple[int, float]:
-            accused = self._accused[part]
-            return len(accused.crashes), accused.last_s
-
-        return min(self._accused, key=importance)
 
-    def _explanation(self, now_s: float) -> list[str]:
-        """Return the parts that explain the crashes, those that explain most first.
+        def importance(key: str) -> tuple[int, float]:
+            suspect = self._accused[key]
+            return len(suspect.crashes), suspect.last_s
 
-        Of two that explain as many, one that was sound a short time ago goes last, and
-        the one deeper in the prompt first: fewer requests have it.
-        """
-        unexplained = {
-            part: dict(accused.crashes)
-            for part, accused in self._accused.items()
-            if now_s - accused.last_s < QUARANTINE_S
-        }
-
-        def importance(part: str) -> tuple[int, int, str]:
-            causes = causes_by_time(unexplained[part].values())
-            needed = CAUSES_TO_QUARANTINE
-            if now_s - self._cleared.get(part, -math.inf) <= CLEARED_TTL_S:
-                needed = CAUSES_TO_QUARANTINE_SOUND
-            return causes - needed, self._accused[part].depth, part
-
-        found = []
-        while unexplained:
-            part = max(unexplained, key=importance)
-            if importance(part)[0] < 0:
-                break
-            found.append(part)
-            explained = unexplained.pop(part)
-            for crashes in unexplained.values():
-                for crash in explained:
-                    crashes.pop(crash, None)
-        return found
-
-
-def shared_keys(parts: Parts) -> list[str]:
-    """Return the keys of a prompt's parts but the last, which is the request's own."""
-    return [
-        part
-        if len(part) <= KEY_MAX
-        else blake2b(part.encode(), digest_size=KEY_MAX // 2).hexdigest()
-        for part, _ in parts[:-1]
-    ]
-
-
-def causes_by_time(times_s: Iterable[float]) -> int:
-    """Return the least number of causes that crashes at these times must have had.
-
-    A few engines that crash together may have a common cause; that this cause met
-    many while they were about to answer the same part is unlikely, so each three
-    further ones count as one more cause.
-
-    Examples
-    --------
-    >>> causes_by_time([5.0, 5.1, 5.2]), causes_by_time([5.0, 5.2, 5.4])
-    (1, 2)
-    >>> causes_by_time([5.0, 5.1, 5.1, 5.2])
-    2
-    """
-    causes = together = 0
-    counted_s = -math.inf
-    for time_s in sorted(times_s):
-        if time_s - counted_s < COMMON_CAUSE_S:
-            together += 1
-            continue
-        counted_s = time_s
-        causes += 1
-    return causes + together // TOGETHER_PER_CAUSE
+        for key in sorted(keys, key=importance)[: len(keys) - most]:
+            del self._accused[key]
--- a/libs/placement/tests/test_crash_evidence.py
+++ b/libs/placement/tests/test_crash_evidence.py
@@ -10,15 +10,17 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from teaseldyke.placement import CrashEvidence, PartReport
+from teaseldyke.placement import CrashEvidence, SuspectReport
 from teaseldyke.placement.crash_evidence import (
     ACCUSED_MAX,
-    CAUSES_TO_QUARANTINE,
+    CRASHES_MAX,
+    TRANSIT_MAX_S,
+)
+from teaseldyke.placement.suspects import (
+    CAUSES_TO_HOLD,
     CLEARED_TTL_S,
     COMMON_CAUSE_S,
-    CRASHES_MAX,
     QUARANTINE_S,
-    TRANSIT_MAX_S,
 )
 
 SHARED, CRASHING, COMPANION, OTHER = "5c1e", "dead", "91bd", "e440"
@@ -159,7 +161,7 @@
             crash(key, at_s, "a" * 5000 + "b")(evidence)
         assert evidence.refused_part(prompt("a" * 5000 + "b")) is not None
         assert evidence.refused_part(prompt("a" * 5000 + "c")) is None
-        assert all(len(report.part) < 50 for report in evidence.reports(7.0))
+        assert all(len(report.key) < 50 for report in evidence.reports(7.0))
 
     def test_wrongly_quarantined_part_is_released_by_a_request_that_runs(self) -> None:
         evidence = CrashEvidence()
@@ -267,7 +269,7 @@
     @pytest.mark.parametrize("age_s", [-5.0, 1e300, float("inf")])
     def test_odd_ages_do_no_harm(self, age_s: float) -> None:
         evidence = CrashEvidence()
-        evidence.merge([PartReport(CRASHING, 1, age_s, {"e1": age_s})], 10.0)
+        evidence.merge([SuspectReport(CRASHING, 1, age_s, {"e1": age_s})], 10.0)
         assert not evidence.quarantined
 
 
@@ -285,7 +287,7 @@
         super().__init__()
         self.now_s = 100.0
         self.fleet = [Instance() for _ in range(3)]
-        self.messages: list[tuple[float, list[PartReport]]] = []
+        self.messages: list[tuple[float, list[SuspectReport]]] = []
         self.crashes = 0
         self.sent_although_known = 0
 
@@ -368,7 +370,7 @@
             self._send(i, prompt(SHARED, COMPANION, CRASHING))
             self._exchange_all()
             self._run_sound_requests()
-        assert self.crashes - before <= CAUSES_TO_QUARANTINE
+        assert self.crashes - before <= CAUSES_TO_HOLD
         for instance in self.fleet:
             assert instance.evidence.quarantined == {CRASHING}
 
--- a/tests/platform/test_crashing_part.py
+++ b/tests/platform/test_crashing_part.py
@@ -75,7 +75,13 @@
     def assert_nothing_accused(self) -> None:
         """Check that no gateway blames a part of a prompt."""
         for gateway in self.fleet.gateways:
-            assert not gateway.evidence.reports(0.0)
+            reports = gateway.evidence.reports(0.0)
+            assert not [report for report in reports if not report.is_request]
+            assert not gateway.evidence.quarantined
+
+    def assert_nothing_held(self) -> None:
+        """Check that no gateway refuses a request, either."""
+        assert not any(gateway.evidence.held for gateway in self.fleet.gateways)
 
     async def restart(self, engine: EngineStandin) -> None:
         await trio.sleep(DOWN_S)
@@ -233,6 +239,7 @@
         for _ in range(6):
             await crashing.request(OTHER, target="/many/a")
         crashing.assert_nothing_accused()
+        crashing.assert_nothing_held()
 
     async def test_crash_accuses_no_stream_that_had_begun(
         self, crashing: CrashingEngines
@@ -258,6 +265,7 @@
         assert answer.complete
         assert answer.body == b"".join(event(i) for i in range(1, 5))
         crashing.assert_nothing_accused()
+        crashing.assert_nothing_held()
 
     async def test_crash_before_any_answer_accuses_nothing_and_is_repeated(
         self, crashing: CrashingEngines
