Bound what other writers can put into entries, answers and datagrams

What operators saw: one odd entry among the engines' (nested 20,000 deep, a number of 400 digits, a port that is no ASCII digit) ended the process, and again after each restart, since the entry was still there.

Cause: decoders trusted input of writers outside our control to fail in the ways thought of (DecodeError and a few checks). RecursionError, OverflowError and ValueError passed them, ended the reader and with it the process. The class was looked for elsewhere: the operator's configuration, instances' entries, answers of the store, datagrams, headers of callers and engines.

One odd entry costs itself and a log line of bounded length, also if the decoder fails in a way not foreseen. A part of the instance that fails all the same is started again with a line and a counter; what it has read stays in use.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -10,6 +10,7 @@
 import trio
 
 from teaseldyke.http import OutgoingRequest
+from teaseldyke.settings import Address
 from teaseldyke.types import (
     AnnouncedServer,
     RoutingTable,
@@ -156,12 +157,21 @@
         Unique in the fleet.
     host, port : str, int
         Where it receives totals, by datagrams, and serves its listing, by HTTP.
+
+    Raises
+    ------
+    ValueError
+        If the host is no IP address, which would have to be looked up, or the port is
+        out of range.
     """
 
     name: str
     host: str
     port: int
 
+    def __attrs_post_init__(self) -> None:
+        Address.parse(f"{self.host}:{self.port}")
+
 
 class Fleet(Protocol):
     """The instances that share the fleet's limits."""
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 from contextlib import closing
+from functools import partial
 
 import attrs
 import trio
@@ -20,7 +21,7 @@
 )
 from teaseldyke.placement import CrashEvidence, FairShares
 from teaseldyke.settings import Address
-from teaseldyke.telemetry import gauge, log_decision
+from teaseldyke.telemetry import counter, gauge, log_decision
 from teaseldyke.timers import Timers, boot_time_s, scheduler_passes
 from teaseldyke.types import PlatformUnavailable, SettingsError, TeaseldykeError
 
@@ -63,6 +64,15 @@
     "Longest time between two polls of the sockets in the last second.",
 ).bind()
 
+PART_RESTART_S = 0.5  # from a part's failure to its next start
+ERROR_MAX = 200  # characters in a log line
+
+PARTS_FAILED = counter(
+    "teaseldyke_parts_failed_total",
+    "Parts of the instance that failed unforeseen and were restarted, by name.",
+)
+
+Part = Callable[[], Awaitable[None]]
 Handler = Callable[[Request], Awaitable[None]]
 DirectoryFactory = Callable[[DirectoryListener], Directory]
 
@@ -161,15 +171,21 @@
                     serve, await _listen(address), handler, INTERNAL_LIMITS
                 )
             nursery.start_soon(self._stop_on_signal, nursery)
-            nursery.start_soon(self.directory.run)
-            nursery.start_soon(self.placer.run)
-            nursery.start_soon(self._announce)
-            nursery.start_soon(self._catch_up)
+            for part in (
+                self.directory.run,
+                self.placer.run,
+                self._announce,
+                self._catch_up,
+            ):
+                nursery.start_soon(run_restarted, part)
             timers = Timers(nursery)
-            timers.every(EXCHANGE_INTERVAL_S, self._exchange)
-            timers.every(PASS_REPORT_INTERVAL_S, self._report_lateness)
-            timers.every(REPORT_INTERVAL_S, self._report_shares)
-            timers.every(IDLE_CHECK_INTERVAL_S, self._close_unusable)
+            for interval_s, callback in (
+                (EXCHANGE_INTERVAL_S, self._exchange),
+                (PASS_REPORT_INTERVAL_S, self._report_lateness),
+                (REPORT_INTERVAL_S, self._report_shares),
+                (IDLE_CHECK_INTERVAL_S, self._close_unusable),
+            ):
+                timers.every(interval_s, partial(run_logged, callback))
             log_decision("started", callers=str(settings.callers))
             limits = ServerLimits(connections=settings.connections_max)
             await serve(
@@ -322,6 +338,32 @@
         nursery.cancel_scope.cancel()
 
 
+async def run_restarted(part: Part) -> None:
+    """Run a part of the instance, and again if it fails in a way not foreseen.
+
+    What it has read stays in use; the end of the process would cut all callers, and
+    what made it fail may still be there after a restart.
+    """
+    while not await run_logged(part):
+        await trio.sleep(PART_RESTART_S)
+
+
+async def run_logged(part: Part) -> bool:
+    """Run a part of the instance; log a failure, and return whether there was none."""
+    try:
+        await part()
+    except Exception as exc:
+        name = getattr(part, "__qualname__", repr(part))
+        PARTS_FAILED.bind(part=name).add()
+        cause = exc
+        while isinstance(cause, ExceptionGroup):
+            cause = cause.exceptions[0]
+        error = f"{type(cause).__name__}: {cause}"[:ERROR_MAX]
+        log_decision("part_failed", part=name, error=error)
+        return False
+    return True
+
+
 def _loggable(known: KnownVersions) -> list[str]:
     """Return versions of operator's and servers' entries and configuration."""
     return [str(known.operator), str(known.servers), str(known.configuration)]
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -53,6 +53,7 @@
 USAGE_ROUNDS = 4  # a large fleet sends usage in one of so many rounds
 # Rounds until all instances know of a send: one to the neighbours, one to the others.
 PROPAGATION_ROUNDS = 2
+ERROR_MAX = 200  # characters in a log line
 IDLE_SKIP_MAX = 2  # rounds skipped in a row; an idle instance still counts as alive
 
 
@@ -178,8 +179,10 @@
         data, address = self._socket.recvfrom(DATAGRAM_BYTES)
         try:
             self._handle_datagram(data, as_of_s)
-        except (msgspec.DecodeError, ValueError) as exc:
-            log_decision("totals_unreadable", sender=address, error=str(exc))
+        except Exception as exc:
+            # An instance of another build, or a stray sender, must not end this one.
+            error = f"{type(exc).__name__}: {exc}"[:ERROR_MAX]
+            log_decision("totals_unreadable", sender=address, error=error)
 
     def _handle_datagram(self, data: bytes, as_of_s: float) -> None:
         """Handle a datagram that arrived after `as_of_s`.
