Give what runs at the end of a planned stop its final answer

What callers saw: requests that came late in the grace period of a planned stop were taken and sent, and their connections ended without a byte, among them requests that may not be repeated (LOST).

Cause: the end of the process cancelled what ran. A request was taken while 0.8 s were left, whatever its service needed; a retry began anew with what was left; a second signal cut everything at once. The class: a bound on the process that the work in it doesn't know.

Why it works: 0.3 s before the end, requests without any answer get their final one: 502 if a server may have run them, 503 with a time to come back if not, also those that wait for a server or whose body still comes. An answer that has begun goes on until the end. A request, or a retry, is begun only if the service's longest latency lately, requests that run now included, fits into the time left: twice for requests that may be repeated, four times for those that may not. Before any measurement 0.4 s are assumed, which gives the 0.8 s of before. A second signal ends a process in the same way.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -5,17 +5,30 @@
 import json
 import math
 
+import attrs
 import trio
 
 from teaseldyke.http import CallerGone, Request
-from teaseldyke.placement import RequestIdentity, Work, service_time_s
+from teaseldyke.placement import (
+    STREAM_START_S,
+    RequestIdentity,
+    answer_time_s,
+    service_time_s,
+)
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import Route, RouteKind, TeaseldykeError
 
 from .attempts import SendResult
 from .call import Call, organisation_of, pick_service, work_of
-from .errors import NotConfigured, Overloaded, RouteUnknown, Stopping, TimedOut
+from .errors import (
+    NotConfigured,
+    Overloaded,
+    RouteUnknown,
+    ServerBroke,
+    Stopping,
+    TimedOut,
+)
 from .interfaces import CallFacts, Headers, Wire
 from .relay import AnswerBuffers, Relay
 from .sending import Sender, caller_gone
@@ -23,8 +36,6 @@
 
 CONFIGURATION_RETRY_S = 0.5  # retry-after before the first configuration
 STOPPING_RETRY_S = 0.1  # retry-after; another instance can serve at once
-STREAM_START_S = 1.0  # time to the first event of a stream, late ones included
-PLAIN_ANSWER_S = 0.8  # longest processing time of a plain server and one retry
 RESUBMISSION_TIMEOUT_SHARE = 0.8  # of the longest caller time-out seen on a route
 
 ANSWERS = counter("teaseldyke_answers_total", "Final answers, by route and status.")
@@ -42,6 +53,15 @@
 ).bind()
 
 
+@attrs.define(eq=False)
+class _Running:
+    """A request without a complete answer, and its call once it has been read."""
+
+    request: Request
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    call: Call | None = None
+
+
 class CallHandler:
     """Answers callers' requests.
 
@@ -56,17 +76,16 @@
 
     Attributes
     ----------
-    running, streams : int
-        Requests, and streams among them, whose answer is not complete.
+    streams : int
+        Streams whose answer is not complete.
     ends_at_s : float
-        When the process ends, on the clock of `boot_time_s`; requests that would take
-        longer are refused.
+        When a stopping process ends what runs, on the clock of `boot_time_s`; requests
+        that would take longer are refused.
     accepts_streams : bool
         Whether new streams are accepted.
     """
 
     def __init__(self, view: FleetView, sender: Sender, wire: Wire) -> None:
-        self.running = 0
         self.streams = 0
         self.ends_at_s = math.inf
         self.accepts_streams = True
@@ -75,32 +94,56 @@
         self._wire = wire
         self._buffers = AnswerBuffers()
         self._longest_timeout_s: dict[str, float] = {}
+        self._running: set[_Running] = set()
+        sender.may_begin = self._may_begin
+
+    @property
+    def running(self) -> int:
+        """Requests whose answer is not complete."""
+        return len(self._running)
+
+    def end_unanswered(self) -> int:
+        """Give requests without any answer their final one now; return their number.
+
+        An answer that has begun goes on until the process ends.
+        """
+        unanswered = [
+            running for running in self._running if not running.request.response_started
+        ]
+        for running in unanswered:
+            running.scope.cancel()
+        return len(unanswered)
 
     async def handle(self, request: Request) -> None:
         """Answer one request."""
-        self.running += 1
+        running = _Running(request)
+        self._running.add(running)
         arrived_at_s = boot_time_s()
         UNREAD.observe(max(0.0, arrived_at_s - request.unread_since_s))
         facts: CallFacts | None = None
         context: dict[str, object] = {}
         try:
             facts = self._wire.read_call(request.headers)
-            await self._serve(request, facts, arrived_at_s, context)
+            with running.scope:
+                await self._serve(running, facts, arrived_at_s, context)
+            if running.scope.cancelled_caught:
+                raise _stopped(running.call)
         except CallerGone:
             raise
         except TeaseldykeError as exc:
             await self._refuse(request, facts, exc, arrived_at_s, context)
         finally:
-            self.running -= 1
+            self._running.discard(running)
 
     async def _serve(
         self,
-        request: Request,
+        running: _Running,
         facts: CallFacts,
         arrived_at_s: float,
         context: dict[str, object],
     ) -> None:
         """Serve a request; put its route and organisation into the log's context."""
+        request = running.request
         table = self._view.table
         if table is None:
             raise NotConfigured(
@@ -133,8 +176,7 @@
             ),
         )
         is_stream = route.kind is RouteKind.STREAMING
-        self._check_time_left(work, is_stream)
-        call = Call(
+        call = running.call = Call(
             request,
             facts,
             route,
@@ -145,6 +187,7 @@
             Relay(request, self._wire, self._buffers),
             version=table.version,
         )
+        self._check_time_left(call, is_stream)
         self.streams += is_stream
         try:
             await self._run_call(call)
@@ -164,18 +207,43 @@
         self._longest_timeout_s[route.name] = longest_s
         return caller_timeout_s < RESUBMISSION_TIMEOUT_SHARE * longest_s
 
-    def _check_time_left(self, work: Work, is_stream: bool) -> None:
+    def _check_time_left(self, call: Call, is_stream: bool) -> None:
         """Raise `Stopping` if the process ends before the answer could be complete."""
-        left_s = self.ends_at_s - boot_time_s()
-        needed_s = PLAIN_ANSWER_S
-        if is_stream:
-            needed_s = service_time_s(work) + STREAM_START_S
-        if left_s >= needed_s and (self.accepts_streams or not is_stream):
+        if self._may_begin(call) and (self.accepts_streams or not is_stream):
             return
+        left_s = self.ends_at_s - boot_time_s()
         raise Stopping(
             f"this instance stops in {left_s:.1f} s", retry_after_s=STOPPING_RETRY_S
         )
 
+    def _may_begin(self, call: Call) -> bool:
+        """Return whether an answer that is begun now would be complete in time."""
+        left_s = self.ends_at_s - boot_time_s()
+        if left_s == math.inf:
+            return True
+        if call.route.kind is RouteKind.STREAMING:
+            return left_s >= service_time_s(call.work) + STREAM_START_S
+        return left_s >= answer_time_s(
+            self._longest_latency_s(call.service.name),
+            runs_once=not call.route.repeatable,
+        )
+
+    def _longest_latency_s(self, service: str) -> float:
+        """Return the longest latency of a plain service lately, running ones included.
+
+        0 if none is known.
+        """
+        latencies_s = [
+            state.longest_latency_s for state in self._view.states_of(service)
+        ]
+        for running in self._running:
+            call = running.call
+            if call is None or not call.sends or call.service.name != service:
+                continue
+            if call.route.kind is not RouteKind.STREAMING:
+                latencies_s.append(call.elapsed_s)
+        return max(latencies_s, default=0.0)
+
     async def _run_call(self, call: Call) -> None:
         """Send a call and end it at its deadline or when its caller disconnects."""
         left_s = call.work.deadline_at_s - boot_time_s()
@@ -251,3 +319,10 @@
         ANSWERS.bind(route="", status=str(error.status)).add()
         UNREAD_REFUSED.bind(code=error.code).add()
         return self.describe(error)
+
+
+def _stopped(call: Call | None) -> TeaseldykeError:
+    """Return the error of a request that a stop ended before its answer."""
+    if call is not None and call.possible_runs:
+        return ServerBroke("this instance stops before the server has answered")
+    return Stopping("this instance stops now", retry_after_s=STOPPING_RETRY_S)
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -41,6 +41,8 @@
 CLOSE_DELAY_S = 0.3  # from closing the port to the end, to answer accepted requests
 DRAIN_CHECK_INTERVAL_S = 0.05
 STOP_MARGIN_S = 0.4  # before the platform would kill the process
+# From the final answers of what still runs to the end, to write and flush them.
+ANSWER_FLUSH_S = 0.3
 CATCH_UP_INTERVAL_S = 0.2  # between checks whether a peer knows newer entries
 CATCH_UP_GRACE_S = 0.5  # the store or a neighbour normally delivers entries within it
 LISTING_TIMEOUT_S = 1.0  # for a peer's listing, a few hundred kilobytes at most
@@ -286,8 +288,8 @@
                     self.reload()
                     continue
                 if self.stopping.is_set():
-                    nursery.cancel_scope.cancel()
-                    return
+                    nursery.start_soon(self._end, nursery)
+                    continue
                 self.stopping.set()
                 log_decision("stopping", running=self.calls.running)
                 nursery.start_soon(self._drain)
@@ -315,9 +317,7 @@
         While most instances of a failure domain stop at once, the platform also routes
         callers to stopping ones, and a closed port would fail their requests.
         """
-        self.calls.ends_at_s = (
-            boot_time_s() + self.settings.bounds.stop_s - STOP_MARGIN_S
-        )
+        self.calls.ends_at_s = boot_time_s() + self._serving_s
         await trio.sleep(STOP_LINGER_S)
         self.calls.accepts_streams = False
         while (
@@ -332,9 +332,24 @@
         except PlatformUnavailable as exc:
             log_decision("not_withdrawn", reason=exc.detail)
 
+    @property
+    def _serving_s(self) -> float:
+        """Time from the signal to the final answers of what still runs."""
+        return self.settings.bounds.stop_s - STOP_MARGIN_S - ANSWER_FLUSH_S
+
     async def _end_at_deadline(self, nursery: trio.Nursery) -> None:
-        await trio.sleep(self.settings.bounds.stop_s - STOP_MARGIN_S)
-        log_decision("stop_deadline_passed", running=self.calls.running)
+        await trio.sleep(self._serving_s)
+        await self._end(nursery)
+
+    async def _end(self, nursery: trio.Nursery) -> None:
+        """Give what runs its final answer, then end the process."""
+        self.calls.ends_at_s = min(self.calls.ends_at_s, boot_time_s())
+        log_decision(
+            "stop_deadline_passed",
+            running=self.calls.running,
+            unanswered=self.calls.end_unanswered(),
+        )
+        await trio.sleep(ANSWER_FLUSH_S)
         nursery.cancel_scope.cancel()
 
 
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -84,6 +85,8 @@
         self._bounds = bounds
         self._fleet = fleet
         self._evidence = evidence
+        # Whether an answer that is begun now would be complete in time.
+        self.may_begin: Callable[[Call], bool] = lambda _call: True
         self._attempts: set[Attempt] = set()
         self._budgets: dict[str, RetryBudget] = {}
         self._probe = CrashProbe()
@@ -326,7 +329,9 @@
             raise ServerBroke(result.detail)
         now_s = boot_time_s()
         is_exhausted = (
-            call.possible_runs >= call.route.attempts_max or call.sends >= SENDS_MAX
+            call.possible_runs >= call.route.attempts_max
+            or call.sends >= SENDS_MAX
+            or not self.may_begin(call)
         )
         free = result.outcome in (Outcome.NOT_SENT, Outcome.EXPIRED)
         if not is_exhausted and (
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -8,7 +8,14 @@
 from .limit_shares import FleetDemand, limit_senders, limit_share
 from .limited_service import capacity_within_limits, limits_allow_in_s
 from .recheck import CHOICE_TTL_S, lapse_reason
-from .refusal import Refusal, check_admission, retry_delay_s, service_time_s
+from .refusal import (
+    STREAM_START_S,
+    Refusal,
+    answer_time_s,
+    check_admission,
+    retry_delay_s,
+    service_time_s,
+)
 from .request_identity import RequestIdentity
 from .servers import (
     FAILURE_RATE_MAX,
@@ -46,12 +53,14 @@
     "RequestQueue",
     "RetryBudget",
     "RoundSends",
+    "STREAM_START_S",
     "ServerState",
     "ServiceDemand",
     "Standing",
     "StatedLimit",
     "SuspectReport",
     "Work",
+    "answer_time_s",
     "capacity_within_limits",
     "check_admission",
     "choose_engine",
--- a/libs/placement/src/teaseldyke/placement/refusal.py
+++ b/libs/placement/src/teaseldyke/placement/refusal.py
@@ -1,7 +1,8 @@
 """Admission control: refusal of requests and the delay before their retry.
 
-Load pattern: a burst above the engines' throughput (`burst`, `hot_tenant`) that ends
-after seconds. Replayed in ``tests/test_refusal.py``.
+Load patterns: a burst above the engines' throughput (`burst`, `hot_tenant`) that ends
+after seconds, and requests that arrive late in a planned stop (`roll_term`), at servers
+that may be slow for a while (`srv_slow`). Replayed in ``tests/test_refusal.py``.
 """
 
 from __future__ import annotations
@@ -17,6 +18,13 @@
 RETRY_DELAY_FRACTION_MAX = 1 / 3  # of the time until the deadline
 RETRY_DELAY_MIN_S = 0.1  # a shorter delay meets the same load
 JITTER_FRACTION = 0.5  # of the delay; spreads retries
+STREAM_START_S = 1.0  # time to the first event of a stream, late ones included
+UNKNOWN_LATENCY_S = 0.4  # of a plain service before its first response
+# Of the longest latency lately, within which an answer is complete. A request that may
+# run only once can't be sent elsewhere if it is cut.
+ANSWER_FACTOR_REPEATABLE = 2.0
+ANSWER_FACTOR_ONCE = 4.0
+ANSWER_MIN_S = 0.25
 
 
 @attrs.frozen
@@ -40,6 +48,27 @@
     return work.output_tokens * DECODE_TOKEN_S
 
 
+def answer_time_s(longest_latency_s: float, *, runs_once: bool) -> float:
+    """Return the time within which a plain server's answer is surely complete.
+
+    Parameters
+    ----------
+    longest_latency_s : float
+        Longest latency of the service lately; 0 if none is known.
+    runs_once : bool
+        Whether the request may not be repeated.
+
+    Examples
+    --------
+    >>> answer_time_s(0.3, runs_once=False), answer_time_s(0.3, runs_once=True)
+    (0.6, 1.2)
+    >>> answer_time_s(0.0, runs_once=False)
+    0.8
+    """
+    factor = ANSWER_FACTOR_ONCE if runs_once else ANSWER_FACTOR_REPEATABLE
+    return max(ANSWER_MIN_S, factor * (longest_latency_s or UNKNOWN_LATENCY_S))
+
+
 def check_admission(
     work: Work, expected_wait_s: float, now_s: float, jitter: float
 ) -> Refusal | None:
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -33,6 +33,7 @@
 RATE_SMOOTHING = 0.1  # weight of the newest observation in the prefill rate
 LATENCY_SMOOTHING = 0.1  # weight of the newest observation in the latency
 INITIAL_LATENCY_S = 0.05  # before any response
+LONGEST_LATENCY_DECAY = 0.98  # for each response; one slow phase is soon forgotten
 
 
 @attrs.define
@@ -142,6 +143,8 @@
         Requests a second that the server states it takes.
     backlog_requests : int
         Requests queued for this server at this instance, as of the last scan.
+    longest_latency_s : float
+        Longest latency of a plain server lately; 0 before any response.
     said_leaving : bool
         Whether an answer of the server stated that it leaves. Holds until the server
         starts anew, whatever its entry in the store says.
@@ -154,6 +157,7 @@
     peer_load: Load = attrs.field(factory=Load)
     rate_tokens_per_s: float = 0.0
     latency_s: float = INITIAL_LATENCY_S
+    longest_latency_s: float = 0.0
     failure_rate: float = 0.0
     ejected_until_s: float = 0.0
     probing: bool = False
@@ -317,7 +321,9 @@
         self.rate_tokens_per_s += RATE_SMOOTHING * difference
 
     def record_latency(self, latency_s: float) -> None:
-        """Update the latency with a time from a send to the whole response."""
+        """Update the latencies with a time from a send to the whole response."""
+        decayed_s = LONGEST_LATENCY_DECAY * self.longest_latency_s
+        self.longest_latency_s = max(latency_s, decayed_s)
         self.latency_s += LATENCY_SMOOTHING * (latency_s - self.latency_s)
 
 
