Let operators see and release what is held

GET /held at an instance's metrics address lists the requests and parts that are refused because they have crashed servers, with the crashes; DELETE /held?suspect=KEY lets one go, and the clearance travels with the totals.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -162,7 +162,7 @@
 
     async def _serve(self, callers: trio.SocketListener) -> None:
         settings = self.settings
-        endpoints = Endpoints(lambda: self.is_ready, self.directory)
+        endpoints = Endpoints(lambda: self.is_ready, self.directory, self.evidence)
         async with trio.open_nursery() as nursery:
             for address, handler in (
                 (settings.readiness, endpoints.readiness),
--- a/tests/platform/test_deadly_request.py
+++ b/tests/platform/test_deadly_request.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import itertools
+import json
 from collections.abc import AsyncIterator
+from urllib.parse import quote
 
 import attrs
 import pytest
 import trio
 
 from teaseldyke.gateway import Gateway
+from teaseldyke.http import HttpClient, Response
 from teaseldyke.placement import RequestIdentity
 from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import (
@@ -242,6 +245,28 @@
             assert answer.status == 503
         assert not deadly.send_times_s
 
+    async def test_operator_sees_what_is_held_and_releases_it_everywhere(
+        self, deadly: DeadlyFleet
+    ) -> None:
+        gateways = deadly.fleet.gateways
+        hold(gateways[0])
+        for gateway in gateways:
+            await wait_until(lambda g=gateway: bool(g.evidence.held))
+        address = gateways[1].settings.metrics
+        client = HttpClient(timeout_s=2.0)
+
+        async def call(method: str, target: str) -> Response:
+            return await client.request(method, address.host, address.port, target)
+
+        (listed,) = json.loads((await call("GET", "/held")).body)
+        key = RequestIdentity("", "POST", HOST, "/safe/a", DEADLY_BODY).key
+        assert listed["suspect"] == key
+        assert set(listed["crash_ages_s"]) == {"e-7:1", "e-8:1", "e-9:1"}
+        assert (await call("DELETE", "/held?suspect=unknown")).status == 404
+        assert (await call("DELETE", f"/held?suspect={quote(key)}")).status == 204
+        for gateway in gateways:
+            await wait_until(lambda g=gateway: not g.evidence.held, 2.0)
+
     async def test_request_in_a_queue_or_at_an_engine_is_taken_back(
         self, deadly: DeadlyFleet
     ) -> None:
