Hold a request at its third crash, whoever else explains it, and replay it

A request with three crashes since it was last answered is now held, explained or not.

teaseldyke-replay plays two requests that come again, without and beside a loss of engines, as `crashing-requests` and `crashing-requests-amid-loss`; all that were at an engine without a token are accused.

--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -57,8 +57,8 @@
         Whether placement takes the fair shares of the organisations into account;
         false for a baseline without them.
     uses_crash_evidence : bool
-        Whether instances learn which parts of prompts crash engines; false for a
-        baseline that takes each crash for a failure of the engine.
+        Whether instances learn which requests and parts of prompts crash engines; false
+        for a baseline that takes each crash for a failure of the engine.
     engine : EngineSpec
         Capacity and speed of each engine.
     """
@@ -82,6 +82,11 @@
         Load pattern.
     seed : int
         Seed of all random draws.
+
+    Attributes
+    ----------
+    crash_times_s : dict of list
+        Times of crashes by the own part of the request that caused them.
     """
 
     def __init__(self, spec: FleetSpec, pattern: Pattern, seed: int) -> None:
@@ -90,7 +95,7 @@
         self.now_s = 0.0
         self.results: list[Result] = []
         self.reread_tokens = 0
-        self.crashes = 0
+        self.crash_times_s: dict[str, list[float]] = {}
         self._random = Random(seed)
         self._rounding_random = Random(seed)
         self._seed = seed
@@ -121,6 +126,10 @@
             for number in range(spec.instances)
         ]
 
+    @property
+    def _crashes(self) -> int:
+        return sum(len(times_s) for times_s in self.crash_times_s.values())
+
     def _state(self, name: str, cold_until_s: float) -> ServerState:
         engine = self.spec.engine
         server = AnnouncedServer(name, 1, "model", "h", 1, "a", engine.slots)
@@ -149,7 +158,7 @@
             arrivals,
             self.results,
             self.reread_tokens,
-            self.crashes,
+            self._crashes,
             self.limits.largest_excess(),
             self.limits.used_fraction(),
         )
@@ -189,18 +198,34 @@
 
         Without evidence the request is sent to another engine, as after any failure.
         """
-        self.crashes += 1
-        evidence, parts = crashing.instance.evidence, crashing.arrival.work.parts
+        own_part = crashing.arrival.work.parts[-1][0]
+        self.crash_times_s.setdefault(own_part, []).append(self.now_s)
         may_repeat = not crashing.is_repeated
-        if self.spec.uses_crash_evidence:
-            evidence.accuse(f"crash-{self.crashes}", parts, self.now_s, self.now_s)
-            may_repeat &= evidence.may_repeat(parts, self.now_s)
         for call in self._stop(engine.name):
+            if self.spec.uses_crash_evidence and call.result.first_at_s is None:
+                self._accuse(call, crashing)
             self._fail(call)
+        if self.spec.uses_crash_evidence:
+            work = crashing.arrival.work
+            may_repeat &= crashing.instance.evidence.may_repeat(
+                work.parts, self.now_s, work.identity
+            )
         self._schedule(self.now_s + RESTART_S, lambda: self._return_cold(engine.name))
         if may_repeat:
             self._arrive(crashing.arrival, crashing.result, is_repeated=True)
 
+    def _accuse(self, call: Call, crashing: Call) -> None:
+        """Accuse a request without an answer; only one was about to begin."""
+        work = call.arrival.work
+        call.instance.evidence.accuse(
+            f"crash-{self._crashes}",
+            work.parts if call is crashing else (),
+            self.now_s,
+            self.now_s,
+            work.identity,
+            is_sequel=call.is_repeated,
+        )
+
     def _arrive(
         self,
         arrival: Arrival,
@@ -218,7 +243,7 @@
         work = arrival.work
         standing = instance.fair_shares.standing(work.organisation, self.now_s)
         instance.demand.record_arrival(SERVICE, work, standing, self.now_s)
-        if instance.evidence.refused_part(work.parts) is not None:
+        if instance.evidence.refused_suspect(work) is not None:
             self._end_unanswered(call)
             return
         if not instance.states:
@@ -386,7 +411,8 @@
         if call.state is not None:
             per_s = self.limits.stated_per_s(call.state.server.id, self.now_s)
             call.state.limit.hear(per_s, self.now_s, self.now_s)
-        call.instance.evidence.clear(call.arrival.work.parts, self.now_s)
+        work = call.arrival.work
+        call.instance.evidence.clear(work.parts, self.now_s, work.identity)
         self._finish_prefill(call)
         self._scan_queue(call.instance)
 
@@ -425,7 +451,7 @@
         available = set(instance.states.values())
         quotas: dict[str, CapacityQuota] = {}
         for queued in list(instance.queue.in_order(instance.fair_shares, self.now_s)):
-            if instance.evidence.refused_part(queued.work.parts) is not None:
+            if instance.evidence.refused_suspect(queued.work) is not None:
                 instance.queue.remove(queued)
                 self._end_unanswered(queued.payload)
                 continue
--- a/libs/patterns/src/teaseldyke/patterns/load.py
+++ b/libs/patterns/src/teaseldyke/patterns/load.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from teaseldyke.placement import Work
+from teaseldyke.placement import RequestIdentity, Work
 
 OUTPUT_TOKEN_WEIGHT = 10.0  # price of an output token, in prompt tokens
 FIXED_WORTH_RATIO = 0.3  # part of a request's worth that is independent of its size
@@ -97,18 +97,14 @@
 
 @attrs.frozen
 class Arrival:
-    """A request that a caller sends."""
+    """A request that a caller sends; ``is_crashing`` if it crashes engines."""
 
     kind: Kind
     organisation: str
     work: Work
     worth: float
     late_worth: float
-
-    @property
-    def is_crashing(self) -> bool:
-        """Whether its prompt crashes engines."""
-        return any(part == CRASHING_PART for part, _ in self.work.parts)
+    is_crashing: bool = False
 
 
 @attrs.frozen
@@ -157,8 +153,10 @@
         Organisation whose callers all connect to one instance; empty if the callers
         of every organisation are spread over all instances.
     crashing_share : float
-        Fraction of the first kind's requests whose prompts crash engines. They earn
-        nothing.
+        Fraction of the first kind's requests that crash engines. They earn nothing.
+    crashing_requests : int
+        Number of distinct requests among them, which come again; 0 if all are
+        different and share a part of their prompts.
     limits : StatedLimits or None
         Limits that engines state.
     """
@@ -170,6 +168,7 @@
     loss: Loss | None = None
     narrow_organisation: str = ""
     crashing_share: float = 0.0
+    crashing_requests: int = 0
     limits: StatedLimits | None = None
 
 
@@ -232,6 +231,19 @@
             narrow_organisation="middle",
         ),
         Pattern("crashing-part", _scaled(1.0), crashing_share=0.05),
+        Pattern(
+            "crashing-requests",
+            _scaled(1.0),
+            crashing_share=0.1,
+            crashing_requests=2,
+        ),
+        Pattern(
+            "crashing-requests-amid-loss",
+            _scaled(1.0),
+            loss=Loss(8.0, 0.25, 10.0),
+            crashing_share=0.1,
+            crashing_requests=2,
+        ),
         Pattern("stated-limits", _scaled(1.0), limits=StatedLimits(0.67, 5.0)),
         Pattern("stated-limits-of-all", _scaled(1.0), limits=StatedLimits(1.0, 6.0)),
     )
@@ -282,11 +294,15 @@
     is_crashing = (
         pattern.crashing_share > 0.0 and kind is KINDS[0] and _is_disturbed(at_s)
     )
-    if is_crashing and random.random() < pattern.crashing_share:
+    is_crashing = is_crashing and random.random() < pattern.crashing_share
+    if is_crashing and pattern.crashing_requests:
+        number = random.randrange(pattern.crashing_requests)
+        organisation = "middle"
+        subject_part = (f"{kind.name}-{organisation}-0", kind.shared_tokens)
+        parts = subject_part, (f"own-crashing-{number}", own_tokens)
+    elif is_crashing:
         parts = parts[0], (CRASHING_PART, CRASHING_TOKENS), parts[1]
         prompt_tokens += CRASHING_TOKENS
-    else:
-        is_crashing = False
     work = Work(
         organisation,
         at_s,
@@ -297,13 +313,21 @@
         output_tokens,
         parts,
         priority=1,
+        identity=RequestIdentity(
+            organisation, "POST", "model", f"/{kind.name}", parts[-1][0].encode()
+        ),
     )
     size = (prompt_tokens + OUTPUT_TOKEN_WEIGHT * output_tokens) / kind.mean_size
     factor = min(WORTH_FACTOR_MAX, FIXED_WORTH_RATIO + (1.0 - FIXED_WORTH_RATIO) * size)
     if is_crashing:
         factor = 0.0
     return Arrival(
-        kind, organisation, work, factor * kind.worth, factor * kind.late_worth
+        kind,
+        organisation,
+        work,
+        factor * kind.worth,
+        factor * kind.late_worth,
+        is_crashing,
     )
 
 
--- a/libs/patterns/tests/test_patterns.py
+++ b/libs/patterns/tests/test_patterns.py
@@ -8,6 +8,8 @@
 
 from teaseldyke.patterns import PATTERNS, FleetSpec, ModelFleet, Outcome
 
+FREE_CRASHES_OF_A_REQUEST = 3
+KNOWN_S = 1.0  # after a crash, to all instances
 FREE_CRASHES = 5  # after them hardly a request with the part may reach an engine
 FAIR_SHARE_MIN = 0.5  # smallest `Outcome.least_share`
 LIMIT_USED_MIN = 0.9  # of stated limits, while there is demand above them
@@ -68,6 +70,26 @@
         assert outcome.crashes <= FREE_CRASHES
         assert outcome.worth > without.worth
 
+    @pytest.mark.parametrize(
+        "name", ["crashing-requests", "crashing-requests-amid-loss"]
+    )
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_requests_that_come_again_stop_reaching_engines(
+        self, name: str, seed: int
+    ) -> None:
+        """Two requests crash engines; sound ones share their prompts' first part."""
+        pattern = PATTERNS[name]
+        without = ModelFleet(FleetSpec(uses_crash_evidence=False), pattern, seed).play()
+        fleet = ModelFleet(FleetSpec(), pattern, seed)
+        outcome = fleet.play()
+        for times_s in fleet.crash_times_s.values():
+            # Copies that are at engines already may crash them, too.
+            known_at_s = [*times_s, 0.0, 0.0, 0.0][FREE_CRASHES_OF_A_REQUEST - 1]
+            late = [at_s for at_s in times_s[3:] if at_s > known_at_s + KNOWN_S]
+            assert not late
+        assert outcome.crashes < without.crashes / 2
+        assert outcome.worth > without.worth
+
     def test_seed_determines_the_outcome(self) -> None:
         first, second = play("hot-part", 7), play("hot-part", 7)
         assert first.table() == second.table()
--- a/libs/placement/src/teaseldyke/placement/suspects.py
+++ b/libs/placement/src/teaseldyke/placement/suspects.py
@@ -25,6 +25,9 @@
 TOGETHER_PER_CAUSE = 3  # further crashes within that time that count as one more cause
 # Of these crashes of one request, one may have had a cause in common with another.
 REQUEST_COINCIDENCES = 1
+# Crashes of a request after which it is held whoever else was at them: two requests may
+# have crashed servers in turn.
+CRASHES_TO_HOLD = 3
 # After the last crash. Longer than an operator needs to find the part and its caller;
 # then a request with it is tried, and one more crash quarantines it again.
 QUARANTINE_S = 600.0
@@ -132,7 +135,8 @@
     Of two that explain as many, one that was sound a short time ago goes last, and the
     narrower first: a request before parts, and a part deeper in the prompt before
     others, since fewer requests have it. Requests that explain the very same crashes
-    can't be told apart, so all of them are returned.
+    can't be told apart, so all of them are returned, and so are those with
+    `CRASHES_TO_HOLD` crashes, explained or not.
 
     Parameters
     ----------
@@ -148,11 +152,12 @@
         and (is_request(key) or now_s - suspect.last_s < QUARANTINE_S)
     }
 
+    def was_sound_lately(key: str) -> bool:
+        return now_s - cleared.get(key, -math.inf) <= CLEARED_TTL_S
+
     def importance(key: str) -> tuple[int, int, str]:
         causes = _causes(key, unexplained[key], accused[key].sequels)
-        needed = CAUSES_TO_HOLD
-        if now_s - cleared.get(key, -math.inf) <= CLEARED_TTL_S:
-            needed = CAUSES_TO_HOLD_SOUND
+        needed = CAUSES_TO_HOLD_SOUND if was_sound_lately(key) else CAUSES_TO_HOLD
         return causes - needed, accused[key].depth, key
 
     found: list[str] = []
@@ -169,6 +174,13 @@
                 continue
             for crash in explained:
                 crashes.pop(crash, None)
+    found += [
+        key
+        for key, suspect in accused.items()
+        if is_request(key)
+        and key not in found
+        and len(suspect.crashes) >= CRASHES_TO_HOLD + was_sound_lately(key)
+    ]
     return found
 
 
--- a/libs/placement/tests/test_crashing_requests.py
+++ b/libs/placement/tests/test_crashing_requests.py
@@ -98,6 +98,32 @@
                 [DEADLY],
                 [],
             ),
+            # Both crash servers; the first was at one crash of the second.
+            (
+                [
+                    crash("e1", 5.0, OTHER),
+                    crash("e2", 6.0, OTHER),
+                    crash("e3", 7.0, OTHER, DEADLY),
+                    crash("e4", 8.0, DEADLY),
+                    crash("e5", 9.0, DEADLY),
+                    answer(9.5, SOUND),
+                ],
+                [OTHER, DEADLY],
+                [],
+            ),
+            # All its crashes are explained by others, who were at more of them.
+            (
+                [
+                    crash("e1", 5.0, OTHER, DEADLY),
+                    crash("e2", 6.0, OTHER, DEADLY),
+                    crash("e3", 7.0, OTHER),
+                    crash("e4", 8.0, SOUND, DEADLY),
+                    crash("e5", 9.0, SOUND),
+                    answer(9.5, request("popular")),
+                ],
+                [OTHER, SOUND, DEADLY],
+                [],
+            ),
             # A popular request is at each crash, and answered between them.
             (
                 [
@@ -137,6 +163,8 @@
             "three-at-once",
             "two-suspects",
             "two-suspects-told-apart",
+            "two-that-crash",
+            "explained-by-others",
             "popular",
             "part",
             "part-and-a-repeat",
