--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -298,6 +298,28 @@
         HeaderWire().read_answer(200, [(name, value)])
 
 
+class TestCallers:
+    @pytest.mark.parametrize("tokens", ["1e300,5", "1e25,5", "5,1e25", "1" * 400])
+    async def test_caller_who_states_a_huge_prompt_ends_no_instance(
+        self, fleet: Fleet, tokens: str
+    ) -> None:
+        """The totals of its engine did not fit into the instances' messages."""
+        value = configuration(2)
+        value["services"][0]["engine"] = {"slots": 4, "kvCapacityTokens": 10**6}
+        fleet.store.put("op", "config", value)
+        await fleet.add_gateway("g-2")
+        for gateway in fleet.gateways:
+            await wait_until(lambda g=gateway: g.is_ready and g.totals.instances == 2)
+        headers = {
+            "X-Teaseldyke-Token-Count": tokens,
+            "X-Teaseldyke-Prompt-Prefix": "a:5,b:5",
+        }
+        answer = await fleet.caller().request("/stream/a", headers=headers)
+        assert answer.status == 400
+        await trio.sleep(0.3)  # a few rounds
+        await assert_serves(fleet, 2)
+
+
 class TestInstancesMessages:
     @pytest.mark.parametrize(
         "data",
