--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -14,7 +14,22 @@
 @pytest.mark.promise("cold-backend-server")
 @pytest.mark.parametrize(
     "seed",
-    [4, 71008, 71025, 191212, 191216, 290401, 290513, 320513, 320518, 320520],
+    [
+        4,
+        71008,
+        71025,
+        191212,
+        191216,
+        290401,
+        290513,
+        320513,
+        320518,
+        320520,
+        350512,
+        350513,
+        350522,
+        350546,
+    ],
     ids=[
         "hold-links-and-kill-router",
         "kill-router-and-restart-engine",
@@ -26,6 +41,10 @@
         "restart-engine-before-freeze-router",
         "restart-engine-before-cut-links",
         "restart-engine-before-freeze-router-at-its-end",
+        "cut-links-before-restart-engine",
+        "hold-links-before-restart-engine",
+        "cut-links-and-restart-engine-at-once",
+        "restart-engine-before-kill-router",
     ],
 )
 async def test_two_faults_at_a_time(tmp_path: Path, seed: int) -> None:
