--- a/libs/placement/tests/test_crashing_requests.py
+++ b/libs/placement/tests/test_crashing_requests.py
@@ -183,18 +183,20 @@
         assert evidence.quarantined == set(quarantined)
 
     @pytest.mark.parametrize(
-        ("guilty", "sound"), [(DEADLY, SOUND), (SOUND, DEADLY)], ids=["first", "second"]
+        ("crashing", "sound"),
+        [(DEADLY, SOUND), (SOUND, DEADLY)],
+        ids=["first", "second"],
     )
     def test_request_that_was_at_fewer_crashes_is_released_at_once(
-        self, guilty: RequestIdentity, sound: RequestIdentity
+        self, crashing: RequestIdentity, sound: RequestIdentity
     ) -> None:
         """The third crash comes too soon after the second to count as a cause."""
         evidence = CrashEvidence()
-        crash("e1", 5.66, guilty, sound)(evidence)
-        crash("e2", 6.09, guilty, sound)(evidence)
-        crash("e3", 6.19, guilty)(evidence)
+        crash("e1", 5.66, crashing, sound)(evidence)
+        crash("e2", 6.09, crashing, sound)(evidence)
+        crash("e3", 6.19, crashing)(evidence)
         answer(6.2, OTHER)(evidence)
-        assert evidence.held == {guilty.key}
+        assert evidence.held == {crashing.key}
 
     def test_same_request_is_refused_wherever_it_comes_from(self) -> None:
         same = request("deadly")
