Log and count answers that an instance ends itself

The logs couldn't tell whether this instance had ended them, with which configuration they had been resolved and how old the one in force was; a connection closed without an answer left no line at all.

Lines of final errors now carry both versions and the age, and a counter goes by reason and by whether a part had gone out. A connection that is closed while bytes lie unread, or after a request was read and before its answer is complete, has a line and a counter by cause.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -43,6 +43,10 @@
     "teaseldyke_answer_seconds",
     "Time from arrival to the end.",
 )
+ANSWERS_ENDED = counter(
+    "teaseldyke_answers_ended_total",
+    "Answers ended by this instance, by reason and whether a part had gone out.",
+)
 UNREAD_REFUSED = counter(
     "teaseldyke_unread_refused_total",
     "Refusals before a request was read, by code.",
@@ -132,6 +136,9 @@
             raise
         except TeaseldykeError as exc:
             await self._refuse(request, facts, exc, arrived_at_s, context)
+        except trio.Cancelled:
+            self._log_cancelled(request, facts, arrived_at_s, context)
+            raise
         finally:
             self._running.discard(running)
 
@@ -279,6 +286,33 @@
             sends=call.sends,
         )
 
+    def _log_cancelled(
+        self,
+        request: Request,
+        facts: CallFacts | None,
+        arrived_at_s: float,
+        context: dict[str, object],
+    ) -> None:
+        """Log and count an answer that the end of the process breaks off."""
+        request_id = facts.request_id if facts else None
+        log_decision(
+            "broken_off",
+            id=request_id.decode("latin-1") if request_id else None,
+            after_s=round(boot_time_s() - arrived_at_s, 4),
+            cut=request.response_started,
+            **self._configuration_in_force(),
+            **context,
+        )
+        _count_ended("process_ended", request)
+
+    def _configuration_in_force(self) -> dict[str, object]:
+        """Return version and age of the current configuration, for logs."""
+        table = self._view.table
+        if table is None:
+            return {}
+        age_s = boot_time_s() - self._view.in_force_since_s
+        return {"in_force": table.version, "in_force_s": round(age_s, 3)}
+
     async def _refuse(
         self,
         request: Request,
@@ -297,9 +331,11 @@
             retry_after_s=error.retry_after_s,
             after_s=round(boot_time_s() - arrived_at_s, 4),
             cut=request.response_started,
+            **self._configuration_in_force(),
             **context,
         )
         ANSWERS.bind(route="", status=str(error.status)).add()
+        _count_ended(error.code, request)
         if request.response_started:
             await request.abort()
             return
@@ -321,6 +357,11 @@
         return self.describe(error)
 
 
+def _count_ended(reason: str, request: Request) -> None:
+    started = "yes" if request.response_started else "no"
+    ANSWERS_ENDED.bind(reason=reason, started=started).add()
+
+
 def _stopped(call: Call | None) -> TeaseldykeError:
     """Return the error of a request that a stop ended before its answer."""
     if call is not None and call.possible_runs:
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -67,6 +67,8 @@
     servers_as_of_s : float
         All changes of the servers' entries up to this moment are known, on the clock
         of `boot_time_s`.
+    in_force_since_s : float
+        When the current configuration was applied, on the same clock.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         heartbeat_s: float = DEFAULT_HEARTBEAT_S,
     ) -> None:
         self.table: RoutingTable | None = None
+        self.in_force_since_s = math.inf
         self.evacuated: frozenset[str] = frozenset()
         self.store_available = False
         self.servers_known = False
@@ -102,6 +105,7 @@
             replaces=self.table.version if self.table else None,
         )
         self.table = table
+        self.in_force_since_s = boot_time_s()
         for state in self._states.values():
             state.cold_rate_limit.rate_per_s = self._cold_rate(state.server.service)
             if state.rate_tokens_per_s <= 0.0:
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -15,9 +15,11 @@
 from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission, Decision
+from .closures import Cause, RequestState, record_closure
 from .errors import (
     Busy,
     CallerGone,
+    CallerTooSlow,
     HeaderTooLarge,
     MalformedRequest,
     RequestTimedOut,
@@ -27,7 +29,14 @@
 from .limits import ServerLimits
 from .problem import problem_response
 from .request import Request
-from .stream import Stream, close_gracefully, close_now, close_with_reset, is_idle
+from .stream import (
+    Stream,
+    close_gracefully,
+    close_now,
+    close_with_reset,
+    has_peer_closed,
+    is_idle,
+)
 from .watchdog import Watch
 
 Handler = Callable[[Request], Awaitable[None]]
@@ -122,7 +131,7 @@
         self._context = context
         self._limits = context.limits
         self.stream = stream
-        self._watch = Watch(stream)
+        self._watch = Watch(stream, self._close_idle)
         self._passes = scheduler_passes()
         self._unread_since_s = unread_since_s
         self._caller = caller
@@ -155,6 +164,7 @@
             try:
                 keep_open = await self._handle(request)
             except BaseException:
+                self._record_closure(Cause.PROCESS_ENDED, request)
                 # Reset, so that a truncated response doesn't look complete.
                 close_with_reset(self.stream)
                 raise
@@ -185,6 +195,18 @@
         data = (data or b"") + (self._parser.send(h11.Data(data=body)) or b"")
         return data + (self._parser.send(h11.EndOfMessage()) or b"")
 
+    def _close_idle(self, stream: Stream) -> None:
+        """Close the connection at the end of its idle time."""
+        if not is_idle(stream) and not has_peer_closed(stream):
+            record_closure(Cause.IDLE, RequestState.UNREAD, self._caller)
+        close_now(stream)
+
+    def _record_closure(self, cause: Cause, request: Request) -> None:
+        state = (
+            RequestState.CUT if request.response_started else RequestState.UNANSWERED
+        )
+        record_closure(cause, state, self._caller)
+
     async def _next_request(self) -> Request | None:
         """Return the next request, or ``None`` once the connection has ended."""
         if not self._parser.trailing_data[0] and not await self._wait_first_byte():
@@ -300,7 +322,9 @@
         """Run the handler; return whether the connection can be reused."""
         try:
             await self._context.handler(request)
-        except CallerGone:
+        except CallerGone as exc:
+            if isinstance(exc, CallerTooSlow):
+                self._record_closure(Cause.SEND_TIMEOUT, request)
             close_with_reset(self.stream)
             return False
         except Exception as exc:
@@ -315,6 +339,8 @@
             error = TeaseldykeError("the handler sent no response")
             await self._send_problem(request, error)
         if not request.finished:
+            if not request.has_caller_disconnected():
+                self._record_closure(Cause.ANSWER_FAILED, request)
             close_with_reset(self.stream)
             return False
         if self._parser.our_state is not h11.DONE or not request.body_complete:
@@ -332,12 +358,15 @@
             logging.exception("event=handler_failed request_id=%s", request.id)
             error = TeaseldykeError("internal error while handling the request")
         if request.response_started:
+            self._record_closure(Cause.ANSWER_FAILED, request)
             await request.abort()
             return False
         status, headers, body = problem_response(error, request.id)
         try:
             await request.respond(status, body, headers)
-        except (CallerGone, h11.LocalProtocolError):
+        except (CallerGone, h11.LocalProtocolError) as failure:
+            if not isinstance(failure, CallerGone):
+                self._record_closure(Cause.ANSWER_FAILED, request)
             close_with_reset(self.stream)
             return False
         return True
--- a/libs/http/src/teaseldyke/http/errors.py
+++ b/libs/http/src/teaseldyke/http/errors.py
@@ -69,6 +69,12 @@
     executed = "unknown"
 
 
+class CallerTooSlow(CallerGone):
+    """The caller did not read the response in time."""
+
+    code = "caller_too_slow"
+
+
 class ConnectFailed(TeaseldykeError):
     """No connection could be opened; nothing was sent."""
 
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -12,7 +12,7 @@
 import trio
 
 from .body import IncomingBody
-from .errors import CallerGone
+from .errors import CallerGone, CallerTooSlow
 from .headers import Headers, MixedHeaders, encode_headers, first_header
 from .limits import ServerLimits
 from .stream import (
@@ -275,6 +275,6 @@
         with trio.move_on_after(self._limits.send_timeout_s) as scope:
             await self._stream.send_all(data)
         if scope.cancelled_caught:
-            raise CallerGone(
+            raise CallerTooSlow(
                 f"caller did not read the response in {self._limits.send_timeout_s} s"
             )
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -10,6 +10,7 @@
 from teaseldyke.timers import scheduler_passes
 
 from .admission import Admission
+from .closures import Cause, RequestState, record_closure
 from .connection import CallerConnection, ErrorRenderer, Handler, ServerContext
 from .errors import TooManyConnections
 from .limits import ServerLimits
@@ -118,7 +119,7 @@
         self._open_connections += 1
         try:
             if self._open_connections > self._limits.connections:
-                await self._refuse_connection(stream)
+                await self._refuse_connection(stream, caller)
                 return
             connection = CallerConnection(self._context, stream, unread_since_s, caller)
             await connection.run()
@@ -128,8 +129,9 @@
             self._open_connections -= 1
             close_now(stream)
 
-    async def _refuse_connection(self, stream: Stream) -> None:
+    async def _refuse_connection(self, stream: Stream, caller: str) -> None:
         if self._open_connections > self._limits.connections + REFUSALS_MAX:
+            record_closure(Cause.CONNECTION_LIMIT, RequestState.UNREAD, caller)
             return
         error = TooManyConnections(
             f"server is at its limit of {self._limits.connections} connections",
