--- /dev/null
+++ b/libs/http/tests/test_ends.py
@@ -0,0 +1,121 @@
+"""A server ends a connection, or an answer, beside what its caller sends."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+import trio
+import trio.testing
+
+from teaseldyke.http import Request, ServerLimits
+from teaseldyke.http.connection import CallerConnection, Handler, ServerContext
+from teaseldyke.http.stream import SENDS_PER_CHECKPOINT, TcpStream
+
+HOST = "127.0.0.1"
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+IDLE_TIMEOUT_S = 0.05
+PAUSE_S = 0.5  # of the process; longer than a grace and a sweep of the watches
+TURNS = 8  # two tasks are due after a pause, and run in random order
+
+
+async def answer_ok(request: Request) -> None:
+    await request.respond(200, b"ok")
+
+
+@attrs.define
+class Served:
+    """The caller's end of a served connection, read without the event loop."""
+
+    sock: socket.socket
+    context: ServerContext
+
+    async def receive(self) -> bytes:
+        """Return what arrives first; empty if the connection was closed or reset."""
+        with trio.fail_after(5):
+            await trio.lowlevel.wait_readable(self.sock)
+        try:
+            return self.sock.recv(65536)
+        except ConnectionResetError:
+            return b""
+
+    async def request(self) -> None:
+        self.sock.sendall(GET)
+        assert (await self.receive()).startswith(b"HTTP/1.1 200")
+
+
+@asynccontextmanager
+async def served(
+    handler: Handler = answer_ok, limits: ServerLimits | None = None
+) -> AsyncIterator[Served]:
+    """Serve one connection."""
+    context = ServerContext(handler, limits or ServerLimits(), trio.Event())
+    with socket.create_server((HOST, 0)) as listener:
+        sock = socket.create_connection(listener.getsockname())
+        stream = TcpStream(listener.accept()[0])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(CallerConnection(context, stream).run)
+        await trio.testing.wait_all_tasks_blocked()
+        with sock:
+            yield Served(sock, context)
+        nursery.cancel_scope.cancel()
+
+
+class TestIdleTimeout:
+    @pytest.mark.parametrize("used", [True, False])
+    async def test_request_that_lay_unread_in_a_pause_is_answered(
+        self, used: bool
+    ) -> None:
+        answered = 0
+        for _ in range(TURNS):
+            limits = ServerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
+            async with served(limits=limits) as connection:
+                if used:
+                    await connection.request()
+                connection.sock.sendall(GET)
+                time.sleep(PAUSE_S)
+                answered += (await connection.receive()).startswith(b"HTTP/1.1 200")
+        assert answered == TURNS
+
+    async def test_idle_connection_is_closed(self) -> None:
+        limits = ServerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
+        async with served(limits=limits) as connection:
+            await connection.request()
+            assert await connection.receive() == b""
+
+    async def test_first_request_at_the_end_of_its_grace_is_answered(self) -> None:
+        answered = 0
+        for _ in range(TURNS):
+            async with served() as connection:
+                connection.context.stopping.set()
+                connection.context.close_idle()
+                connection.sock.sendall(GET)
+                time.sleep(PAUSE_S)
+                answered += (await connection.receive()).startswith(b"HTTP/1.1 200")
+        assert answered == TURNS
+
+
+class TestEndAtTheDeadline:
+    async def test_answer_that_went_out_whole_is_not_reset(self) -> None:
+        """Now and then a write lets other tasks run; the deadline may pass there."""
+
+        async def answer(request: Request) -> None:
+            with trio.CancelScope() as scope:
+                await request.start_response(200, [], flush=False)
+                for _ in range(SENDS_PER_CHECKPOINT - 1):
+                    await request.send(b"event")
+                scope.cancel()
+                await request.finish()
+            if not request.finished:
+                await request.abort()
+
+        async with served(answer) as connection:
+            connection.sock.sendall(GET)
+            await trio.sleep(0.1)
+            data = await connection.receive()
+            assert data.endswith(b"0\r\n\r\n")
+            await connection.request()
