Leave a connection open at its idle time-out while a request lies unread

Callers saw a reset in place of an answer or a refusal after a pause of the process. The watch of idle connections closed without looking, and a pause makes the watch and the reader due in the same pass, in random order.

A connection on which bytes, or the caller's own close, are pending isn't idle: its reader has already been woken. The watch now leaves it to the reader; the same check stood in close_idle already.

The cause "idle" of closed connections is gone, since none is closed so any more.

--- a/libs/http/src/teaseldyke/http/closures.py
+++ b/libs/http/src/teaseldyke/http/closures.py
@@ -15,7 +15,6 @@
 class Cause(Enum):
     """Why this process closed a caller's connection."""
 
-    IDLE = "idle"
     SEND_TIMEOUT = "send_timeout"
     PROCESS_ENDED = "process_ended"
     CONNECTION_LIMIT = "connection_limit"
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -34,7 +34,6 @@
     close_gracefully,
     close_now,
     close_with_reset,
-    has_peer_closed,
     is_idle,
 )
 from .watchdog import Watch
@@ -196,10 +195,12 @@
         return data + (self._parser.send(h11.EndOfMessage()) or b"")
 
     def _close_idle(self, stream: Stream) -> None:
-        """Close the connection at the end of its idle time."""
-        if not is_idle(stream) and not has_peer_closed(stream):
-            record_closure(Cause.IDLE, RequestState.UNREAD, self._caller)
-        close_now(stream)
+        """Close the connection at the end of its idle time.
+
+        After a pause of the process, a request may lie unread that came in time.
+        """
+        if is_idle(stream):
+            close_now(stream)
 
     def _record_closure(self, cause: Cause, request: Request) -> None:
         state = (
