Count an answer as complete once its last byte has been written

Callers could see a whole answer reset: each 16th write of a connection is followed by a checkpoint, and a deadline that passed there made the answer count as cut, so its connection was reset, unread bytes of the answer included.

The last write of an answer has no checkpoint; the loop of the connection reaches one before its next read.

--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -151,7 +151,7 @@
         if body and self.method != "HEAD" and status not in (204, 304):
             data += self._connection.send(h11.Data(data=body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        await self._write(data, is_last=True)
         self._finished = True
 
     async def respond_json(
@@ -215,7 +215,7 @@
         self._unsent_head = b""
         data += self._connection.send(h11.EndOfMessage()) or b""
         if data:
-            await self._write(data)
+            await self._write(data, is_last=True)
         self._finished = True
 
     async def abort(self) -> None:
@@ -260,12 +260,14 @@
         self._unsent_head = b""
         await self._write(data)
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, *, is_last: bool = False) -> None:
         try:
             if isinstance(self._stream, TcpStream):
                 data = self._stream.try_send(data)
                 if not data:
-                    await self._stream.checkpoint_between_sends()
+                    # A cancellation there would discard a response sent completely.
+                    if not is_last:
+                        await self._stream.checkpoint_between_sends()
                     return
             await self._write_within_timeout(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
