--- a/tests/platform/test_ended_answers.py
+++ b/tests/platform/test_ended_answers.py
@@ -5,10 +5,26 @@
 from typing import Any
 
 import pytest
+import trio
 
 from teaseldyke.gateway import calls
 from tests.platform.conftest import Fleet, configuration, script_all, wait_until
-from tests.platform.standins import reset, stream_of
+from tests.platform.standins import (
+    Arrival,
+    EngineStandin,
+    Script,
+    answer_head,
+    answer_with,
+    chunk,
+    event,
+    hang,
+    not_run,
+    reset,
+    stream_of,
+)
+
+STREAM = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+SHORT_TIMEOUT_S = 0.3  # of the route "short"
 
 
 class TestRecord:
@@ -43,3 +59,92 @@
         assert line["in_force"] == 7
         assert 0.0 <= line["in_force_s"] < 5.0
         assert counter.value == before + 1
+
+
+def begun(*parts: bytes, then: Script, pause_s: float = 0.0) -> Script:
+    """Return a script that sends a head and parts of events, then runs another."""
+
+    async def script(
+        engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+    ) -> Any:
+        await stream.send_all(answer_head(arrival, 200, *STREAM) + b"\r\n")
+        for part in parts:
+            await stream.send_all(chunk(part))
+        await trio.sleep(pause_s)
+        return await then(engine, stream, arrival)
+
+    return script
+
+
+class TestBeforeTheFirstEvent:
+    """The header of a stream is sent together with its first event."""
+
+    @pytest.mark.parametrize("route", ["stream", "single"])
+    @pytest.mark.parametrize("then", [reset, hang])
+    async def test_stream_that_ends_within_its_first_event_gets_an_answer(
+        self, fleet: Fleet, route: str, then: Script
+    ) -> None:
+        script_all(fleet, *[begun(event(1)[:9], then=then)] * 4)
+        answer = await fleet.caller().request(f"/{route}/a")
+        assert answer.complete
+        assert answer.status in (502, 504)
+
+    @pytest.mark.parametrize(
+        ("second", "status"),
+        [(answer_with(404), 404), (stream_of(1, 9), 200), (not_run(), 502)],
+        ids=["not-found", "stream", "not-run"],
+    )
+    async def test_second_server_answers_with_its_own_header(
+        self, fleet: Fleet, second: Script, status: int
+    ) -> None:
+        first, other = fleet.engines.values()
+        engines = {first.id: other, other.id: first}
+
+        async def script(
+            engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+        ) -> Any:
+            engines[engine.id].scripts = [second]
+            return await begun(event(1)[:9], then=reset)(engine, stream, arrival)
+
+        script_all(fleet, script)
+        answer = await fleet.caller().request("/stream/a")
+        assert answer.complete
+        assert answer.status == status
+
+    async def test_stop_answers_a_stream_without_an_event(self, fleet: Fleet) -> None:
+        script_all(fleet, begun(event(1)[:9], then=hang))
+        caller = fleet.caller()
+        await caller.send("/single/a")
+        await wait_until(lambda: fleet.arrivals == 1)
+        await trio.sleep(0.1)
+        assert fleet.gateways[0].calls.end_unanswered() == 1
+        with trio.fail_after(1):
+            answer = await caller.receive_answer()
+        assert answer.complete
+        assert answer.status == 502
+
+
+class TestSlowBody:
+    @pytest.mark.parametrize(
+        "length",
+        ["Content-Length: 900", "Transfer-Encoding: chunked"],
+        ids=["length", "chunked"],
+    )
+    async def test_request_whose_body_is_late_is_answered_at_its_time_out(
+        self, fleet: Fleet, length: str
+    ) -> None:
+        """CONFIG: no final answer 0.5 s after the route's time-out."""
+        caller = fleet.caller()
+        assert (await caller.request("/once/a")).status == 200
+        assert caller.stream is not None
+        head = (
+            f"POST /short/a HTTP/1.1\r\nHost: a.example\r\n{length}\r\n"
+            "X-Teaseldyke-Request-Id: r-9\r\n"
+            "X-Teaseldyke-Deadline-Ms: 9000\r\n\r\n"
+        )
+        await caller.stream.send_all(head.encode())
+        with trio.fail_after(SHORT_TIMEOUT_S + 0.5):
+            data = await caller.stream.receive_some(65536)
+        assert data.startswith(b"HTTP/1.1 408")
+        assert b"connection: close" in data.lower()
+        assert fleet.arrivals == 1
