Answer a stream that ends before its first event went out

Callers of streams saw a reset without a byte, neither an answer nor a refusal, where a server had sent its header and a part of the first event and then failed, fell silent or was cut by the deadline or a stop.

The header waits for the first event, so that both leave in one write, but the answer counted as started from the server's first bytes on. From then on every error of this instance could only reset the connection, and a second server's answer (404, not run) was taken for a broken continuation.

A header that waits is now only kept, and encoded with the first bytes: until then another header or a proper error may take its place.

--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -58,7 +58,7 @@
     raw_target : str
         Path and query exactly as the caller sent them.
     response_started : bool
-        Whether a response has been started.
+        Whether a byte of a response may have been sent.
     unread_since_s : float
         Time before which the request cannot have arrived, on the clock of
         `boot_time_s`. It may have been pending for the whole scheduler pass before the
@@ -92,7 +92,7 @@
         self._stream = stream
         self._limits = limits
         self._stopping = stopping
-        self._unsent_head = b""
+        self._unsent_head: h11.Response | None = None
         self._finished = False
         length = first_header(self.headers, b"content-length")
         self._body = IncomingBody(connection, stream, length, limits, self._write)
@@ -146,8 +146,7 @@
         if status in (204, 304):
             fields.pop()
         await self.start_response(status, fields, flush=False)
-        data = self._unsent_head
-        self._unsent_head = b""
+        data = self._take_head()
         if body and self.method != "HEAD" and status not in (204, 304):
             data += self._connection.send(h11.Data(data=body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
@@ -174,16 +173,15 @@
         """Start a streamed response.
 
         Without ``Content-Length`` among the headers it uses chunked coding. With
-        ``flush=False`` the header is sent together with the first data.
+        ``flush=False`` the header is sent together with the first data; until then
+        another response may replace it.
         """
         fields = encode_headers(headers)
         if self._stopping.is_set() or not self._body.complete.is_set():
             fields.append((b"connection", b"close"))
-        head = h11.Response(status_code=status, headers=fields)
-        self._unsent_head = self._connection.send(head) or b""
-        self.response_started = True
+        self._unsent_head = h11.Response(status_code=status, headers=fields)
         if flush:
-            await self._flush_head()
+            await self._write(self._take_head())
 
     async def send(self, data: bytes) -> None:
         """Send a part of a streamed response immediately.
@@ -197,11 +195,9 @@
             return
         if self.method == "HEAD":
             return
+        head = self._take_head()
         parts = self._connection.send_with_data_passthrough(h11.Data(data=data)) or []
-        if self._unsent_head:
-            parts.insert(0, self._unsent_head)
-            self._unsent_head = b""
-        await self._write(b"".join(parts))
+        await self._write(b"".join([head, *parts]))
 
     async def finish(self) -> None:
         """End a streamed response.
@@ -211,8 +207,7 @@
         CallerGone
             If the caller closed its connection or doesn't read within the timeout.
         """
-        data = self._unsent_head
-        self._unsent_head = b""
+        data = self._take_head()
         data += self._connection.send(h11.EndOfMessage()) or b""
         if data:
             await self._write(data, is_last=True)
@@ -255,10 +250,12 @@
         """
         return DisconnectWatch(self._stream, callback)
 
-    async def _flush_head(self) -> None:
-        data = self._unsent_head
-        self._unsent_head = b""
-        await self._write(data)
+    def _take_head(self) -> bytes:
+        """Return the encoded header if it hasn't been sent; it is from now on."""
+        head = self._unsent_head
+        self._unsent_head = None
+        self.response_started = True
+        return b"" if head is None else self._connection.send(head) or b""
 
     async def _write(self, data: bytes, *, is_last: bool = False) -> None:
         try:
