Answer a request whose body is late at the time-out of its route

The wait for the body now ends at the request's deadline, with 408: it has not run. The receive already had a cancel scope, whose deadline is lowered; a body that comes with its header costs nothing more.

--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -161,6 +161,20 @@
     )
 
 
+def deadline_of(facts: CallFacts, route: Route, waiting_since_s: float) -> float:
+    """Return when a request must have its final answer.
+
+    Parameters
+    ----------
+    waiting_since_s : float
+        Earliest moment at which it may have arrived, on the clock of `boot_time_s`.
+    """
+    caller_timeout_s = facts.caller_timeout_s
+    if caller_timeout_s is None:
+        caller_timeout_s = DEFAULT_CALLER_TIMEOUT_S
+    return waiting_since_s + min(caller_timeout_s - FINAL_MARGIN_S, route.timeout_s)
+
+
 def work_of(
     facts: CallFacts,
     route: Route,
@@ -187,16 +201,11 @@
     identity : RequestIdentity
         Tells whether it is the same as an earlier one.
     """
-    caller_timeout_s = facts.caller_timeout_s
-    if caller_timeout_s is None:
-        caller_timeout_s = DEFAULT_CALLER_TIMEOUT_S
     priority = route.priority
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
     waiting_since_s = min(arrived_at_s, unread_since_s)
-    deadline_at_s = waiting_since_s + min(
-        caller_timeout_s - FINAL_MARGIN_S, route.timeout_s
-    )
+    deadline_at_s = deadline_of(facts, route, waiting_since_s)
     return Work(
         organisation=organisation.name if organisation else "",
         arrived_at_s=arrived_at_s,
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -20,7 +20,7 @@
 from teaseldyke.types import Route, RouteKind, TeaseldykeError
 
 from .attempts import SendResult
-from .call import Call, organisation_of, pick_service, work_of
+from .call import Call, deadline_of, organisation_of, pick_service, work_of
 from .errors import (
     NotConfigured,
     Overloaded,
@@ -165,7 +165,12 @@
         context["version"] = table.version
         organisation = organisation_of(table, route, facts)
         context["organisation"] = organisation.name if organisation else None
-        body = await request.read_body(table.bounds.body_bytes)
+        deadline_at_s = deadline_of(
+            facts, route, min(arrived_at_s, request.unread_since_s)
+        )
+        body = await request.read_body(
+            table.bounds.body_bytes, deadline_at_s - boot_time_s()
+        )
         service = pick_service(table, route)
         work = work_of(
             facts,
--- a/libs/http/src/teaseldyke/http/body.py
+++ b/libs/http/src/teaseldyke/http/body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -58,8 +59,9 @@
         self._deadline_s = trio.current_time() + limits.body_timeout_s
         self._parse_buffered()
 
-    async def read(self, limit_bytes: int) -> bytes:
+    async def read(self, limit_bytes: int, timeout_s: float = math.inf) -> bytes:
         """Return the whole body; raises as `chunks` does."""
+        self._deadline_s = min(self._deadline_s, trio.current_time() + timeout_s)
         limit_bytes = min(limit_bytes, self._limits.body_bytes)
         self._check_length(limit_bytes)
         parts = []
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -117,9 +117,16 @@
         value = first_header(self.headers, name.lower().encode("ascii"))
         return None if value is None else value.decode("latin-1")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(self, limit_bytes: int, timeout_s: float = math.inf) -> bytes:
         """Return the whole body.
 
+        Parameters
+        ----------
+        limit_bytes : int
+            Largest body.
+        timeout_s : float
+            Longest wait for its end, if shorter than the server's.
+
         Raises
         ------
         BodyTooLarge
@@ -129,7 +136,7 @@
         CallerGone
             If the caller closes its connection before the end of the body.
         """
-        return await self._body.read(limit_bytes)
+        return await self._body.read(limit_bytes, timeout_s)
 
     def body_chunks(self) -> AsyncIterator[bytes]:
         """Return an iterator over the body as it arrives; raises as `read_body`."""
