Send a silent server's request to a second one beside it

Callers saw streams cut, and 502 in place of an answer, though their server was only silent for a second or two: the attempt was given up after 1.0 s without an event (1.5 s without the first, 0.25 s at a plain server), and reset before its retry had a server. With no budget, no capacity or a retry that failed, the only answer that there was had been thrown away.

A silence now starts a second attempt beside the first. It is placed like a retry, within the budget, maxAttempts and the number of sends, and only where the route may be repeated; the first goes on meanwhile. The one that brings the next whole event, or the complete plain answer, forwards it and resets the other at that moment; parts of events stay with their own attempt. Only the deadline and the caller end a silence.

An engine that pauses with all its streams is silent to all of them: a few are sent elsewhere at once, the others within 0.6 s, late rather than early. When it goes on, its streams are heard one after another, so one that was heard only lately counts as paused still. An instance that was itself late reads what has arrived before it calls a server silent.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -7,11 +7,9 @@
 from enum import Enum
 
 import attrs
-import trio
 
 from teaseldyke.http import (
     AnswerBroken,
-    AnswerTimedOut,
     AnswerTooLarge,
     BackendPool,
     ConnectFailed,
@@ -20,13 +18,14 @@
     OutgoingRequest,
     ServerConnection,
 )
-from teaseldyke.placement import CrashEvidence
+from teaseldyke.placement import CrashEvidence, Patience, Silence
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import Route, RouteKind, ServiceDescription
 
 from .errors import ChoiceLapsed
 from .interfaces import AnswerFacts, CallFacts, Headers, Wire
-from .relay import PLAIN_ANSWER_MAX_BYTES, Relay, StreamBroken
+from .race import Race
+from .relay import PLAIN_ANSWER_MAX_BYTES, EventSplitter, Relay, StreamBroken
 from .reservation import Reservation
 
 STREAM_ANSWER_MAX_BYTES = 256 * 1024 * 1024
@@ -53,6 +52,7 @@
     OTHER_SERVER = "other_server"
     FAILED = "failed"
     BROKEN = "broken"
+    SUPERSEDED = "superseded"
 
 
 @attrs.frozen
@@ -70,7 +70,7 @@
     first_event_s : float
         Time from the send to the first event of a stream; 0 without one.
     timed_out : bool
-        Whether this instance gave the answer up, rather than the server.
+        Whether this instance gave the answer up, as its silent server has crashed.
     """
 
     outcome: Outcome
@@ -80,23 +80,10 @@
     timed_out: bool = False
 
 
-@attrs.frozen
-class AttemptPolicy:
-    """When an attempt is given up, so that the request can be retried.
-
-    Parameters
-    ----------
-    first_byte_s : float
-        Time-out for the first byte of the body.
-    idle_s : float
-        Time-out between two reads after it.
-    forwards_errors : bool
-        Whether a server's error status is passed to the caller rather than retried.
-    """
+class Superseded(ExchangeBroken):
+    """Another attempt of the same call is ahead of this one."""
 
-    first_byte_s: float = UNBOUNDED_S
-    idle_s: float = UNBOUNDED_S
-    forwards_errors: bool = True
+    code = "superseded"
 
 
 @attrs.define(eq=False)
@@ -117,8 +104,14 @@
         What the caller's header states.
     relay : Relay
         Forwards the answer to the caller.
-    policy : AttemptPolicy
-        When this attempt is given up.
+    race : Race
+        Attempts of the same call that run at the same time.
+    patience : Patience
+        Silences after which the call may be sent to a second server.
+    draw : float
+        From 0 to 1; spreads the second sends of requests that share a silence.
+    forwards_errors : bool
+        Whether a server's error status is passed to the caller rather than retried.
     evidence : CrashEvidence
         Learns which requests are answered.
     has_crashed : callable
@@ -144,18 +137,71 @@
     service: ServiceDescription
     facts: CallFacts
     relay: Relay
-    policy: AttemptPolicy
+    race: Race[Attempt]
+    patience: Patience
+    draw: float
+    forwards_errors: bool
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
     is_repeated: bool
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
+    is_superseded: bool = attrs.field(default=False, init=False)
+    _silence: Silence | None = attrs.field(default=None, init=False)
+    _silence_counted: bool = attrs.field(default=False, init=False)
+    _given_up: str = attrs.field(default="", init=False)
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the first bytes of a stream's events have come."""
+        return self.reservation.measured_first_s > 0.0
+
+    @property
+    def is_about_to_begin(self) -> bool:
+        """Whether the header of the answer has come, and nothing after it."""
+        return self.reservation.measured_head_s > 0.0 and not self.has_begun
+
+    def silent_for_s(self, now_s: float) -> float:
+        """Return how long the attempt has been waiting for its server."""
+        return 0.0 if self._silence is None else now_s - self._silence.since_s
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether its server's silence calls for a second server now.
+
+        What lies unread, in an instance that is late itself, breaks the silence.
+        """
+        if self._silence is None or self._connection is None:
+            return False
+        state = self.reservation.state
+        self._silence.running = max(self._silence.running, state.own_load.running)
+        if not self._silence.is_due(now_s, state.voice):
+            return False
+        return self._connection.is_idle()
+
+    def count_silence(self) -> None:
+        """Count a silence against its server, once."""
+        if self._silence_counted:
+            return
+        self._silence_counted = True
+        self.reservation.state.record_outcome(True, boot_time_s())
+
+    def supersede(self) -> None:
+        """End the attempt at once, since another one is ahead."""
+        self.is_superseded = True
+        if self._connection is not None:
+            self._connection.abort()
+
+    def give_up(self, reason: str) -> None:
+        """End the attempt, as its server has crashed without a word."""
+        self._given_up = reason
+        if self._connection is not None:
+            self._connection.abort()
+
     def abandon_unless_begun(self) -> None:
         """Reset the connection if no event has come, so that the server drops it."""
-        if self._connection is None or self.reservation.measured_first_s:
+        if self._connection is None or self.has_begun:
             return
         self._connection.abort()
 
@@ -187,6 +233,7 @@
                 Outcome.NOT_RUN,
                 Outcome.OTHER_SERVER,
                 Outcome.EXPIRED,
+                Outcome.SUPERSEDED,
             ):
                 failed = None
             return result
@@ -222,23 +269,53 @@
             raise
         streaming = self.route.kind is RouteKind.STREAMING
         limit = STREAM_ANSWER_MAX_BYTES if streaming else PLAIN_ANSWER_MAX_BYTES
-        exchange = Exchange(connection, limit, self.policy.first_byte_s, lenient=True)
+        exchange = Exchange(connection, limit, UNBOUNDED_S, lenient=True)
         try:
             self.sent = True
             self._connection = connection
-            await exchange.start(request, self.policy.first_byte_s)
+            self._wait_for(self.patience.first_s)
+            await exchange.start(request, UNBOUNDED_S)
             return await self._read(connection, exchange, resumed_after)
         except (ExchangeBroken, AnswerTooLarge) as exc:
+            if self.is_superseded:
+                exchange.complete = False
+                detail = "another server is ahead"
+                return SendResult(Outcome.SUPERSEDED, detail, exchange.status)
             return SendResult(
                 Outcome.BROKEN,
-                exc.detail,
+                self._given_up or exc.detail,
                 exchange.status,
-                timed_out=isinstance(exc, AnswerTimedOut),
+                timed_out=bool(self._given_up),
             )
         finally:
             self._connection = None
+            self._silence = None
             self.pool.release(connection, exchange)
 
+    def _wait_for(self, patience_s: float) -> None:
+        """Begin to wait for the server's next word."""
+        now_s = boot_time_s()
+        self._silence = Silence(
+            now_s,
+            patience_s,
+            self.patience.spread_s,
+            self.draw,
+            self.reservation.state.own_load.running,
+        )
+
+    def _take_lead(self) -> None:
+        """End the other attempts of the call, right before a part is forwarded.
+
+        Raises
+        ------
+        Superseded
+            If another one was ahead.
+        """
+        if not self.race.lead(self):
+            self.is_superseded = True
+            raise Superseded("another server is ahead")
+        self._silence = None
+
     async def _read(
         self,
         connection: ServerConnection,
@@ -247,6 +324,7 @@
     ) -> SendResult:
         status = exchange.status
         self.reservation.record_head()
+        self.reservation.state.voice.hear(boot_time_s())
         facts = self.wire.read_answer(status, exchange.headers)
         connection.keep_alive_s = facts.keep_alive_s
         self.reservation.record_statements(status, facts)
@@ -268,12 +346,15 @@
         if fault:
             exchange.complete = False
             return SendResult(Outcome.BROKEN, fault, status)
-        if status >= 500 and not self.policy.forwards_errors:
+        is_raced = self.race.has_others(self)
+        is_stream = self.route.kind is RouteKind.STREAMING
+        is_error = status >= 500 or (is_raced and is_stream and status != 200)
+        if is_error and (is_raced or not self.forwards_errors):
             self._record_survived()
             await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             return SendResult(Outcome.FAILED, f"server answered {status}", status)
         headers = self.wire.answer_headers(exchange.headers)
-        if self.route.kind is RouteKind.STREAMING and status == 200:
+        if is_stream and status == 200:
             await self._forward_stream(exchange, headers, resumed_after)
         else:
             if self.relay.started:
@@ -282,8 +363,12 @@
                     f"server answered {status} to a resumed stream",
                     status,
                 )
-            body = await self.relay.buffers.read(exchange)
+            self._wait_for(self.patience.first_s)
+            body = await self.relay.buffers.read(
+                exchange, lambda: self._wait_for(self.patience.next_s)
+            )
             await self._ensure_not_cut(exchange)
+            self._take_lead()
             await self.relay.request.respond(status, body, headers)
             if status < 400:
                 self._record_sound(boot_time_s())
@@ -317,37 +402,40 @@
     async def _forward_stream(
         self, exchange: Exchange, headers: Headers, resumed_after: int | None
     ) -> None:
-        expected_id = None if resumed_after is None else resumed_after + 1
+        events = EventSplitter(None if resumed_after is None else resumed_after + 1)
+        voice = self.reservation.state.voice
         is_first_chunk = True
-        event_due_s = trio.current_time() + self.policy.first_byte_s
+        has_forwarded = False
         sound_at_s = math.inf
         async for data in exchange.chunks():
-            now_s = trio.current_time()
+            now_s = boot_time_s()
+            voice.hear(now_s)
             if now_s >= sound_at_s:
                 sound_at_s = math.inf
-                self._record_sound(boot_time_s())
+                self._record_sound(now_s)
             if is_first_chunk:
                 is_first_chunk = False
                 sound_at_s = now_s + SOUND_AFTER_S
                 self.reservation.record_first_event()
-                exchange.idle_timeout_s = self.policy.idle_s
-                await self.relay.start_stream(exchange, headers)
-            if await self.relay.forward_events(data, expected_id):
-                expected_id = None
-                event_due_s = now_s + self.policy.idle_s
-            elif now_s > event_due_s:
-                raise StreamBroken(
-                    "bytes arrived, but no complete event before the time-out"
-                )
-        if is_first_chunk:
+            block = events.add(data)
+            if not block:
+                continue
+            self._take_lead()
+            await self.relay.start_stream(exchange, headers)
+            await self.relay.forward(block)
+            has_forwarded = True
+            self._wait_for(self.patience.next_s)
+        events.ensure_ended()
+        if not has_forwarded:
             if self.relay.started:
                 # Nothing tells a stream that had only lost its end from one that an
                 # engine didn't go on with, and the caller can resume it itself.
                 raise StreamBroken("resumed stream ended without an event")
             if exchange.ends_with_connection:
                 raise StreamBroken("stream without length ended before its first event")
-            await self.relay.start_stream(exchange, headers)
         await self._ensure_not_cut(exchange)
+        self._take_lead()
+        await self.relay.start_stream(exchange, headers)
         await self.relay.end_stream()
         self._record_sound(boot_time_s())
 
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -161,10 +161,22 @@
         self._share_log.report(states, self.queued_tokens(), boot_time_s())
 
     async def place(
-        self, service: ServiceDescription, work: Work, avoid: frozenset[str]
+        self,
+        service: ServiceDescription,
+        work: Work,
+        avoid: frozenset[str],
+        *,
+        beside_another: bool = False,
     ) -> Reservation:
         """Reserve a backend server for a request, queueing until one has capacity.
 
+        Parameters
+        ----------
+        avoid : frozenset of str
+            Servers that it was sent to; they are chosen only if there is no other one.
+        beside_another : bool
+            Whether it may still run at one of these, so that they aren't chosen at all.
+
         Raises
         ------
         Overloaded
@@ -184,7 +196,7 @@
             self._share_log.record_arrival(work)
         if self._view.servers_known and not states:
             raise self._admission.no_server(service, work)
-        if all(state.server.id in avoid for state in states):
+        if not beside_another and all(state.server.id in avoid for state in states):
             avoid = frozenset()  # retrying a failed server is better than refusing
         queue = self._queues.setdefault(service.name, RequestQueue())
         if not len(queue):
@@ -221,6 +233,11 @@
             retry_after_s=retry_delay_s(pending.retry_after_s, left_s, random.random()),
         )
 
+    def has_other(self, service: ServiceDescription, avoid: frozenset[str]) -> bool:
+        """Return whether a service has servers that a request was not sent to."""
+        states = self._view.states_of(service.name)
+        return any(state.server.id not in avoid for state in states)
+
     def next_accepting_in_s(self, service: str) -> float:
         """Return the time until a server of a service accepts requests again."""
         return next_accepting_in_s(self._view.states_of(service), boot_time_s())
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -176,6 +176,7 @@
             for part in (
                 self.directory.run,
                 self.placer.run,
+                self.sender.run,
                 self._announce,
                 self._catch_up,
             ):
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 import attrs
 
@@ -36,9 +37,16 @@
 
     buffered_bytes: int = 0
 
-    async def read(self, exchange: Exchange) -> bytes:
+    async def read(
+        self, exchange: Exchange, on_data: Callable[[], None] = lambda: None
+    ) -> bytes:
         """Read and return a complete body.
 
+        Parameters
+        ----------
+        on_data : callable
+            Called for each part of it.
+
         Raises
         ------
         AnswerTooLarge
@@ -50,6 +58,7 @@
         own_bytes = 0
         try:
             async for chunk in exchange.chunks():
+                on_data()
                 parts.append(chunk)
                 own_bytes += len(chunk)
                 self.buffered_bytes += len(chunk)
@@ -66,6 +75,56 @@
         return b"".join(parts)
 
 
+@attrs.define(eq=False)
+class EventSplitter:
+    """Splits what one server sends into complete events.
+
+    Parameters
+    ----------
+    expected_id : int or None
+        Id that the first event of a resumed stream must have.
+    """
+
+    expected_id: int | None
+    _partial_event: bytes = b""
+
+    def add(self, data: bytes) -> bytes:
+        """Return the complete events received so far, or nothing.
+
+        Raises
+        ------
+        StreamBroken
+            If a resumed stream continues at another event, or an event is too long or
+            has no id.
+        """
+        if self._partial_event:
+            data = self._partial_event + data
+        end = data.rfind(EVENT_END)
+        if end < 0:
+            self._partial_event = data
+            if len(data) > EVENT_MAX_BYTES:
+                raise StreamBroken(f"stream event exceeds {EVENT_MAX_BYTES} bytes")
+            return b""
+        end += len(EVENT_END)
+        self._partial_event = data[end:]
+        block = data[:end] if self._partial_event else data
+        if len(EVENT_ID.findall(block)) < block.count(EVENT_END):
+            raise StreamBroken("stream event has no id")
+        if self.expected_id is not None:
+            found = EVENT_ID.search(block)
+            if found is None or int(found[1]) != self.expected_id:
+                raise StreamBroken(
+                    f"resumed stream did not continue at event {self.expected_id}"
+                )
+            self.expected_id = None
+        return block
+
+    def ensure_ended(self) -> None:
+        """Raise `StreamBroken` if the last event is incomplete."""
+        if self._partial_event:
+            raise StreamBroken("stream ended in the middle of an event")
+
+
 @attrs.define(eq=False)
 class Relay:
     """Forwards the answer of a request to its caller, across all sends.
@@ -91,7 +150,6 @@
     wire: Wire
     buffers: AnswerBuffers
     events: int = 0
-    _partial_event: bytes = b""
     _last_block: bytes = b""
 
     @property
@@ -107,51 +165,16 @@
 
     async def start_stream(self, exchange: Exchange, headers: Headers) -> None:
         """Send the header of a stream, unless an earlier attempt already did."""
-        self._partial_event = b""
         if self.started:
             return
         await self.request.start_response(exchange.status, headers, flush=False)
 
-    async def forward_events(self, data: bytes, expected_id: int | None) -> bool:
-        """Forward the complete events received so far; return whether there were any.
-
-        Parameters
-        ----------
-        expected_id : int or None
-            Id that the first event of a resumed stream must have.
-
-        Raises
-        ------
-        StreamBroken
-            If a resumed stream continues at another event, or an event is too long or
-            has no id.
-        """
-        if self._partial_event:
-            data = self._partial_event + data
-        end = data.rfind(EVENT_END)
-        if end < 0:
-            self._partial_event = data
-            if len(data) > EVENT_MAX_BYTES:
-                raise StreamBroken(f"stream event exceeds {EVENT_MAX_BYTES} bytes")
-            return False
-        end += len(EVENT_END)
-        self._partial_event = data[end:]
-        block = data[:end] if self._partial_event else data
-        if len(EVENT_ID.findall(block)) < block.count(EVENT_END):
-            raise StreamBroken("stream event has no id")
-        if expected_id is not None:
-            found = EVENT_ID.search(block)
-            if found is None or int(found[1]) != expected_id:
-                raise StreamBroken(
-                    f"resumed stream did not continue at event {expected_id}"
-                )
+    async def forward(self, block: bytes) -> None:
+        """Forward complete events."""
         await self.request.send(block)
         self._last_block = block
         self.events += 1
-        return True
 
     async def end_stream(self) -> None:
-        """End the stream; raises `StreamBroken` if its last event is incomplete."""
-        if self._partial_event:
-            raise StreamBroken("stream ended in the middle of an event")
+        """End the stream."""
         await self.request.finish()
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Callable
 
@@ -10,31 +11,30 @@
 from teaseldyke.http import BackendPool, CallerGone, OutgoingRequest
 from teaseldyke.placement import (
     CrashEvidence,
+    Patience,
     RetryBudget,
+    engine_patience,
     lapse_reason,
+    plain_patience,
     retry_delay_s,
 )
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import RouteKind, TeaseldykeError
 
-from .attempts import UNBOUNDED_S, Attempt, AttemptPolicy, Outcome, SendResult
+from .attempts import Attempt, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
 from .crashes import CrashProbe, ensure_not_held
 from .errors import ChoiceLapsed, NoServer, Overloaded, ServerBroke
 from .interfaces import Fleet, Wire
 from .placing import FULL_SERVER_BACKOFF_S, Placer
+from .racing import SENDS_MAX, CallRace, SecondSends
 from .reservation import Reservation
 from .settings import FleetBounds
 from .view import FleetView
 
-SENDS_MAX = 4  # of one request, including those that a server refused
-FIRST_EVENT_FACTOR = 3.0  # time-out, relative to the expected time to first event
-FIRST_EVENT_MIN_S = 1.5  # queues and long prompts delay a healthy engine that long
-EVENT_GAP_MIN_S = 1.0  # a healthy engine pauses that long during its longest prefills
 SUCCESSES = range(200, 300)  # statuses
-PLAIN_TIMEOUT_FACTOR = 6.0  # relative to the measured latency of a plain server
-PLAIN_TIMEOUT_MIN_S = 0.25  # 99th percentile of a plain server's processing time
+DRAW_BYTES = 4
 
 RESENT = counter("teaseldyke_resent_total", "Sends after the first, by cause.")
 LIMITED_SENDS = counter(
@@ -90,6 +90,13 @@
         self._attempts: set[Attempt] = set()
         self._budgets: dict[str, RetryBudget] = {}
         self._probe = CrashProbe()
+        self._second_sends = SecondSends(
+            placer, fleet, self._probe, self._send_to, lambda call: self.may_begin(call)
+        )
+
+    async def run(self) -> None:
+        """Send calls of silent servers to others, until cancelled."""
+        await self._second_sends.run()
 
     def update_bounds(self, bounds: FleetBounds) -> None:
         """Replace the fleet's limits, also in retry budgets that are in use."""
@@ -113,7 +120,7 @@
         budget.count_request(boot_time_s())
         while True:
             try:
-                result = await self._send(call)
+                result = await self._send(call, CallRace(call, budget))
             except TeaseldykeError as exc:
                 if call.possible_runs and exc.executed == "no":
                     raise ServerBroke(
@@ -127,11 +134,22 @@
             call.work = work_for_resend(call.work, call.route, boot_time_s())
             RESENT.bind(cause=result.outcome.value).add()
 
-    async def _send(self, call: Call) -> SendResult:
+    async def _send(self, call: Call, race: CallRace) -> SendResult:
+        """Send a call to a server, and to others beside it while that one is silent."""
         _ensure_wanted(call)
         reservation = await self._placer.place(
             call.service, call.work, frozenset(call.avoid)
         )
+        if not _may_follow(call):
+            return await self._send_to(call, race, reservation)
+        return await self._second_sends.send(
+            race, lambda: self._send_to(call, race, reservation)
+        )
+
+    async def _send_to(
+        self, call: Call, race: CallRace, reservation: Reservation
+    ) -> SendResult:
+        """Send a call to a reserved server."""
         server = reservation.state.server
         resumed_after = call.relay.last_event_id
         if resumed_after is None:
@@ -139,6 +157,8 @@
 
         def prepare_request() -> OutgoingRequest:
             left_s = _ensure_wanted(call)
+            if attempt.is_superseded:
+                raise ChoiceLapsed("another server is ahead")
             ensure_not_held(self._evidence, call.work)
             self._ensure_choice_holds(reservation)
             attempt.is_trial = self._evidence.record_send(
@@ -166,9 +186,10 @@
             call.service,
             call.facts,
             call.relay,
-            self._attempt_policy(
-                call, reservation.expected_first_s, reservation.state.latency_s
-            ),
+            race.attempts,
+            _patience(call, reservation),
+            _draw_of(call.facts.request_id),
+            not _may_follow(call),
             self._evidence,
             lambda: self._probe.has_crashed(server),
             (server.host, server.port) in call.addresses,
@@ -177,10 +198,12 @@
         call.avoid.add(server.id)
         call.possible_runs += 1  # until ruled out
         self._attempts.add(attempt)
+        race.attempts.running.append(attempt)
         try:
             result = await attempt.run(prepare_request, resumed_after)
         finally:
             self._attempts.discard(attempt)
+            race.attempts.leave(attempt)
             if not attempt.sent:
                 call.possible_runs -= 1
                 reservation.take_back_from_limit()
@@ -297,27 +320,6 @@
             send=call.sends - 1,
         )
 
-    def _attempt_policy(
-        self, call: Call, expected_first_s: float, latency_s: float
-    ) -> AttemptPolicy:
-        """Return when an attempt is given up; never if no retry could follow it."""
-        may_repeat = (
-            call.route.repeatable and call.possible_runs + 1 < call.route.attempts_max
-        )
-        if not may_repeat:
-            return AttemptPolicy()
-        if call.service.is_engine:
-            return AttemptPolicy(
-                max(FIRST_EVENT_MIN_S, FIRST_EVENT_FACTOR * expected_first_s),
-                max(EVENT_GAP_MIN_S, 2.0 * call.route.event_gap_s),
-                forwards_errors=False,
-            )
-        return AttemptPolicy(
-            max(PLAIN_TIMEOUT_MIN_S, PLAIN_TIMEOUT_FACTOR * latency_s),
-            UNBOUNDED_S,
-            forwards_errors=False,
-        )
-
     def _retry_or_raise(
         self, call: Call, result: SendResult, budget: RetryBudget
     ) -> None:
@@ -379,6 +381,24 @@
     return left_s
 
 
+def _may_follow(call: Call) -> bool:
+    """Return whether another send may follow the next one, or go beside it."""
+    return call.route.repeatable and call.possible_runs + 1 < call.route.attempts_max
+
+
+def _draw_of(request_id: bytes) -> float:
+    """Return a number from 0 to 1 that depends on a request only."""
+    digest = hashlib.blake2b(request_id, digest_size=DRAW_BYTES).digest()
+    return int.from_bytes(digest, "big") / 256.0**DRAW_BYTES
+
+
+def _patience(call: Call, reservation: Reservation) -> Patience:
+    """Return how long a call's server may be silent before others get the call."""
+    if call.service.is_engine:
+        return engine_patience(reservation.expected_first_s, call.route.event_gap_s)
+    return plain_patience(reservation.state.latency_s)
+
+
 def _log_suspect(
     call: Call, attempt: Attempt, crash: str, result: SendResult, may_repeat: bool
 ) -> None:
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -27,6 +27,7 @@
     usable,
 )
 from .shares import DecayingSum, FairShares, Standing, water_level
+from .silence import Patience, ServerVoice, Silence, engine_patience, plain_patience
 from .stated_limit import LimitReport, StatedLimit
 from .suspects import REQUEST_DEPTH, SuspectReport, is_request
 from .waiting import AwaitedServer, QueuedRequest, RequestQueue
@@ -37,6 +38,7 @@
     "CHOICE_TTL_S",
     "FAILURE_RATE_MAX",
     "REQUEST_DEPTH",
+    "STREAM_START_S",
     "AwaitedServer",
     "CapacityQuota",
     "Choice",
@@ -47,15 +49,17 @@
     "FleetDemand",
     "LimitReport",
     "Load",
+    "Patience",
     "QueuedRequest",
     "Refusal",
     "RequestIdentity",
     "RequestQueue",
     "RetryBudget",
     "RoundSends",
-    "STREAM_START_S",
     "ServerState",
+    "ServerVoice",
     "ServiceDemand",
+    "Silence",
     "Standing",
     "StatedLimit",
     "SuspectReport",
@@ -66,12 +70,14 @@
     "choose_engine",
     "choose_plain",
     "cold_senders_max",
+    "engine_patience",
     "is_request",
     "lapse_reason",
     "limit_senders",
     "limit_share",
     "limits_allow_in_s",
     "next_accepting_in_s",
+    "plain_patience",
     "rendezvous_weight",
     "retry_delay_s",
     "service_time_s",
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -18,6 +18,7 @@
 
 from teaseldyke.types import AnnouncedServer
 
+from .silence import ServerVoice
 from .stated_limit import StatedLimit
 from .window_budget import ColdRateLimit
 from .work import Work
@@ -148,6 +149,8 @@
     said_leaving : bool
         Whether an answer of the server stated that it leaves. Holds until the server
         starts anew, whatever its entry in the store says.
+    voice : ServerVoice
+        When requests of this instance got bytes from it.
     """
 
     server: AnnouncedServer
@@ -164,6 +167,7 @@
     full_until_s: float = 0.0
     paused_until_s: float = 0.0
     said_leaving: bool = False
+    voice: ServerVoice = attrs.field(factory=ServerVoice)
     backlog_tokens: float = 0.0
     backlog_requests: int = 0
     limit: StatedLimit = attrs.field(factory=StatedLimit)
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/silence.py
@@ -0,0 +1,151 @@
+"""When a request at a silent server is sent to a second server beside it.
+
+Load patterns: servers that say nothing any more (`srv_crash` dark, `srv_grey` mute),
+and sound ones that pause for a second or so, with all their streams, and go on.
+Replayed in ``tests/test_silence.py``.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+FIRST_EVENT_FACTOR = 3.0  # relative to the expected time to the first event
+FIRST_EVENT_MIN_S = 1.5  # queues and long prompts delay a healthy engine that long
+EVENT_GAP_MIN_S = 1.0  # a healthy engine pauses that long during its longest prefills
+EVENT_GAP_FACTOR = 2.0  # relative to the target for the longest gap between events
+PLAIN_FACTOR = 6.0  # relative to the measured latency of a plain server
+PLAIN_MIN_S = 0.25  # 99th percentile of a plain server's processing time
+# Part of a request's silence in which nothing else was heard of its server either; its
+# streams have had their last events at different moments.
+SHARED_FRACTION = 0.5
+SHARED_SPREAD_S = 0.6  # callers leave a stream after two seconds of silence
+PAUSE_MIN_S = 0.5  # of a server; events of several streams are closer together
+PROBES = 2.0  # requests of a silent server that are not put off
+
+
+@attrs.frozen
+class Patience:
+    """Silences after which a request is sent to a second server.
+
+    Parameters
+    ----------
+    first_s : float
+        From the send to the first event, or to the header of a plain answer.
+    next_s : float
+        After it, between two events.
+    spread_s : float
+        Time over which requests that share a silence are spread.
+    """
+
+    first_s: float = math.inf
+    next_s: float = math.inf
+    spread_s: float = 0.0
+
+
+def engine_patience(expected_first_s: float, event_gap_s: float) -> Patience:
+    """Return the patience with an engine.
+
+    Examples
+    --------
+    >>> engine_patience(0.8, 0.1).first_s
+    2.4000000000000004
+    """
+    return Patience(
+        max(FIRST_EVENT_MIN_S, FIRST_EVENT_FACTOR * expected_first_s),
+        max(EVENT_GAP_MIN_S, EVENT_GAP_FACTOR * event_gap_s),
+        SHARED_SPREAD_S,
+    )
+
+
+def plain_patience(latency_s: float) -> Patience:
+    """Return the patience with a plain server of a measured latency."""
+    return Patience(max(PLAIN_MIN_S, PLAIN_FACTOR * latency_s))
+
+
+@attrs.define
+class ServerVoice:
+    """When the requests of an instance hear a server.
+
+    Attributes
+    ----------
+    heard_at_s : float
+        When any of them last did.
+    speaks_since_s : float
+        End of the last pause before it.
+    """
+
+    heard_at_s: float = 0.0
+    speaks_since_s: float = 0.0
+
+    def hear(self, now_s: float) -> None:
+        """Record that a request has got bytes of the server."""
+        if now_s - self.heard_at_s > PAUSE_MIN_S:
+            self.speaks_since_s = now_s
+        self.heard_at_s = now_s
+
+    def has_gone_on(self, now_s: float, for_s: float) -> bool:
+        """Return whether the server has been heard for a time, without a pause.
+
+        The requests of one that has just ended its pause are heard one after another.
+        """
+        is_heard = now_s - self.heard_at_s < for_s
+        return is_heard and now_s - self.speaks_since_s >= for_s
+
+
+@attrs.define
+class Silence:
+    """A request's wait for its server.
+
+    Parameters
+    ----------
+    since_s : float
+        When the request was sent, or its last event arrived.
+    patience_s : float
+        Silence after which it may be sent to a second server.
+    spread_s : float
+        Time over which requests that share the silence are spread.
+    draw : float
+        From 0 to 1, the same for the request's whole life.
+    running : int
+        Most requests of this instance at the server during the wait; they leave a
+        silent one as soon as others have answered them.
+    """
+
+    since_s: float
+    patience_s: float
+    spread_s: float
+    draw: float
+    running: int
+
+    def is_due(self, now_s: float, voice: ServerVoice) -> bool:
+        """Return whether a second server may get the request now.
+
+        A server from which no request hears anything is more likely to pause than one
+        that goes on with others. A few of its requests
+        go to a second server at once; the others are put off, since it may go on.
+
+        Parameters
+        ----------
+        voice : ServerVoice
+            What all requests of this instance hear of the server.
+
+        Examples
+        --------
+        >>> silence = Silence(0.0, 1.0, 0.6, draw=0.5, running=16)
+        >>> silence.is_due(1.1, ServerVoice(heard_at_s=1.0))
+        True
+        >>> silence.is_due(1.1, ServerVoice(heard_at_s=0.1))
+        False
+        >>> silence.is_due(1.5, ServerVoice(heard_at_s=0.1))
+        True
+        """
+        over_s = now_s - self.since_s - self.patience_s
+        if over_s < 0.0:
+            return False
+        has_gone_on = voice.has_gone_on(now_s, SHARED_FRACTION * self.patience_s)
+        if has_gone_on or self.draw * self.running < PROBES:
+            return True
+        # Few soon and most late, since short pauses are the most frequent ones.
+        return over_s >= math.sqrt(self.draw) * self.spread_s
--- a/libs/placement/src/teaseldyke/placement/window_budget.py
+++ b/libs/placement/src/teaseldyke/placement/window_budget.py
@@ -49,13 +49,17 @@
 
     def try_spend(self, now_s: float, instances: int) -> bool:
         """Return whether one more retry is allowed, and count it if so."""
-        self._expire(now_s)
-        earned = self.ratio * len(self._requests) + self.slack / max(1, instances)
-        if len(self._spent) + 1 > FLEET_LIMIT_FRACTION * earned:
+        if not self.allows(now_s, instances):
             return False
         self._spent.append(now_s)
         return True
 
+    def allows(self, now_s: float, instances: int) -> bool:
+        """Return whether one more retry is allowed, without counting it."""
+        self._expire(now_s)
+        earned = self.ratio * len(self._requests) + self.slack / max(1, instances)
+        return len(self._spent) + 1 <= FLEET_LIMIT_FRACTION * earned
+
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self.window_s
         for timestamps in (self._requests, self._spent):
