--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -13,10 +13,12 @@
 import trio.testing
 
 from teaseldyke.http import Request, ServerLimits
+from teaseldyke.http.closures import CONNECTIONS_CLOSED, Cause, RequestState
 from teaseldyke.http.connection import CallerConnection, Handler, ServerContext
 from teaseldyke.http.stream import SENDS_PER_CHECKPOINT, TcpStream
 
 HOST = "127.0.0.1"
+LARGE_BYTES = 16 * 1024 * 1024  # more than the buffers of a connection hold
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 IDLE_TIMEOUT_S = 0.05
 PAUSE_S = 0.5  # of the process; longer than a grace and a sweep of the watches
@@ -119,3 +121,60 @@
             data = await connection.receive()
             assert data.endswith(b"0\r\n\r\n")
             await connection.request()
+
+
+class TestRecord:
+    async def test_caller_that_does_not_read_in_time(self) -> None:
+        async def answer(request: Request) -> None:
+            await request.start_response(200, [], flush=False)
+            await request.send(b"x" * LARGE_BYTES)
+
+        state = RequestState.CUT
+        before = closed(Cause.SEND_TIMEOUT, state)
+        async with served(answer, ServerLimits(send_timeout_s=0.1)) as connection:
+            connection.sock.sendall(GET)
+            await wait_until_counted(Cause.SEND_TIMEOUT, state, before)
+
+    @pytest.mark.parametrize("state", [RequestState.UNANSWERED, RequestState.CUT])
+    async def test_end_of_the_process(self, state: RequestState) -> None:
+        async def stall(request: Request) -> None:
+            if state is RequestState.CUT:
+                await request.start_response(200, [])
+            await trio.sleep_forever()
+
+        before = closed(Cause.PROCESS_ENDED, state)
+        async with served(stall) as connection:
+            connection.sock.sendall(GET)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+        assert closed(Cause.PROCESS_ENDED, state) == before + 1
+
+    async def test_handler_that_fails_after_its_answer_has_begun(self) -> None:
+        async def fail(request: Request) -> None:
+            await request.start_response(200, [])
+            raise ValueError("unforeseen")
+
+        before = closed(Cause.ANSWER_FAILED, RequestState.CUT)
+        async with served(fail) as connection:
+            connection.sock.sendall(GET)
+            await wait_until_counted(Cause.ANSWER_FAILED, RequestState.CUT, before)
+
+    @pytest.mark.parametrize("headers", [[("x-odd", "a\nb")], [("odd name", "a")]])
+    async def test_answer_that_cannot_be_written_is_replaced(
+        self, headers: list[tuple[str, str]]
+    ) -> None:
+        async def answer(request: Request) -> None:
+            await request.respond(200, b"ok", headers)
+
+        async with served(answer) as connection:
+            connection.sock.sendall(GET)
+            assert (await connection.receive()).startswith(b"HTTP/1.1 500")
+
+
+def closed(cause: Cause, state: RequestState) -> float:
+    return CONNECTIONS_CLOSED.bind(cause=cause.value, request=state.value).value
+
+
+async def wait_until_counted(cause: Cause, state: RequestState, before: float) -> None:
+    with trio.fail_after(5):
+        while closed(cause, state) != before + 1:
+            await trio.sleep(0.01)
--- a/tests/platform/test_ended_answers.py
+++ b/tests/platform/test_ended_answers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 
 import pytest
 import trio
 
 from teaseldyke.gateway import calls
+from teaseldyke.http import Request
+from teaseldyke.settings import Address
 from tests.platform.conftest import Fleet, configuration, script_all, wait_until
 from tests.platform.standins import (
     Arrival,
@@ -24,6 +27,9 @@
 )
 
 STREAM = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+LARGE_EVENT_BYTES = 100_000
+LARGE_EVENTS = 80
+READ_LATE_S = 1.4  # longer than the least time without an event
 SHORT_TIMEOUT_S = 0.3  # of the route "short"
 
 
@@ -148,3 +154,77 @@
         assert data.startswith(b"HTTP/1.1 408")
         assert b"connection: close" in data.lower()
         assert fleet.arrivals == 1
+
+
+class TestLateReader:
+    @pytest.mark.parametrize("route", ["stream", "single", "safe", "once"])
+    async def test_caller_that_reads_late_gets_its_whole_answer(
+        self, fleet: Fleet, route: str
+    ) -> None:
+        """Its server isn't silent: what it sent waits for the caller."""
+        is_stream = route in ("stream", "single")
+        body = b"".join(large_event(number) for number in range(1, LARGE_EVENTS + 1))
+        script = answer_with(200, body=body)
+        script_all(fleet, *[stream_large if is_stream else script] * 4)
+        caller = fleet.caller()
+        caller.stream = await open_with_small_buffer(caller.address)
+        await caller.send(f"/{route}/a")
+        await trio.sleep(READ_LATE_S)
+        with trio.fail_after(5):
+            answer = await caller.receive_answer()
+        assert answer.complete
+        assert answer.status == 200
+        assert answer.body == body
+        assert fleet.arrivals == 1
+
+    async def test_part_of_an_event_after_a_late_read_is_awaited(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        send = Request.send
+
+        async def send_late(self: Request, data: bytes) -> None:
+            await send(self, data)
+            if data == event(1):
+                await trio.sleep(READ_LATE_S)
+
+        async def send_rest(
+            _engine: EngineStandin, stream: trio.SocketStream, _arrival: Arrival
+        ) -> None:
+            await stream.send_all(chunk(event(2)[:9]))
+            await trio.sleep(READ_LATE_S)
+            await stream.send_all(chunk(event(2)[9:]) + b"0\r\n\r\n")
+
+        monkeypatch.setattr(Request, "send", send_late)
+        value = configuration(2)
+        value["services"][0]["engine"] = {"slots": 4, "kvCapacityTokens": 10**6}
+        fleet.store.put("op", "config", value)
+        view = fleet.gateways[0].view
+        await wait_until(lambda: view.table is not None and view.table.version == 2)
+        first = begun(event(1), pause_s=0.2, then=send_rest)
+        script_all(fleet, first, reset)
+        answer = await fleet.caller().request("/stream/a")
+        assert answer.complete
+        assert answer.body == event(1) + event(2)
+        assert fleet.arrivals == 1
+
+
+def large_event(number: int) -> bytes:
+    return f"id: {number}\ndata: ".encode() + b"x" * LARGE_EVENT_BYTES + b"\n\n"
+
+
+async def stream_large(
+    _engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+) -> None:
+    await stream.send_all(answer_head(arrival, 200, *STREAM) + b"\r\n")
+    first = int(arrival.headers.get("last-event-id", "0")) + 1
+    for number in range(first, LARGE_EVENTS + 1):
+        await stream.send_all(chunk(large_event(number)))
+    await stream.send_all(b"0\r\n\r\n")
+
+
+async def open_with_small_buffer(address: Address) -> trio.SocketStream:
+    """Connect with a receive buffer that a late reader fills at once."""
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    await sock.connect((address.host, address.port))
+    return trio.SocketStream(sock)
