Show that the end of a process and long bodies destroy answers, and list both

- A process that ends resets connections on which a whole answer has been written and which only wait for the caller's close; what the caller hasn't read yet is gone.
- A refusal before the body is read is followed by a reset once 1 MiB of the body has been discarded, so a caller that sends all before it reads never sees it.

--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -20,6 +20,8 @@
 HOST = "127.0.0.1"
 LARGE_BYTES = 16 * 1024 * 1024  # more than the buffers of a connection hold
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+CLOSING_GET = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+BUFFERED_BYTES = 2 * 1024 * 1024  # that the buffers of a connection hold
 IDLE_TIMEOUT_S = 0.05
 PAUSE_S = 0.5  # of the process; longer than a grace and a sweep of the watches
 TURNS = 8  # two tasks are due after a pause, and run in random order
@@ -178,3 +180,58 @@
     with trio.fail_after(5):
         while closed(cause, state) != before + 1:
             await trio.sleep(0.01)
+
+
+class TestCompleteAnswers:
+    async def test_end_of_the_process_leaves_a_complete_answer_to_its_reader(
+        self,
+    ) -> None:
+        """Its connection waits for the caller's close, or to be read."""
+
+        async def answer(request: Request) -> None:
+            await request.respond(200, b"x" * BUFFERED_BYTES)
+
+        async with served(answer) as connection:
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            connection.sock.sendall(CLOSING_GET)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            sock = connection.sock.dup()
+        with sock:
+            assert len(await trio.to_thread.run_sync(read_all, sock)) > BUFFERED_BYTES
+
+    @pytest.mark.parametrize("body_bytes", [200_000, 2_000_000, 8_000_000])
+    async def test_caller_that_first_sends_all_reads_its_refusal(
+        self, body_bytes: int
+    ) -> None:
+        """A refusal before the body was read, as of an unknown route."""
+
+        async def refuse(request: Request) -> None:
+            await request.respond(404, b"none")
+
+        async with served(refuse) as connection:
+            head = f"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {body_bytes}\r\n\r\n"
+
+            def send_all() -> bytes:
+                connection.sock.settimeout(5)
+                try:
+                    connection.sock.sendall(head.encode() + b"x" * body_bytes)
+                except OSError:
+                    return b"<reset>"
+                return read_all(connection.sock)
+
+            data = await trio.to_thread.run_sync(send_all)
+            assert data.startswith(b"HTTP/1.1 404")
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """Return all bytes until the connection ends."""
+    sock.settimeout(5)
+    received = b""
+    while True:
+        try:
+            data = sock.recv(65536)
+        except ConnectionResetError:
+            return received + b"<reset>"
+        if not data:
+            return received
+        received += data
