Close a connection without a reset once its answer is complete

At a planned stop callers could lose the end of an answer that had been written whole: each answer says Connection: close, its connection then waits up to 1 s for the caller's close, and the end of the process 0.3 s later reset it. A reset discards what the kernel still holds for a caller that reads late; 32,775 of 2,097,152 bytes arrived in the test.

Only a connection whose answer isn't complete needs the reset. Others are closed, and the kernel delivers the rest.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -163,9 +163,10 @@
             try:
                 keep_open = await self._handle(request)
             except BaseException:
-                self._record_closure(Cause.PROCESS_ENDED, request)
-                # Reset, so that a truncated response doesn't look complete.
-                close_with_reset(self.stream)
+                if not request.finished:
+                    self._record_closure(Cause.PROCESS_ENDED, request)
+                    # Reset, so that a truncated response doesn't look complete.
+                    close_with_reset(self.stream)
                 raise
             if not keep_open:
                 return
