Discard bodies up to the limit before a connection is closed

A caller that sends its whole body before it reads lost the refusal of its request (an unknown route, a key that was dropped, an instance that stops) if the body was longer than 1 MiB: the rest was left unread, so the close became a reset.

Up to the largest body that the server takes is discarded now, still within 1 s.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -43,7 +43,6 @@
 
 SUPPORTED_VERSIONS = (b"1.0", b"1.1")
 CLOSE_TIMEOUT_S = 1.0
-CLOSE_DISCARD_BYTES = 1024 * 1024
 # Range of the jitter; short, since another instance may have capacity.
 BUSY_RETRY_AFTER_S = (0.05, 0.15)
 # From the end of accepting; covers several round trips between failure domains.
@@ -183,7 +182,11 @@
                 await self.stream.send_all(data)
         except (trio.BrokenResourceError, h11.LocalProtocolError):
             return
-        await close_gracefully(self.stream, CLOSE_TIMEOUT_S, CLOSE_DISCARD_BYTES)
+        await self._close_after_response()
+
+    async def _close_after_response(self) -> None:
+        """Close the connection, after the rest of a body that wasn't read."""
+        await close_gracefully(self.stream, CLOSE_TIMEOUT_S, self._limits.body_bytes)
 
     def _encode_error(self, status: int, headers: Headers, body: bytes) -> bytes:
         fields = [
@@ -346,7 +349,7 @@
             close_with_reset(self.stream)
             return False
         if self._parser.our_state is not h11.DONE or not request.body_complete:
-            await close_gracefully(self.stream, CLOSE_TIMEOUT_S, CLOSE_DISCARD_BYTES)
+            await self._close_after_response()
             return False
         return True
 
