--- a/tests/platform/test_answers_beside_changes.py
+++ b/tests/platform/test_answers_beside_changes.py
@@ -53,7 +53,11 @@
 def split_routes(value: dict[str, Any]) -> None:
     value["services"].append({**SERVICE, "name": "other"})
     for entry in value["routes"]:
-        entry["split"] = {"app": 1, "other": 9}
+        entry.pop("service", None)
+        entry["trafficSplit"] = [
+            {"service": "app", "weight": 10},
+            {"service": "other", "weight": 90},
+        ]
 
 
 def rename_service(value: dict[str, Any]) -> None:
