--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -12,7 +12,7 @@
 import trio
 import trio.testing
 
-from teaseldyke.http import Request, ServerLimits
+from teaseldyke.http import Request, ServerLimits, serve, server
 from teaseldyke.http.closures import CONNECTIONS_CLOSED, Cause, RequestState
 from teaseldyke.http.connection import CallerConnection, Handler, ServerContext
 from teaseldyke.http.stream import SENDS_PER_CHECKPOINT, TcpStream
@@ -160,6 +160,23 @@
             connection.sock.sendall(GET)
             await wait_until_counted(Cause.ANSWER_FAILED, RequestState.CUT, before)
 
+    async def test_connection_far_over_the_limit(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(server, "REFUSALS_MAX", 0)
+        before = closed(Cause.CONNECTION_LIMIT, RequestState.UNREAD)
+        listener = (await trio.open_tcp_listeners(0, host=HOST))[0]
+        address = listener.socket.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, listener, answer_ok, ServerLimits(connections=1))
+            async with await trio.open_tcp_stream(*address) as first:
+                await first.send_all(GET)
+                assert await first.receive_some()
+                async with await trio.open_tcp_stream(*address) as second:
+                    assert await second.receive_some() == b""
+            nursery.cancel_scope.cancel()
+        assert closed(Cause.CONNECTION_LIMIT, RequestState.UNREAD) == before + 1
+
     @pytest.mark.parametrize("headers", [[("x-odd", "a\nb")], [("odd name", "a")]])
     async def test_answer_that_cannot_be_written_is_replaced(
         self, headers: list[tuple[str, str]]
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 
-from teaseldyke.gateway import Gateway
+from teaseldyke.gateway import Gateway, calls
 from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import (
     BOUNDS,
@@ -217,6 +217,21 @@
             assert answers[0].status == 502
             assert answers[0].complete
 
+    async def test_answer_that_the_end_of_the_process_breaks_off_is_counted(
+        self,
+    ) -> None:
+        ended = calls.ANSWERS_ENDED.bind(reason="process_ended", started="yes")
+        before = ended.value
+        async with stopping_fleet() as stopping:
+            await hold_open(stopping)
+            assert stopping.holding is not None
+            assert stopping.holding.stream is not None
+            assert await stopping.holding.stream.receive_some(4096)
+            stopping.stop()
+            await trio.sleep(0.1)
+            stopping.stop()
+            await wait_until(lambda: ended.value == before + 1)
+
     async def test_request_that_waits_for_a_server_is_told_that_it_was_not_sent(
         self,
     ) -> None:
