--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -12,12 +12,16 @@
 import trio
 import trio.testing
 
-from teaseldyke.http import Request, ServerLimits
+from teaseldyke.http import Request, ServerLimits, serve, server
+from teaseldyke.http.closures import CONNECTIONS_CLOSED, Cause, RequestState
 from teaseldyke.http.connection import CallerConnection, Handler, ServerContext
 from teaseldyke.http.stream import SENDS_PER_CHECKPOINT, TcpStream
 
 HOST = "127.0.0.1"
+LARGE_BYTES = 16 * 1024 * 1024  # more than the buffers of a connection hold
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+CLOSING_GET = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+BUFFERED_BYTES = 2 * 1024 * 1024  # that the buffers of a connection hold
 IDLE_TIMEOUT_S = 0.05
 PAUSE_S = 0.5  # of the process; longer than a grace and a sweep of the watches
 TURNS = 8  # two tasks are due after a pause, and run in random order
@@ -119,3 +123,132 @@
             data = await connection.receive()
             assert data.endswith(b"0\r\n\r\n")
             await connection.request()
+
+
+class TestRecord:
+    async def test_caller_that_does_not_read_in_time(self) -> None:
+        async def answer(request: Request) -> None:
+            await request.start_response(200, [], flush=False)
+            await request.send(b"x" * LARGE_BYTES)
+
+        state = RequestState.CUT
+        before = closed(Cause.SEND_TIMEOUT, state)
+        async with served(answer, ServerLimits(send_timeout_s=0.1)) as connection:
+            connection.sock.sendall(GET)
+            await wait_until_counted(Cause.SEND_TIMEOUT, state, before)
+
+    @pytest.mark.parametrize("state", [RequestState.UNANSWERED, RequestState.CUT])
+    async def test_end_of_the_process(self, state: RequestState) -> None:
+        async def stall(request: Request) -> None:
+            if state is RequestState.CUT:
+                await request.start_response(200, [])
+            await trio.sleep_forever()
+
+        before = closed(Cause.PROCESS_ENDED, state)
+        async with served(stall) as connection:
+            connection.sock.sendall(GET)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+        assert closed(Cause.PROCESS_ENDED, state) == before + 1
+
+    async def test_handler_that_fails_after_its_answer_has_begun(self) -> None:
+        async def fail(request: Request) -> None:
+            await request.start_response(200, [])
+            raise ValueError("unforeseen")
+
+        before = closed(Cause.ANSWER_FAILED, RequestState.CUT)
+        async with served(fail) as connection:
+            connection.sock.sendall(GET)
+            await wait_until_counted(Cause.ANSWER_FAILED, RequestState.CUT, before)
+
+    async def test_connection_far_over_the_limit(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(server, "REFUSALS_MAX", 0)
+        before = closed(Cause.CONNECTION_LIMIT, RequestState.UNREAD)
+        listener = (await trio.open_tcp_listeners(0, host=HOST))[0]
+        address = listener.socket.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, listener, answer_ok, ServerLimits(connections=1))
+            async with await trio.open_tcp_stream(*address) as first:
+                await first.send_all(GET)
+                assert await first.receive_some()
+                async with await trio.open_tcp_stream(*address) as second:
+                    assert await second.receive_some() == b""
+            nursery.cancel_scope.cancel()
+        assert closed(Cause.CONNECTION_LIMIT, RequestState.UNREAD) == before + 1
+
+    @pytest.mark.parametrize("headers", [[("x-odd", "a\nb")], [("odd name", "a")]])
+    async def test_answer_that_cannot_be_written_is_replaced(
+        self, headers: list[tuple[str, str]]
+    ) -> None:
+        async def answer(request: Request) -> None:
+            await request.respond(200, b"ok", headers)
+
+        async with served(answer) as connection:
+            connection.sock.sendall(GET)
+            assert (await connection.receive()).startswith(b"HTTP/1.1 500")
+
+
+def closed(cause: Cause, state: RequestState) -> float:
+    return CONNECTIONS_CLOSED.bind(cause=cause.value, request=state.value).value
+
+
+async def wait_until_counted(cause: Cause, state: RequestState, before: float) -> None:
+    with trio.fail_after(5):
+        while closed(cause, state) != before + 1:
+            await trio.sleep(0.01)
+
+
+class TestCompleteAnswers:
+    async def test_end_of_the_process_leaves_a_complete_answer_to_its_reader(
+        self,
+    ) -> None:
+        """Its connection waits for the caller's close, or to be read."""
+
+        async def answer(request: Request) -> None:
+            await request.respond(200, b"x" * BUFFERED_BYTES)
+
+        async with served(answer) as connection:
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            connection.sock.sendall(CLOSING_GET)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            sock = connection.sock.dup()
+        with sock:
+            assert len(await trio.to_thread.run_sync(read_all, sock)) > BUFFERED_BYTES
+
+    @pytest.mark.parametrize("body_bytes", [200_000, 2_000_000, 8_000_000])
+    async def test_caller_that_first_sends_all_reads_its_refusal(
+        self, body_bytes: int
+    ) -> None:
+        """A refusal before the body was read, as of an unknown route."""
+
+        async def refuse(request: Request) -> None:
+            await request.respond(404, b"none")
+
+        async with served(refuse) as connection:
+            head = f"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {body_bytes}\r\n\r\n"
+
+            def send_all() -> bytes:
+                connection.sock.settimeout(5)
+                try:
+                    connection.sock.sendall(head.encode() + b"x" * body_bytes)
+                except OSError:
+                    return b"<reset>"
+                return read_all(connection.sock)
+
+            data = await trio.to_thread.run_sync(send_all)
+            assert data.startswith(b"HTTP/1.1 404")
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """Return all bytes until the connection ends."""
+    sock.settimeout(5)
+    received = b""
+    while True:
+        try:
+            data = sock.recv(65536)
+        except ConnectionResetError:
+            return received + b"<reset>"
+        if not data:
+            return received
+        received += data
