End a second send's wait when the first server is heard

It kept its place in the queue until a server was free, and a place given back then still counted in that server's stated limit. The wait for the first event runs from the header, as the time-out before it did. The log lines of sends move to a module of their own.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -354,6 +354,7 @@
             await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             return SendResult(Outcome.FAILED, f"server answered {status}", status)
         headers = self.wire.answer_headers(exchange.headers)
+        self._wait_for(self.patience.first_s)
         if is_stream and status == 200:
             await self._forward_stream(exchange, headers, resumed_after)
         else:
@@ -363,7 +364,6 @@
                     f"server answered {status} to a resumed stream",
                     status,
                 )
-            self._wait_for(self.patience.first_s)
             body = await self.relay.buffers.read(
                 exchange, lambda: self._wait_for(self.patience.next_s)
             )
--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -188,9 +188,12 @@
     def _check(self, race: CallRace, nursery: trio.Nursery, now_s: float) -> None:
         """Start a second send if the only attempt is silent and one may be made."""
         running = race.attempts.running
-        if len(running) != 1 or not running[0].is_silent(now_s):
+        if len(running) != 1:
             return
         attempt = running[0]
+        if not attempt.is_silent(now_s):
+            race.stop_placing()
+            return
         attempt.count_silence()
         if race.is_placing or now_s < race.next_at_s:
             return
@@ -271,6 +274,7 @@
             self._may_send(race, now_s)
             and race.budget.try_spend(now_s, self._fleet.instances)
         ):
+            reservation.take_back_from_limit()
             reservation.release(None)
             return None
         return await self._send_to(call, race, reservation)
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -30,6 +30,7 @@
 from .placing import FULL_SERVER_BACKOFF_S, Placer
 from .racing import SENDS_MAX, CallRace, SecondSends
 from .reservation import Reservation
+from .send_log import log_send_ended, log_suspect
 from .settings import FleetBounds
 from .view import FleetView
 
@@ -215,19 +216,7 @@
             reservation.state.mark_replaced(boot_time_s())
         must_not_repeat = await self._must_not_repeat(call, attempt, result)
         if result.outcome is not Outcome.DONE:
-            log_decision(
-                "send_ended",
-                id=call.text_id,
-                server=server.id,
-                outcome=result.outcome.value,
-                status=result.status,
-                reason=result.detail,
-                events=call.relay.events,
-                head_s=round(reservation.measured_head_s, 4),
-                first_s=round(reservation.measured_first_s, 4),
-                after_s=round(boot_time_s() - reservation.sent_at_s, 4),
-                parts=[part for part, _ in call.work.parts[:-1]],
-            )
+            log_send_ended(call, reservation, result)
         if must_not_repeat:
             raise ServerBroke(f"the server crashed under it: {result.detail}")
         return result
@@ -273,7 +262,7 @@
         call.crashes += 1
         self.abandon_held()
         may_repeat = self._evidence.may_repeat(parts, now_s, identity)
-        _log_suspect(call, attempt, crash, result, may_repeat)
+        log_suspect(call, attempt, crash, result, may_repeat)
         return not may_repeat
 
     def _ensure_choice_holds(self, reservation: Reservation) -> None:
@@ -399,30 +388,6 @@
     return plain_patience(reservation.state.latency_s)
 
 
-def _log_suspect(
-    call: Call, attempt: Attempt, crash: str, result: SendResult, may_repeat: bool
-) -> None:
-    """Log a request that was at a server, without an answer, when it crashed."""
-    reservation = attempt.reservation
-    identity = call.work.identity
-    log_decision(
-        "crash_suspect",
-        id=call.text_id,
-        crash=crash,
-        service=call.service.name,
-        request=identity.key if identity else None,
-        organisation=call.organisation.name if call.organisation else None,
-        parts=[part for part, _ in call.work.parts],
-        status=result.status,
-        head_s=round(reservation.measured_head_s, 4),
-        first_s=round(reservation.measured_first_s, 4),
-        after_s=round(boot_time_s() - reservation.sent_at_s, 4),
-        send=call.sends - 1,
-        is_trial=attempt.is_trial,
-        may_repeat=may_repeat,
-    )
-
-
 def caller_gone(call: Call) -> CallerGone:
     """Log and count a caller's disconnect; return the error that ends its request."""
     CALLERS_GONE.bind(route=call.route.name).add()
