Place work that is bound to a software version at servers of it alone

Engines of several software versions may serve side by side, and what two of them write doesn't fit together. An engine's version was decoded nowhere, so nothing could choose by it.

The version is now part of an announced server, and may be part of a request's work. One function filters a service's servers by it, for the choice, the queue, the quota, the expected wait and the refusal. Without a server of the version left, the request is refused at once as not run, also while it waits; full and paused servers are waited for. Engines copy cached memory within a version only.

No request is bound to a version yet, but for what the tests bind.

--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -53,6 +53,17 @@
     executed = "no"
 
 
+class VersionGone(TeaseldykeError):
+    """No server is left of the software version that began the stream.
+
+    The caller can't resume it, but can begin it anew.
+    """
+
+    code = "version_gone"
+    status = 503
+    executed = "no"
+
+
 class ChoiceLapsed(TeaseldykeError):
     """The chosen server must not get the request any more; it is placed anew."""
 
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -49,6 +49,9 @@
         Ids and tokens of the prompt's parts, in order.
     resumes_after : int or None
         Id of the last event that the caller received of a stream to be resumed.
+    resumes : bytes or None
+        Request id of the caller's attempt that received that stream's first event, as
+        the caller states it.
     """
 
     request_id: bytes
@@ -59,6 +62,7 @@
     output_tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
     resumes_after: int | None = None
+    resumes: bytes | None = None
 
 
 @attrs.frozen
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 import attrs
 import trio
@@ -23,6 +24,7 @@
     cold_senders_max,
     next_accepting_in_s,
     retry_delay_s,
+    servers_for,
     service_time_s,
 )
 from teaseldyke.telemetry import histogram
@@ -59,6 +61,7 @@
     ready: trio.Event = attrs.field(factory=trio.Event)
     reservation: Reservation | None = None
     reason: str = "others wait"
+    is_version_gone: bool = False
     retry_after_s: float = 0.0
 
 
@@ -171,11 +174,13 @@
             If the request can't be sent in time.
         NoServer
             If the service has no backend server that may get requests.
+        VersionGone
+            If it has none of the version that began the stream, also while it waits.
         RequestHeld, PromptQuarantined
             If it or a part of its prompt has crashed servers, also while it waits.
         """
         ensure_not_held(self._evidence, work)
-        states = self._view.states_of(service.name)
+        states = servers_for(self._view.states_of(service.name), work)
         now_s = boot_time_s()
         if not avoid:
             standing = self.fair_shares.standing(work.organisation, now_s)
@@ -212,6 +217,8 @@
         if pending.reservation is not None:
             return pending.reservation
         ensure_not_held(self._evidence, work)
+        if pending.is_version_gone:
+            raise self._admission.no_server(service, work)
         reason = pending.reason
         self._admission.count_refused(service, work, reason)
         left_s = work.deadline_at_s - boot_time_s()
@@ -221,9 +228,10 @@
             retry_after_s=retry_delay_s(pending.retry_after_s, left_s, random.random()),
         )
 
-    def next_accepting_in_s(self, service: str) -> float:
-        """Return the time until a server of a service accepts requests again."""
-        return next_accepting_in_s(self._view.states_of(service), boot_time_s())
+    def next_accepting_in_s(self, service: str, work: Work) -> float:
+        """Return the time until a server for a request accepts requests again."""
+        states = servers_for(self._view.states_of(service), work)
+        return next_accepting_in_s(states, boot_time_s())
 
     def _scan_queue(self, name: str, queue: RequestQueue[_PendingReservation]) -> None:
         """Place queued requests in order, until too many placements have failed."""
@@ -231,11 +239,9 @@
         misses = 0
         instances = self._fleet.instances
         states = self._view.states_of(name)
-        quotas: dict[str, CapacityQuota] = {}
+        quotas: dict[tuple[str, str], CapacityQuota] = {}
+        pools: dict[str, tuple[Sequence[ServerState], float]] = {}
         available = {state for state in states if state.accepts_requests(now_s)}
-        if states and not available:
-            self._end_waits_for(queue, next_accepting_in_s(states, now_s), now_s)
-            return
         for state in states:
             state.clear_backlog()
         for queued in list(queue.in_order(self.fair_shares, now_s)):
@@ -244,16 +250,33 @@
                 queue.remove(queued)
                 pending.ready.set()
                 continue
+            version = queued.work.version
+            if version not in pools:
+                servers = servers_for(states, queued.work)
+                pools[version] = servers, next_accepting_in_s(servers, now_s)
+            servers, pause_s = pools[version]
+            if version and not servers and self._view.servers_known:
+                pending.is_version_gone = True
+                queue.remove(queued)
+                pending.ready.set()
+                continue
+            if pause_s > 0.0:
+                if now_s + pause_s > pending.latest_at_s:
+                    pending.reason = "all servers asked for a pause or leave"
+                    pending.retry_after_s = pause_s
+                    queue.remove(queued)
+                    pending.ready.set()
+                continue
             awaited_server = queued.blocked_on(available)
             if awaited_server is not None:
                 awaited_server.count_in_backlog(instances)
                 continue
             organisation = queued.work.organisation
-            quota = quotas.get(organisation)
+            quota = quotas.get((organisation, version))
             if quota is None:
                 requests, tokens = queue.backlog_of(organisation)
-                quota = quotas[organisation] = self.fair_shares.quota(
-                    organisation, tokens, requests, len(states), now_s
+                quota = quotas[organisation, version] = self.fair_shares.quota(
+                    organisation, tokens, requests, len(servers), now_s
                 )
             choice = self._choose(
                 pending.service, queued.work, pending.avoid, quota, now_s
@@ -274,19 +297,6 @@
             )
             pending.ready.set()
 
-    def _end_waits_for(
-        self, queue: RequestQueue[_PendingReservation], pause_s: float, now_s: float
-    ) -> None:
-        """End the waits of requests whose last moment comes before a pause ends."""
-        for queued in list(queue.in_order(self.fair_shares, now_s)):
-            pending = queued.payload
-            if now_s + pause_s <= pending.latest_at_s:
-                continue
-            pending.reason = "all servers asked for a pause or leave"
-            pending.retry_after_s = pause_s
-            queue.remove(queued)
-            pending.ready.set()
-
     def _choose(
         self,
         service: ServiceDescription,
@@ -295,7 +305,7 @@
         quota: CapacityQuota,
         now_s: float,
     ) -> Choice:
-        states = self._view.states_of(service.name)
+        states = servers_for(self._view.states_of(service.name), work)
 
         def may_use_cold(state: ServerState) -> bool:
             if not state.cold_rate_limit.allows_send(now_s):
--- a/libs/gateway/src/teaseldyke/gateway/refusing.py
+++ b/libs/gateway/src/teaseldyke/gateway/refusing.py
@@ -16,12 +16,13 @@
     limits_allow_in_s,
     next_accepting_in_s,
     retry_delay_s,
+    servers_for,
 )
 from teaseldyke.telemetry import counter
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import ServiceDescription
 
-from .errors import NoServer, Overloaded
+from .errors import NoServer, Overloaded, VersionGone
 from .share_log import ShareLog
 from .view import FleetView
 
@@ -89,7 +90,7 @@
         state limits, the time until these allow it. Otherwise 0 while no rate is known
         and for plain services.
         """
-        states = self._view.states_of(service.name)
+        states = servers_for(self._view.states_of(service.name), work)
         usable = [
             state
             for state in states
@@ -108,13 +109,23 @@
         ahead_tokens = queue.tokens_ahead(work, self._fair_shares, now_s)
         return max(pause_s, ahead_tokens / rate)
 
-    def no_server(self, service: ServiceDescription, work: Work) -> NoServer:
+    def no_server(
+        self, service: ServiceDescription, work: Work
+    ) -> NoServer | VersionGone:
         """Count a refusal because no server may get requests; return its error."""
-        self.count_refused(service, work, "no server")
         left_s = work.deadline_at_s - boot_time_s()
+        retry_after_s = retry_delay_s(NO_SERVER_RETRY_S, left_s, random.random())
+        if work.version:
+            self.count_refused(service, work, "version gone")
+            return VersionGone(
+                f"service {service.name} has no backend server of software version "
+                f"{work.version} left",
+                retry_after_s=retry_after_s,
+            )
+        self.count_refused(service, work, "no server")
         return NoServer(
             f"service {service.name} has no backend server available",
-            retry_after_s=retry_delay_s(NO_SERVER_RETRY_S, left_s, random.random()),
+            retry_after_s=retry_after_s,
         )
 
     def count_refused(
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -13,6 +13,7 @@
     RetryBudget,
     lapse_reason,
     retry_delay_s,
+    servers_for,
 )
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
@@ -256,9 +257,10 @@
     def _ensure_choice_holds(self, reservation: Reservation) -> None:
         """Raise `ChoiceLapsed` if the chosen server must not get requests any more."""
         state = reservation.state
+        states = self._view.states_of(state.server.service)
         reason = lapse_reason(
             state,
-            is_usable=state in self._view.states_of(state.server.service),
+            is_usable=state in servers_for(states, reservation.work),
             chosen_at_s=reservation.sent_at_s,
             now_s=boot_time_s(),
         )
@@ -341,7 +343,7 @@
         if call.possible_runs:
             raise ServerBroke(result.detail)
         left_s = call.work.deadline_at_s - now_s
-        pause_s = self._placer.next_accepting_in_s(call.service.name)
+        pause_s = self._placer.next_accepting_in_s(call.service.name, call.work)
         raise NoServer(
             result.detail,
             retry_after_s=retry_delay_s(pause_s, left_s, random.random()),
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -28,6 +28,7 @@
 )
 from .shares import DecayingSum, FairShares, Standing, water_level
 from .stated_limit import LimitReport, StatedLimit
+from .stream_version import bound_to, may_copy_memory, servers_for
 from .suspects import REQUEST_DEPTH, SuspectReport, is_request
 from .waiting import AwaitedServer, QueuedRequest, RequestQueue
 from .window_budget import ColdRateLimit, RetryBudget, cold_senders_max
@@ -61,6 +62,7 @@
     "SuspectReport",
     "Work",
     "answer_time_s",
+    "bound_to",
     "capacity_within_limits",
     "check_admission",
     "choose_engine",
@@ -71,9 +73,11 @@
     "limit_senders",
     "limit_share",
     "limits_allow_in_s",
+    "may_copy_memory",
     "next_accepting_in_s",
     "rendezvous_weight",
     "retry_delay_s",
+    "servers_for",
     "service_time_s",
     "shortlist",
     "usable",
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -21,6 +21,7 @@
 
 from .servers import FULL_QUOTA, CapacityQuota, ServerState, usable
 from .shares import Standing
+from .stream_version import may_copy_memory
 from .work import Work
 
 PREFILL_QUEUE_MAX_S = 0.2  # prefill queued at an engine; the rest queues here
@@ -145,7 +146,7 @@
     Parameters
     ----------
     states : iterable of ServerState
-        Engines of the service that may get requests.
+        Engines of the service that may get the request.
     standing : Standing
         Whether the organisation is under or over its fair share.
     quota : CapacityQuota
@@ -216,7 +217,7 @@
         if cached >= shared_tokens > 0 and not over_share:
             limit_s = max(limit_s, AFFINITY_QUEUE_FRACTION * slack_s)
         copied = 0
-        if source is not None and source is not state:
+        if source is not None and may_copy_memory(source, state):
             copied = max(0, shared_tokens - cached)
         uncached = float(work.prompt_tokens - cached - copied)
         limit_wait_s = state.limit.wait_s(state.backlog_requests, now_s)
--- a/libs/placement/src/teaseldyke/placement/work.py
+++ b/libs/placement/src/teaseldyke/placement/work.py
@@ -37,6 +37,8 @@
         Whether the caller sent the request again after a refusal.
     identity : RequestIdentity or None
         Tells whether it is the same as an earlier one; ``None`` if that isn't asked.
+    version : str
+        Software version of the servers that may serve it; empty for any.
     """
 
     organisation: str
@@ -50,6 +52,7 @@
     priority: int = 0
     resubmitted: bool = False
     identity: RequestIdentity | None = None
+    version: str = ""
 
     @property
     def cost_tokens(self) -> float:
--- a/libs/types/src/teaseldyke/types/routing.py
+++ b/libs/types/src/teaseldyke/types/routing.py
@@ -157,6 +157,8 @@
         Remaining time for which it is cold, as of the announcement.
     heartbeats : int
         Announcements of this process so far; orders them when the store forgot some.
+    version : str
+        Version of its software; versions have no order.
     """
 
     id: str
@@ -169,6 +171,7 @@
     leaving: bool = False
     cold_for_s: float = 0.0
     heartbeats: int = 0
+    version: str = ""
 
 
 class RoutingTable:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -80,6 +80,12 @@
     "cold-1e300": entry(coldRemainingMs=1e300),
     "service-list": entry(service=["app"]),
     "service-megabyte": entry(service="x" * 1_000_000),
+    "version-number": entry(version=1),
+    "version-null": entry(version=None),
+    "version-list": entry(version=["v1"]),
+    "version-empty": entry(version=""),
+    "version-megabyte": entry(version="v" * 1_000_000),
+    "version-missing": json.dumps({k: v for k, v in GOOD.items() if k != "version"}),
     "state-unknown": entry(state="resting"),
     "state-missing": json.dumps({k: v for k, v in GOOD.items() if k != "state"}),
     "megabytes": entry(other="x" * 3_000_000),
@@ -238,6 +244,7 @@
         assert 1 <= server.slots <= 100_000
         assert 0 <= server.started < 2**63
         assert 0 <= server.heartbeats < 2**63
+        assert server.version
         socket.inet_pton(socket.AF_INET, server.host)
 
     @FEW
@@ -264,6 +271,7 @@
                 b"x-teaseldyke-prompt-prefix",
                 b"x-teaseldyke-length-hint",
                 b"last-event-id",
+                b"resumes",
                 b"authorization",
                 b"host",
             ]
--- a/tests/platform/test_restore_properties.py
+++ b/tests/platform/test_restore_properties.py
@@ -55,6 +55,7 @@
                 "service": "app",
                 "address": "127.0.0.1:1",
                 "zone": DOMAINS[int(self.name[-1]) % 2],
+                "version": "v1",
                 "slots": 4,
                 "state": self.state,
                 "sequence": self.beats,
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -65,6 +65,29 @@
             12,
         )
 
+    @pytest.mark.parametrize(
+        "value", [b"cb8adeb29d58a395", b"7", b"", b"caf\xe9 ", b"x" * 300]
+    )
+    def test_any_id_of_a_resumed_attempt_is_acceptable(self, value: bytes) -> None:
+        headers = [
+            (b"x-teaseldyke-request-id", b"9c41"),
+            (b"last-event-id", b"3"),
+            (b"resumes", value),
+        ]
+        facts = HeaderWire().read_call(headers)
+        assert (facts.resumes_after, facts.resumes) == (3, value)
+        assert HeaderWire().read_call(headers[:1]).resumes is None
+
+    def test_two_ids_of_a_resumed_attempt_are_malformed(self) -> None:
+        with pytest.raises(CallMalformed):
+            HeaderWire().read_call(
+                [
+                    (b"x-teaseldyke-request-id", b"9c41"),
+                    (b"resumes", b"a"),
+                    (b"resumes", b"b"),
+                ]
+            )
+
     @pytest.mark.parametrize(
         ("hint", "expected"), [(b"40", 40), (b"400", 80), (b"0", 1)]
     )
