Continue a stream within one answer at its software version only

Callers saw: a stream that broke off was continued within the same answer at an engine of another software version; 200, complete, and joined from two versions, with nothing in the answer to show it.

Cause: the choice of the next engine didn't know the version of the first.

The relay records the server whose event it forwarded first, as it was when it was chosen, and every later send of the call is bound to that server's version. Without a server of the version left, the answer ends cut at once. A stream without an event may still go on at any version.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -22,7 +22,7 @@
 )
 from teaseldyke.placement import CrashEvidence
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import Route, RouteKind, ServiceDescription
+from teaseldyke.types import AnnouncedServer, Route, RouteKind, ServiceDescription
 
 from .errors import ChoiceLapsed
 from .interfaces import AnswerFacts, CallFacts, Headers, Wire
@@ -152,6 +152,13 @@
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
+    # As it was chosen; a later entry may state another software version.
+    _server: AnnouncedServer = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.reservation.state.server, takes_self=True
+        ),
+        init=False,
+    )
 
     def abandon_unless_begun(self) -> None:
         """Reset the connection if no event has come, so that the server drops it."""
@@ -198,7 +205,7 @@
         prepare_request: Callable[[], OutgoingRequest],
         resumed_after: int | None,
     ) -> SendResult:
-        server = self.reservation.state.server
+        server = self._server
         runs_once = not self.route.repeatable
         keep_alive_share = (
             KEEP_ALIVE_SHARE_ONCE if runs_once else KEEP_ALIVE_SHARE_REPEATABLE
@@ -332,7 +339,7 @@
                 self.reservation.record_first_event()
                 exchange.idle_timeout_s = self.policy.idle_s
                 await self.relay.start_stream(exchange, headers)
-            if await self.relay.forward_events(data, expected_id):
+            if await self.relay.forward_events(data, expected_id, self._server):
                 expected_id = None
                 event_due_s = now_s + self.policy.idle_s
             elif now_s > event_due_s:
--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -8,7 +8,7 @@
 import attrs
 
 from teaseldyke.http import Request
-from teaseldyke.placement import RequestIdentity, ServerState, Work
+from teaseldyke.placement import RequestIdentity, ServerState, Work, bound_to
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
     KeyedOrganisation,
@@ -85,6 +85,12 @@
     last_failure: str = ""
     crashes: int = 0
 
+    def bind_to_version(self) -> None:
+        """Bind a stream that has begun to the software version of its server."""
+        begun_by = self.relay.begun_by
+        if begun_by is not None and not self.work.version:
+            self.work = bound_to(self.work, begun_by.version)
+
     @property
     def text_id(self) -> str:
         """The request's id as text."""
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -7,6 +7,7 @@
 import attrs
 
 from teaseldyke.http import AnswerTooLarge, Exchange, ExchangeBroken, Request
+from teaseldyke.types import AnnouncedServer
 
 from .interfaces import Headers, Wire
 
@@ -85,12 +86,15 @@
     ----------
     events : int
         Blocks of complete events forwarded.
+    begun_by : AnnouncedServer or None
+        Backend server whose event was forwarded first.
     """
 
     request: Request
     wire: Wire
     buffers: AnswerBuffers
     events: int = 0
+    begun_by: AnnouncedServer | None = None
     _partial_event: bytes = b""
     _last_block: bytes = b""
 
@@ -112,13 +116,17 @@
             return
         await self.request.start_response(exchange.status, headers, flush=False)
 
-    async def forward_events(self, data: bytes, expected_id: int | None) -> bool:
+    async def forward_events(
+        self, data: bytes, expected_id: int | None, server: AnnouncedServer
+    ) -> bool:
         """Forward the complete events received so far; return whether there were any.
 
         Parameters
         ----------
         expected_id : int or None
             Id that the first event of a resumed stream must have.
+        server : AnnouncedServer
+            Backend server that sent them.
 
         Raises
         ------
@@ -145,6 +153,8 @@
                 raise StreamBroken(
                     f"resumed stream did not continue at event {expected_id}"
                 )
+        if self.begun_by is None:
+            self.begun_by = server
         await self.request.send(block)
         self._last_block = block
         self.events += 1
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -130,6 +130,7 @@
 
     async def _send(self, call: Call) -> SendResult:
         _ensure_wanted(call)
+        call.bind_to_version()
         reservation = await self._placer.place(
             call.service, call.work, frozenset(call.avoid)
         )
