Weigh a resumed stream by what is left of it

Callers saw: under load, streams that they resumed were refused far more often than new ones began, so that the part they held was lost.

Cause: a resumed stream counted whole, was taken for a late resubmission by the time that its caller had left, and so waited behind all new requests and was refused for half the wait.

Its work now has the output tokens after the last event held, and those generated before as part of the prompt; the tokens of an event are learned by route. Streams that have begun go first within their organisation and priority, and are refused only if the caller gives up before the send. Order among organisations, quotas and standing stay as they were, and the organisation is charged for what is left.

--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -8,7 +8,7 @@
 import attrs
 
 from teaseldyke.http import Request
-from teaseldyke.placement import RequestIdentity, ServerState, Work, bound_to
+from teaseldyke.placement import RequestIdentity, ServerState, Work, bound_to, work_left
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
     KeyedOrganisation,
@@ -153,6 +153,24 @@
     )
 
 
+def work_for_resumption(work: Work, events: int, tokens_per_event: float) -> Work:
+    """Return the work of a stream that its caller resumes with a new request.
+
+    It precedes new requests of its organisation, like a retry within one answer.
+
+    Parameters
+    ----------
+    events : int
+        Events that the caller has received.
+    tokens_per_event : float
+        Output tokens in each of them; 0 if unknown.
+    """
+    return attrs.evolve(
+        work_left(work, events, tokens_per_event),
+        on_time_until_s=work.arrived_at_s + RESEND_WITHIN_S,
+    )
+
+
 def first_event_wait_s(route: Route) -> float:
     """Return how long a caller waits for the first event of a stream.
 
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -11,6 +11,7 @@
 from teaseldyke.http import CallerGone, Request
 from teaseldyke.placement import (
     STREAM_START_S,
+    EventSizes,
     RequestIdentity,
     answer_time_s,
     service_time_s,
@@ -20,7 +21,7 @@
 from teaseldyke.types import Route, RouteKind, TeaseldykeError
 
 from .attempts import SendResult
-from .call import Call, organisation_of, pick_service, work_of
+from .call import Call, organisation_of, pick_service, work_for_resumption, work_of
 from .errors import (
     NotConfigured,
     Overloaded,
@@ -94,6 +95,7 @@
         self._wire = wire
         self._buffers = AnswerBuffers()
         self._longest_timeout_s: dict[str, float] = {}
+        self._event_sizes = EventSizes()
         self._running: set[_Running] = set()
         sender.may_begin = self._may_begin
 
@@ -175,6 +177,12 @@
                 body,
             ),
         )
+        if route.resumable and facts.resumes_after is not None:
+            work = work_for_resumption(
+                work,
+                facts.resumes_after,
+                self._event_sizes.tokens_per_event(route.name),
+            )
         is_stream = route.kind is RouteKind.STREAMING
         call = running.call = Call(
             request,
@@ -257,6 +265,7 @@
 
         with scope, call.request.on_disconnect(on_caller_gone):
             result = await self._sender.send_with_retries(call)
+            self._learn_event_size(call)
             self._log_end(call, result)
         if not scope.cancelled_caught:
             return
@@ -266,6 +275,14 @@
             raise TimedOut(f"no complete answer within {left_s:.3f} s")
         raise Overloaded(f"request not sent within {left_s:.3f} s")
 
+    def _learn_event_size(self, call: Call) -> None:
+        last_event_id = call.relay.last_event_id
+        if last_event_id is None or call.facts.resumes_after is not None:
+            return
+        self._event_sizes.record_stream(
+            call.route.name, call.work.output_tokens, last_event_id
+        )
+
     def _log_end(self, call: Call, result: SendResult) -> None:
         elapsed_s = call.elapsed_s
         ANSWERS.bind(route=call.route.name, status=str(result.status)).add()
--- a/libs/gateway/src/teaseldyke/gateway/refusing.py
+++ b/libs/gateway/src/teaseldyke/gateway/refusing.py
@@ -83,31 +83,33 @@
         queue: RequestQueue[Any],
         now_s: float,
     ) -> float:
-        """Return the expected queueing time of a new request, by prefill rate.
+        """Return the expected queueing time of a new request, by prefill rates.
 
         Ejected engines and engines that asked for a pause don't count; while all
         servers pause, it is at least the time until the first pause ends, and while all
         state limits, the time until these allow it. Otherwise 0 while no rate is known
         and for plain services.
         """
-        states = servers_for(self._view.states_of(service.name), work)
         usable = [
             state
-            for state in states
+            for state in self._view.states_of(service.name)
             if not state.is_ejected(now_s) and state.accepts_requests(now_s)
         ]
+        own_usable = servers_for(usable, work)
+        own_states = servers_for(self._view.states_of(service.name), work)
         pause_s = max(
-            next_accepting_in_s(states, now_s),
-            self._limits_allow_in_s(usable, work, queue, now_s),
+            next_accepting_in_s(own_states, now_s),
+            self._limits_allow_in_s(own_usable, work, queue, now_s),
         )
         if not service.is_engine:
             return pause_s
         mean_tokens = self._demand.mean_prompt_tokens(service.name)
         rate = sum(state.served_rate(mean_tokens) for state in usable)
-        if rate <= 0.0:
+        own_rate = sum(state.served_rate(mean_tokens) for state in own_usable)
+        if own_rate <= 0.0:
             return pause_s
-        ahead_tokens = queue.tokens_ahead(work, self._fair_shares, now_s)
-        return max(pause_s, ahead_tokens / rate)
+        wait_s = queue.prefill_wait_s(work, self._fair_shares, now_s, rate, own_rate)
+        return max(pause_s, wait_s)
 
     def no_server(
         self, service: ServiceDescription, work: Work
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -17,6 +17,7 @@
     service_time_s,
 )
 from .request_identity import RequestIdentity
+from .resumption import EventSizes, work_left
 from .servers import (
     FAILURE_RATE_MAX,
     CapacityQuota,
@@ -36,6 +37,7 @@
 
 __all__ = [
     "CHOICE_TTL_S",
+    "EventSizes",
     "FAILURE_RATE_MAX",
     "REQUEST_DEPTH",
     "AwaitedServer",
@@ -82,4 +84,5 @@
     "shortlist",
     "usable",
     "water_level",
+    "work_left",
 ]
--- a/libs/placement/src/teaseldyke/placement/refusal.py
+++ b/libs/placement/src/teaseldyke/placement/refusal.py
@@ -1,8 +1,10 @@
 """Admission control: refusal of requests and the delay before their retry.
 
 Load patterns: a burst above the engines' throughput (`burst`, `hot_tenant`) that ends
-after seconds, and requests that arrive late in a planned stop (`roll_term`), at servers
-that may be slow for a while (`srv_slow`). Replayed in ``tests/test_refusal.py``.
+after seconds, requests that arrive late in a planned stop (`roll_term`), at servers
+that may be slow for a while (`srv_slow`), and broken streams that are resumed beside
+new ones (`rejoined`). Replayed in ``tests/test_refusal.py`` and
+``tests/test_resumption.py``.
 """
 
 from __future__ import annotations
@@ -77,7 +79,8 @@
     Above the engines' throughput, each request that is served late displaces one that
     would meet its latency target. A refused caller learns so at once and retries when
     the burst may have ended; its resubmitted request may wait longer, so that it is
-    not refused for the same wait again.
+    not refused for the same wait again. A stream that has begun is refused only if its
+    caller would give up before: what was served of it would be lost.
 
     Parameters
     ----------
@@ -89,7 +92,9 @@
     left_s = work.deadline_at_s - now_s
     if left_s <= 0.0:
         return Refusal("deadline passed", RETRY_DELAY_MIN_S)
-    if work.resubmitted:
+    if work.begun:
+        wait_max_s = work.caller_timeout_at_s - now_s
+    elif work.resubmitted:
         wait_max_s = RESUBMITTED_WAIT_FRACTION_MAX * (work.caller_timeout_at_s - now_s)
     else:
         wait_max_s = work.on_time_until_s - now_s
--- a/libs/placement/src/teaseldyke/placement/stream_version.py
+++ b/libs/placement/src/teaseldyke/placement/stream_version.py
@@ -37,5 +37,11 @@
 
 
 def bound_to(work: Work, version: str) -> Work:
-    """Return the work of a stream that a server of a version has begun."""
-    return attrs.evolve(work, version=version)
+    """Return the work of a stream that a server of a version has begun.
+
+    Parameters
+    ----------
+    version : str
+        Empty for a stream that hasn't begun, which any server may serve.
+    """
+    return attrs.evolve(work, version=version, begun=work.begun or bool(version))
--- a/libs/placement/src/teaseldyke/placement/waiting.py
+++ b/libs/placement/src/teaseldyke/placement/waiting.py
@@ -1,7 +1,8 @@
 """Queue of requests and the order in which they are scheduled.
 
-Load patterns: one large organisation among small ones, and a burst in which some
-requests miss their latency target. Replayed in ``tests/test_waiting.py``.
+Load patterns: one large organisation among small ones, a burst in which some requests
+miss their latency target, and broken streams that are resumed beside new ones. Replayed
+in ``tests/test_waiting.py`` and ``tests/test_resumption.py``.
 """
 
 from __future__ import annotations
@@ -104,12 +105,15 @@
     cost: float = 0.0
     prompt: float = 0.0
     on_time_prompt: float = 0.0
+    begun_prompt: float = 0.0
 
     def add(self, work: Work, now_s: float, sign: float = 1.0) -> None:
         """Add a request, or subtract it with a sign of -1."""
         self.cost += sign * work.cost_tokens
         self.prompt += sign * work.prompt_tokens
-        if not is_late(work, now_s):
+        if work.begun:
+            self.begun_prompt += sign * work.prompt_tokens
+        if work.begun or not is_late(work, now_s):
             self.on_time_prompt += sign * work.prompt_tokens
 
 
@@ -118,8 +122,9 @@
     """Queued requests of one service at this instance.
 
     Organisations that are not over their fair share go first, in order of usage.
-    Within an organisation and priority, requests that can still meet their latency
-    target go by that target, then resubmitted ones, then late ones.
+    Within an organisation and priority, streams that have begun go first, then requests
+    that can still meet their latency target by that target, then resubmitted ones, then
+    late ones.
     """
 
     _requests: dict[str, list[QueuedRequest[T]]] = attrs.field(factory=dict, init=False)
@@ -165,9 +170,10 @@
     def tokens_ahead(self, work: Work, fair_shares: FairShares, now_s: float) -> float:
         """Return the prompt tokens that the fleet schedules before a new request.
 
-        Late requests go after one that can still meet its target. Requests queued at
-        other instances are known by organisation only; their composition is assumed
-        to be that of the requests queued here.
+        Late requests go after one that can still meet its target, and all of the same
+        organisation after a stream that has begun, except for other such streams.
+        Requests queued at other instances are known by organisation only; their
+        composition is assumed to be that of the requests queued here.
         """
         self._refresh_sums(now_s)
         ahead_tokens = own_tokens = 0.0
@@ -176,12 +182,42 @@
             if fair_shares.scheduling_key(name, now_s) > own_key:
                 continue
             own_tokens += sums.cost
+            if work.begun and name == work.organisation:
+                ahead_tokens += sums.begun_prompt
+                continue
             ahead_tokens += sums.prompt if work.resubmitted else sums.on_time_prompt
         if ahead_tokens <= 0.0:
             return 0.0
         peer_tokens = fair_shares.peer_tokens_ahead(work.organisation, now_s)
         return ahead_tokens * (own_tokens + peer_tokens) / own_tokens
 
+    def prefill_wait_s(
+        self,
+        work: Work,
+        fair_shares: FairShares,
+        now_s: float,
+        rate_tokens_per_s: float,
+        own_rate_tokens_per_s: float,
+    ) -> float:
+        """Return the expected time until a new request is sent.
+
+        Requests of other organisations go to any server; streams that have begun, which
+        a stream of the same organisation waits behind, may need the same ones.
+
+        Parameters
+        ----------
+        rate_tokens_per_s : float
+            Prefill rate of the service's servers.
+        own_rate_tokens_per_s : float
+            That of the servers that may serve the request.
+        """
+        ahead_tokens = self.tokens_ahead(work, fair_shares, now_s)
+        own_tokens = 0.0
+        if work.begun and work.organisation in self._sums:
+            own_tokens = min(ahead_tokens, self._sums[work.organisation].begun_prompt)
+        others_wait_s = (ahead_tokens - own_tokens) / rate_tokens_per_s
+        return others_wait_s + own_tokens / own_rate_tokens_per_s
+
     def requests_ahead(
         self, organisation: str, fair_shares: FairShares, now_s: float
     ) -> int:
@@ -226,6 +262,8 @@
 
 
 def _rank(work: Work, now_s: float, late_first: bool) -> tuple[int, int, float]:
+    if work.begun:
+        return work.priority, -1, work.on_time_until_s
     if not is_late(work, now_s):
         return work.priority, 1, work.on_time_until_s
     if work.resubmitted:
--- a/libs/placement/src/teaseldyke/placement/work.py
+++ b/libs/placement/src/teaseldyke/placement/work.py
@@ -39,6 +39,9 @@
         Tells whether it is the same as an earlier one; ``None`` if that isn't asked.
     version : str
         Software version of the servers that may serve it; empty for any.
+    begun : bool
+        Whether it is a stream that a server has begun, so that its caller has a part
+        of the answer.
     """
 
     organisation: str
@@ -53,6 +56,7 @@
     resubmitted: bool = False
     identity: RequestIdentity | None = None
     version: str = ""
+    begun: bool = False
 
     @property
     def cost_tokens(self) -> float:
--- a/libs/placement/tests/test_stream_version.py
+++ b/libs/placement/tests/test_stream_version.py
@@ -45,7 +45,9 @@
         make_versioned("b", "v1.1"),
         make_versioned("c", "v1"),
     ]
-    found = servers_for(states, bound_to(make_work(), version))
+    work = bound_to(make_work(), version)
+    assert work.begun is bool(version)
+    found = servers_for(states, work)
     assert "".join(state.server.id for state in found) == expected
 
 
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from typing import Any
 
 import attrs
 import pytest
 import trio
 
+from teaseldyke.placement import Work
 from tests.platform.conftest import Fleet, running_fleet, script_all, wait_until
 from tests.platform.standins import (
     Arrival,
@@ -18,6 +20,7 @@
     stream_of,
 )
 
+TOKENS = {"X-Teaseldyke-Token-Count": "100,80"}
 WHOLE = b"".join(event(number) for number in range(1, 6))
 VERSIONS = {"e-0": "v1", "e-1": "v2", "e-2": "v1", "e-3": "v2"}
 
@@ -135,3 +138,37 @@
         answer = await caller.receive_answer()
     assert script.engines == [name, name]
     assert (answer.body, answer.complete) == (WHOLE, True)
+
+
+async def test_resumed_stream_counts_as_what_is_left_of_it(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It counted whole, and as a late resubmission, so that few went on."""
+    placer = fleet.gateways[0].placer
+    place = placer.place
+    placed: list[Work] = []
+
+    async def record(service: Any, work: Work, avoid: frozenset[str]) -> Any:
+        placed.append(work)
+        return await place(service, work, avoid)
+
+    monkeypatch.setattr(placer, "place", record)
+    script_all(fleet, stream_of(1, 40))
+    caller = fleet.caller()
+    await caller.request("/stream/a", request_id="r-1", headers=TOKENS)
+    script_all(fleet, stream_of(31, 40))
+    # Clearly less time than the first request stated.
+    headers = {
+        "Last-Event-Id": "30",
+        "Resumes": "r-1",
+        "X-Teaseldyke-Deadline-Ms": "900",
+    }
+    answer = await caller.request(
+        "/stream/a", request_id="r-2", headers={**TOKENS, **headers}
+    )
+    assert (answer.status, answer.complete) == (200, True)
+    whole, left = placed
+    assert (whole.output_tokens, whole.begun) == (80, False)
+    assert (left.output_tokens, left.begun, left.resubmitted) == (20, True, False)
+    assert left.prompt_tokens == 160  # what was generated is read with the prompt
+    assert left.on_time_until_s > left.arrived_at_s
