--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -298,6 +298,9 @@
             limit_per_s=reservation.state.limit.per_s,
             own_limit_per_s=round(reservation.state.limit.own_per_s, 3),
             send=call.sends - 1,
+            begun=call.work.begun,
+            bound_to=call.work.version or None,
+            software=reservation.state.server.version,
         )
 
     def _attempt_policy(
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -378,6 +378,7 @@
                 service=server.service,
                 cold_for_s=server.cold_for_s,
                 leaving=server.leaving,
+                software=server.version,
             )
             return
         if server.leaving and not known.server.leaving:
