Add what an instance knows of its streams' software versions

Without it, a stream that its caller takes up at another engine goes on at whatever version is free. This is the decision alone, not in use yet.

Each stream's version is a fact that never changes, so instances may learn of it late, twice or in any order. A version begins no stream before the store lists it and 1.5 s have passed; so as long as one is listed and the servers known are not older than that, an unknown stream is of that version. Otherwise it is unknown, never guessed.

--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
+from .begun_streams import (
+    BegunStream,
+    BegunStreams,
+    FactSource,
+    News,
+    ServiceVersion,
+    split_keys,
+    stream_key,
+)
 from .choice import Choice, choose_engine, choose_plain, rendezvous_weight, shortlist
 from .crash_evidence import CrashEvidence
 from .demand import ServiceDemand
@@ -28,6 +37,7 @@
 )
 from .shares import DecayingSum, FairShares, Standing, water_level
 from .stated_limit import LimitReport, StatedLimit
+from .stream_origins import StreamOrigin, StreamVersions
 from .suspects import REQUEST_DEPTH, SuspectReport, is_request
 from .waiting import AwaitedServer, QueuedRequest, RequestQueue
 from .window_budget import ColdRateLimit, RetryBudget, cold_senders_max
@@ -38,15 +48,19 @@
     "FAILURE_RATE_MAX",
     "REQUEST_DEPTH",
     "AwaitedServer",
+    "BegunStream",
+    "BegunStreams",
     "CapacityQuota",
     "Choice",
     "ColdRateLimit",
     "CrashEvidence",
     "DecayingSum",
+    "FactSource",
     "FairShares",
     "FleetDemand",
     "LimitReport",
     "Load",
+    "News",
     "QueuedRequest",
     "Refusal",
     "RequestIdentity",
@@ -56,8 +70,11 @@
     "STREAM_START_S",
     "ServerState",
     "ServiceDemand",
+    "ServiceVersion",
     "Standing",
     "StatedLimit",
+    "StreamOrigin",
+    "StreamVersions",
     "SuspectReport",
     "Work",
     "answer_time_s",
@@ -76,6 +93,8 @@
     "retry_delay_s",
     "service_time_s",
     "shortlist",
+    "split_keys",
+    "stream_key",
     "usable",
     "water_level",
 ]
