--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -105,7 +105,11 @@
             **(headers or {}),
         }
         data = self.parser.send(
-            h11.Request(method=method, target=target, headers=list(fields.items()))
+            h11.Request(
+                method=method,
+                target=target,
+                headers=[(name, value.encode()) for name, value in fields.items()],
+            )
         )
         data = (data or b"") + (self.parser.send(h11.Data(data=body)) or b"")
         await self.stream.send_all(data + (self.parser.send(h11.EndOfMessage()) or b""))
@@ -156,6 +160,7 @@
     store: StoreStandin
     engines: dict[str, EngineStandin] = attrs.field(factory=dict)
     gateways: list[Gateway] = attrs.field(factory=list)
+    _running: dict[str, trio.CancelScope] = attrs.field(factory=dict)
 
     async def add_engine(self, name: str, **fields: Any) -> EngineStandin:
         engine = self.engines[name] = EngineStandin(name)
@@ -176,15 +181,33 @@
             **fields,
         )
 
-        def make_directory(listener: DirectoryListener) -> Directory:
-            return StoreDirectory(StoreClient(settings.platform), listener)
+        gateway = _make_gateway(settings)
+        self.gateways.append(gateway)
+        await self._start(gateway)
+        return gateway
 
-        gateway = Gateway(settings, HeaderWire(), make_directory, lambda: settings)
+    def kill_gateway(self, gateway: Gateway) -> None:
+        """End an instance at once; its connections break and its memory is lost."""
+        self.gateways.remove(gateway)
+        self._running[gateway.settings.name].cancel()
+
+    async def start_again(self, killed: Gateway) -> Gateway:
+        """Start an instance with the name and the addresses of a killed one."""
+        await wait_until(lambda: killed.settings.name not in self._running)
+        gateway = _make_gateway(killed.settings)
         self.gateways.append(gateway)
-        self.nursery.start_soon(gateway.run)
-        await wait_until_listening(settings.callers)
+        await self._start(gateway)
         return gateway
 
+    async def _start(self, gateway: Gateway) -> None:
+        self.nursery.start_soon(self._run, gateway)
+        await wait_until_listening(gateway.settings.callers)
+
+    async def _run(self, gateway: Gateway) -> None:
+        with trio.CancelScope() as self._running[gateway.settings.name]:
+            await gateway.run()
+        del self._running[gateway.settings.name]
+
     def caller(self, gateway: Gateway | None = None) -> Caller:
         return Caller((gateway or self.gateways[0]).settings.callers)
 
@@ -193,6 +216,13 @@
         return sum(len(engine.arrivals) for engine in self.engines.values())
 
 
+def _make_gateway(settings: GatewaySettings) -> Gateway:
+    def make_directory(listener: DirectoryListener) -> Directory:
+        return StoreDirectory(StoreClient(settings.platform), listener)
+
+    return Gateway(settings, HeaderWire(), make_directory, lambda: settings)
+
+
 def script_all(fleet: Fleet, *scripts: Script) -> None:
     """Give every engine the same scripts, whichever engine is chosen first."""
     for engine in fleet.engines.values():
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -37,6 +37,8 @@
         Value of the header ``Store-Era``; ``None`` leaves it out.
     calls : list of str
         Method and target of each call.
+    written : list of tuple of str
+        Table and key of each row that was written by a call.
     """
 
     rows: dict[tuple[str, str], dict[str, Any]] = attrs.field(factory=dict)
@@ -47,6 +49,7 @@
     silent: bool = False
     era: int | None = 1
     calls: list[str] = attrs.field(factory=list)
+    written: list[tuple[str, str]] = attrs.field(factory=list)
     port: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -146,6 +149,7 @@
     async def _transact(self, request: Request) -> None:
         call = json.loads(await request.read_body(1 << 20))
         for row in call["puts"]:
+            self.written.append((row["table"], row["key"]))
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in call["remove"]:
             if (row["table"], row["key"]) in self.rows:
