Let an instance that starts tell old versions from new ones

Found by the property test with more examples: an instance that started right after a version had been listed let it serve at once, while others did not know of its servers yet and took the old version for the sole one. The time since each version was listed now counts. Two versions of a service that nothing is known of are listed first, too.

--- a/libs/placement/src/teaseldyke/placement/stream_origins.py
+++ b/libs/placement/src/teaseldyke/placement/stream_origins.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Mapping, Set
 
 import attrs
 
@@ -117,7 +117,8 @@
         for service, versions in present.items():
             known = self._services.setdefault(service, {})
             self._observe(known, versions, now_s)
-        if not self.is_read and now_s - self._started_at_s < STARTUP_S:
+        is_ready = self.is_read and self.is_current(now_s)
+        if not is_ready and now_s - self._started_at_s < STARTUP_S:
             return
         if any(self._may_be_mixed(service, now_s) for service in present):
             self._shared_until_s = now_s + SHARED_MIN_S
@@ -125,13 +126,15 @@
     def _observe(
         self, known: dict[str, _Version], present: Set[str], now_s: float
     ) -> None:
-        is_fresh = self._is_fresh(known)
+        is_fresh = self._is_fresh(known, present)
         for version in present:
             state = known.get(version)
             if state is None:
                 state = known[version] = _Version(True, now_s)
-                if is_fresh or not self.is_read:
+                if is_fresh:
                     state.serves_from_s = now_s
+                elif not self.is_read:
+                    state.serves_from_s = now_s + SETTLE_S
             if not state.is_present:
                 state.is_present, state.changed_at_s = True, now_s
         for version, state in list(known.items()):
@@ -146,36 +149,43 @@
             if not state.is_listed:
                 del known[version]
 
-    def _is_fresh(self, known: Mapping[str, _Version]) -> bool:
-        """Return whether no stream of a service has begun before this moment."""
-        return self.is_read and not any(state.is_listed for state in known.values())
+    def _is_fresh(self, known: Mapping[str, _Version], present: Set[str]) -> bool:
+        """Return whether a service has had one version only, and no stream yet."""
+        if not self.is_read or len(known.keys() | present) != 1:
+            return False
+        return not any(state.is_listed for state in known.values())
 
     def record_listing(
-        self, listed: Iterable[ServiceVersion], now_s: float, *, is_old: bool = False
+        self,
+        ages_s: Mapping[ServiceVersion, float],
+        now_s: float,
+        *,
+        is_old: bool = False,
     ) -> None:
         """Record the versions that the store lists.
 
         Parameters
         ----------
+        ages_s : mapping
+            Time since each was listed.
         is_old : bool
             Whether the store was restored from a copy that may lack versions.
         """
         is_first, self.is_read = not self.is_read, True
-        found: dict[str, set[str]] = {}
-        for entry in listed:
-            found.setdefault(entry.service, set()).add(entry.version)
+        for entry in ages_s:
             known = self._services.setdefault(entry.service, {})
             known.setdefault(entry.version, _Version(False, now_s))
         for service, known in self._services.items():
-            versions = found.get(service, set())
             for version, state in known.items():
-                state.is_listed = version in versions
-                if is_first and (state.is_listed or not versions):
+                age_s = ages_s.get(ServiceVersion(service, version))
+                state.is_listed = age_s is not None
+                if is_first and len(known) == 1:
                     state.serves_from_s = now_s
                 elif is_first:
                     state.serves_from_s = math.inf
-                elif state.is_listed and state.serves_from_s == math.inf:
-                    state.serves_from_s = now_s + SETTLE_S
+                if age_s is not None and state.serves_from_s == math.inf:
+                    settled_s = max(0.0, age_s) if is_first else 0.0
+                    state.serves_from_s = now_s + max(0.0, SETTLE_S - settled_s)
         if is_old:
             self._doubted_until_s = now_s + self.life_s
 
@@ -210,22 +220,13 @@
             if state.is_listed and now_s >= state.serves_from_s - SETTLE_S
         ]
 
-    def listed_in_store(self) -> list[ServiceVersion]:
-        """Return the versions that the store was last seen to list."""
-        return [
-            ServiceVersion(service, version)
-            for service, known in self._services.items()
-            for version, state in known.items()
-            if state.is_listed
-        ]
-
     def is_doubted(self, now_s: float) -> bool:
         """Return whether the store may lack versions that streams go on at."""
         return not self.is_read or now_s < self._doubted_until_s
 
     def removable(self, now_s: float) -> list[ServiceVersion]:
         """Return the listed versions of which no stream can go on any more."""
-        if not self._is_current(now_s):
+        if not self.is_current(now_s):
             return []
         after_s = self.life_s + REMOVAL_MARGIN_S
         return [
@@ -274,7 +275,7 @@
 
     def sole_version(self, service: str, now_s: float) -> str | None:
         """Return the version of all streams of a service, if there is only one."""
-        if self.is_doubted(now_s) or not self._is_current(now_s):
+        if self.is_doubted(now_s) or not self.is_current(now_s):
             return None
         versions = [
             version
@@ -287,7 +288,8 @@
         """Return whether instances must tell each other which streams have begun."""
         return now_s < self._shared_until_s
 
-    def _is_current(self, now_s: float) -> bool:
+    def is_current(self, now_s: float) -> bool:
+        """Return whether the versions of the servers are known well enough."""
         return now_s - self.servers_as_of_s <= SETTLE_S
 
     def _may_be_mixed(self, service: str, now_s: float) -> bool:
