Continue a resumed stream at the software version that began it

Callers whose streams broke off got the rest from whatever version was free: tests/platform/test_stream_versions.py joined streams at the same instance and after a kill of all instances. `Resumes` was not followed.

An instance now remembers at which version each of its streams began, by the request that brought the first event and its organisation. An unknown stream is of the sole version, if the store lists no other one; otherwise it is refused, not run. A version gets no requests before it is listed, except while it alone can be served by; so the list holds after a kill of all instances. While versions meet, two instances of a neighbourhood write begun streams in batches, at most one each 0.25 s, into rows of their own.

One version: one row in the store, no other call.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -126,6 +126,8 @@
     is_repeated : bool
         Whether the server has got this request before. A faulty one may write its
         earlier answer again, which has the same id, so another connection is needed.
+    record_begun : callable
+        Called right before the first event of the answer is forwarded.
 
     Attributes
     ----------
@@ -148,6 +150,7 @@
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
     is_repeated: bool
+    record_begun: Callable[[], None]
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
@@ -332,7 +335,7 @@
                 self.reservation.record_first_event()
                 exchange.idle_timeout_s = self.policy.idle_s
                 await self.relay.start_stream(exchange, headers)
-            if await self.relay.forward_events(data, expected_id):
+            if await self.relay.forward_events(data, expected_id, self.record_begun):
                 expected_id = None
                 event_due_s = now_s + self.policy.idle_s
             elif now_s > event_due_s:
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -12,12 +12,21 @@
 from teaseldyke.placement import (
     STREAM_START_S,
     RequestIdentity,
+    ServiceVersion,
     answer_time_s,
+    bound_to,
     service_time_s,
 )
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import Route, RouteKind, TeaseldykeError
+from teaseldyke.types import (
+    AnnouncedServer,
+    KeyedOrganisation,
+    Route,
+    RouteKind,
+    ServiceDescription,
+    TeaseldykeError,
+)
 
 from .attempts import SendResult
 from .call import Call, organisation_of, pick_service, work_of
@@ -28,10 +37,12 @@
     ServerBroke,
     Stopping,
     TimedOut,
+    VersionUnknown,
 )
 from .interfaces import CallFacts, Headers, Wire
 from .relay import AnswerBuffers, Relay
 from .sending import Sender, caller_gone
+from .stream_memory import UNKNOWN_RETRY_S, StreamMemory
 from .view import FleetView
 
 CONFIGURATION_RETRY_S = 0.5  # retry-after before the first configuration
@@ -73,6 +84,8 @@
         Sends requests to backend servers.
     wire : Wire
         Formats of requests and answers.
+    memory : StreamMemory
+        Knows at which software version streams go on.
 
     Attributes
     ----------
@@ -85,17 +98,21 @@
         Whether new streams are accepted.
     """
 
-    def __init__(self, view: FleetView, sender: Sender, wire: Wire) -> None:
+    def __init__(
+        self, view: FleetView, sender: Sender, wire: Wire, memory: StreamMemory
+    ) -> None:
         self.streams = 0
         self.ends_at_s = math.inf
         self.accepts_streams = True
         self._view = view
         self._sender = sender
         self._wire = wire
+        self._memory = memory
         self._buffers = AnswerBuffers()
         self._longest_timeout_s: dict[str, float] = {}
         self._running: set[_Running] = set()
         sender.may_begin = self._may_begin
+        sender.record_begun = self._record_begun
 
     @property
     def running(self) -> int:
@@ -160,6 +177,11 @@
         context["organisation"] = organisation.name if organisation else None
         body = await request.read_body(table.bounds.body_bytes)
         service = pick_service(table, route)
+        version = ""
+        if is_resumed(route, facts):
+            origin = await self._origin(facts, organisation, service)
+            service = table.services.get(origin.service, service)
+            version = origin.version
         work = work_of(
             facts,
             route,
@@ -175,6 +197,7 @@
                 body,
             ),
         )
+        work = bound_to(work, version)
         is_stream = route.kind is RouteKind.STREAMING
         call = running.call = Call(
             request,
@@ -194,6 +217,38 @@
         finally:
             self.streams -= is_stream
 
+    async def _origin(
+        self,
+        facts: CallFacts,
+        organisation: KeyedOrganisation | None,
+        service: ServiceDescription,
+    ) -> ServiceVersion:
+        """Return where a stream began; raises `VersionUnknown`."""
+        origin = await self._memory.origin(
+            facts.request_id.decode("latin-1"),
+            organisation.name if organisation else "",
+            facts.resumes,
+            service.name,
+            facts.caller_timeout_s,
+        )
+        if origin.begun_at is None:
+            raise VersionUnknown(
+                "the software version that began this stream is unknown",
+                retry_after_s=UNKNOWN_RETRY_S,
+            )
+        return origin.begun_at
+
+    def _record_begun(self, call: Call, server: AnnouncedServer) -> None:
+        """Record the server that brings the first event of an answer."""
+        if not call.route.resumable:
+            return
+        request_id: bytes | None = call.facts.request_id
+        if is_resumed(call.route, call.facts):
+            request_id = call.facts.resumes
+        if request_id is None:
+            return
+        self._memory.record_begun(call.work.organisation, request_id, server)
+
     def _is_resubmission(self, route: Route, facts: CallFacts) -> bool:
         """Return whether a request appears to be resubmitted by its caller.
 
@@ -321,6 +376,11 @@
         return self.describe(error)
 
 
+def is_resumed(route: Route, facts: CallFacts) -> bool:
+    """Return whether a request resumes a stream that an earlier one has begun."""
+    return route.resumable and facts.resumes_after is not None
+
+
 def _stopped(call: Call | None) -> TeaseldykeError:
     """Return the error of a request that a stop ended before its answer."""
     if call is not None and call.possible_runs:
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -64,6 +64,17 @@
     executed = "no"
 
 
+class VersionUnknown(TeaseldykeError):
+    """Nothing tells at which software version the stream to be resumed began.
+
+    The caller can begin it anew.
+    """
+
+    code = "version_unknown"
+    status = 503
+    executed = "no"
+
+
 class ChoiceLapsed(TeaseldykeError):
     """The chosen server must not get the request any more; it is placed anew."""
 
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -288,7 +288,41 @@
     configuration: int
 
 
-class Directory(Protocol):
+class StreamRows(Protocol):
+    """Rows of the store about streams and the software versions that began them."""
+
+    @property
+    def store_era(self) -> int:
+        """Era of the store, which grows when it is restored from a copy."""
+        ...
+
+    async def stream_rows(self) -> tuple[dict[str, tuple[int, bytes]], int]:
+        """Return all rows with their versions, and the store's time in ms.
+
+        Raises `PlatformUnavailable`.
+        """
+        ...
+
+    async def write_stream_row(
+        self, key: str, value: bytes, known: int | None
+    ) -> int | None:
+        """Write a row and return its version.
+
+        Parameters
+        ----------
+        known : int or None
+            Version that the row must have, 0 if there must be none; otherwise nothing
+            is written and ``None`` returned.
+
+        Raises
+        ------
+        PlatformUnavailable, AnswerLost
+            If the store fails; after `AnswerLost`, the row may have been written.
+        """
+        ...
+
+
+class Directory(StreamRows, Protocol):
     """Follows the entries of the operator and of the backend servers in the store.
 
     Attributes
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -33,6 +33,7 @@
 from .sending import Sender
 from .settings import GatewaySettings
 from .share_log import REPORT_INTERVAL_S
+from .stream_memory import StreamMemory
 from .totals import EXCHANGE_INTERVAL_S, TotalsExchange
 from .view import FleetView
 
@@ -105,6 +106,7 @@
     placer: Placer = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
     totals: TotalsExchange = attrs.field(init=False)
+    memory: StreamMemory = attrs.field(init=False)
     pool: BackendPool = attrs.field(init=False)
     sender: Sender = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
@@ -125,6 +127,8 @@
         own = Peer(settings.name, settings.exchange.host, settings.exchange.port)
         self.totals = TotalsExchange(own, self.view, self.directory, self.evidence)
         self.directory.relay = self.totals.relay
+        self.memory = StreamMemory(self.directory, self.totals)
+        self.view.version_gate = self.memory
         self.placer = Placer(
             self.view,
             FairShares(),
@@ -143,7 +147,7 @@
             self.totals,
             self.evidence,
         )
-        self.calls = CallHandler(self.view, self.sender, self.wire)
+        self.calls = CallHandler(self.view, self.sender, self.wire, self.memory)
 
     @property
     def is_ready(self) -> bool:
@@ -176,6 +180,7 @@
             for part in (
                 self.directory.run,
                 self.placer.run,
+                self.memory.run,
                 self._announce,
                 self._catch_up,
             ):
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 import attrs
 
@@ -112,13 +113,20 @@
             return
         await self.request.start_response(exchange.status, headers, flush=False)
 
-    async def forward_events(self, data: bytes, expected_id: int | None) -> bool:
+    async def forward_events(
+        self,
+        data: bytes,
+        expected_id: int | None,
+        before_first: Callable[[], None] | None = None,
+    ) -> bool:
         """Forward the complete events received so far; return whether there were any.
 
         Parameters
         ----------
         expected_id : int or None
             Id that the first event of a resumed stream must have.
+        before_first : callable, optional
+            Called right before the first event of the answer is forwarded.
 
         Raises
         ------
@@ -145,6 +153,8 @@
                 raise StreamBroken(
                     f"resumed stream did not continue at event {expected_id}"
                 )
+        if not self.events and before_first is not None:
+            before_first()
         await self.request.send(block)
         self._last_block = block
         self.events += 1
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -17,7 +17,7 @@
 )
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import RouteKind, TeaseldykeError
+from teaseldyke.types import AnnouncedServer, RouteKind, TeaseldykeError
 
 from .attempts import UNBOUNDED_S, Attempt, AttemptPolicy, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
@@ -88,6 +88,8 @@
         self._evidence = evidence
         # Whether an answer that is begun now would be complete in time.
         self.may_begin: Callable[[Call], bool] = lambda _call: True
+        # Records which server brings the first event of a stream.
+        self.record_begun: Callable[[Call, AnnouncedServer], None] = ignore_begun
         self._attempts: set[Attempt] = set()
         self._budgets: dict[str, RetryBudget] = {}
         self._probe = CrashProbe()
@@ -173,6 +175,7 @@
             self._evidence,
             lambda: self._probe.has_crashed(server),
             (server.host, server.port) in call.addresses,
+            lambda: self.record_begun(call, server),
         )
         call.addresses.add((server.host, server.port))
         call.avoid.add(server.id)
@@ -360,6 +363,10 @@
         return budget
 
 
+def ignore_begun(_call: Call, _server: AnnouncedServer) -> None:
+    """Record nothing."""
+
+
 def _ensure_wanted(call: Call) -> float:
     """Return the time left of a request whose caller still waits for the answer.
 
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -148,6 +148,10 @@
         """Return this instance's rendezvous rank in the fleet for a key, from 0."""
         return self._membership.rank(key)
 
+    def neighbour_names(self) -> list[str]:
+        """Return the live instances of the neighbourhood, this one included."""
+        return [peer.name for peer in self._membership.neighbours()]
+
     def open(self) -> None:
         """Bind the socket."""
         self._socket.bind((self.own.host, self.own.port))
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -5,6 +5,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
 
 import attrs
 
@@ -28,6 +29,24 @@
 DEFAULT_RATE_TOKENS_PER_S = 50_000.0  # if the operator states no production
 
 
+class VersionGate(Protocol):
+    """Decides which software versions may get requests."""
+
+    def apply_routing(self, table: RoutingTable) -> None:
+        """Find the services with streams that callers can resume."""
+        ...
+
+    def observe(
+        self, states: Iterable[ServerState], servers_as_of_s: float, now_s: float
+    ) -> None:
+        """Record the versions of all servers that are known."""
+        ...
+
+    def may_serve(self, server: AnnouncedServer, now_s: float) -> bool:
+        """Return whether a server's version may begin streams."""
+        ...
+
+
 @attrs.frozen
 class _LeftServer:
     """Last announcement of a server that left.
@@ -67,6 +86,8 @@
     servers_as_of_s : float
         All changes of the servers' entries up to this moment are known, on the clock
         of `boot_time_s`.
+    version_gate : VersionGate or None
+        Decides which software versions may get requests; all may without one.
     """
 
     def __init__(
@@ -79,6 +100,7 @@
         self.store_available = False
         self.servers_known = False
         self.servers_as_of_s = -math.inf
+        self.version_gate: VersionGate | None = None
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
         self._vanished: dict[str, _Vanished] = {}
@@ -102,6 +124,8 @@
             replaces=self.table.version if self.table else None,
         )
         self.table = table
+        if self.version_gate is not None:
+            self.version_gate.apply_routing(table)
         for state in self._states.values():
             state.cold_rate_limit.rate_per_s = self._cold_rate(state.server.service)
             if state.rate_tokens_per_s <= 0.0:
@@ -318,6 +342,9 @@
         self._update_evacuated(now_s)
         self._end_holds(now_s)
         self._evict_vanished(now_s)
+        gate = self.version_gate
+        if gate is not None:
+            gate.observe(self._states.values(), self.servers_as_of_s, now_s)
         by_service: dict[str, list[ServerState]] = {}
         for state in self._states.values():
             server = state.server
@@ -328,6 +355,8 @@
             vanished = self._vanished.get(server.id)
             if vanished is not None and now_s >= vanished.doubted_until_s:
                 continue
+            if gate is not None and not gate.may_serve(server, now_s):
+                continue
             by_service.setdefault(server.service, []).append(state)
         self._by_service = by_service
         self._on_change()
--- a/libs/types/src/teaseldyke/types/routing.py
+++ b/libs/types/src/teaseldyke/types/routing.py
@@ -207,6 +207,7 @@
     ) -> None:
         self.version = version
         self.services = {service.name: service for service in services}
+        self.routes = routes
         self.organisations = organisations
         self.bounds = bounds or CallerBounds()
         self._by_host_and_prefix = {
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -12,6 +12,7 @@
 from teaseldyke.http import Request, ServerLimits, serve
 
 HISTORY_GONE = 410
+ROW_CHANGED = 412
 
 
 @attrs.frozen
@@ -99,6 +100,11 @@
         task_status.started()
         await serve(listeners[0], self._handle, ServerLimits())
 
+    @property
+    def now_ms(self) -> int:
+        """Time of the store's steady clock."""
+        return int(trio.current_time() * 1000.0)
+
     def _notify_feeds(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -148,15 +154,25 @@
 
     async def _transact(self, request: Request) -> None:
         call = json.loads(await request.read_body(1 << 20))
+        for row in call["expectedRev"]:
+            known = self.rows.get((row["table"], row["key"]), {"ver": 0})
+            if known["ver"] != row["ver"]:
+                await request.respond(ROW_CHANGED, b'{"rows": []}', self._headers)
+                return
         for row in call["puts"]:
             self.written.append((row["table"], row["key"]))
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in call["remove"]:
             if (row["table"], row["key"]) in self.rows:
                 self.remove(row["table"], row["key"])
-        answer = {"ver": self.version, "nowMs": 1}
+        answer = {"ver": self.version, "nowMs": self.now_ms}
         await request.respond(200, json.dumps(answer).encode(), self._headers)
 
     async def _answer(self, request: Request, rows: list[dict[str, Any]]) -> None:
-        answer = {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
+        answer = {
+            "rows": rows,
+            "hasMore": False,
+            "ver": self.version,
+            "nowMs": self.now_ms,
+        }
         await request.respond(200, json.dumps(answer).encode(), self._headers)
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -57,9 +57,8 @@
         copy = fleet.store.copy()
         for i in range(6):
             fleet.store.put("op", f"other-{i}", {})
-        await wait_until(
-            lambda: gateway.directory.versions.operator.number == fleet.store.version
-        )
+        last = fleet.store.version
+        await wait_until(lambda: gateway.directory.versions.operator.number == last)
         await restore(fleet, copy)
         value = configuration(3)
         value["routes"].append(route("late", "idempotent", "app"))
