Tell other instances at which software version streams began

A stream that was taken up at another instance was refused, or joined before that. While one version serves and the servers known are current, messages are as before.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -128,7 +128,7 @@
         self.totals = TotalsExchange(own, self.view, self.directory, self.evidence)
         self.directory.relay = self.totals.relay
         self.memory = StreamMemory(self.directory, self.totals)
-        self.view.version_gate = self.memory
+        self.totals.streams = self.view.version_gate = self.memory
         self.placer = Placer(
             self.view,
             FairShares(),
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -88,6 +88,11 @@
     accused_requests : list of tuple
         Requests that crashes accuse: key, time since the last clearance and since each
         crash, trials, time since the last trial, and sequels.
+    begun_streams : list of tuple
+        Streams that have begun lately: service, software version, and joined keys.
+        Empty unless streams may be of several versions.
+    listed_versions : list of tuple
+        Services and software versions that the store lists, at the same times.
     """
 
     name: str
@@ -107,6 +112,8 @@
     stated_limits: list[NumberedLimit] = []
     said_leaving: list[int] = []
     accused_requests: list[AccusedRequest] = []
+    begun_streams: list[tuple[str, str, bytes]] = []
+    listed_versions: list[tuple[str, str]] = []
 
     @property
     def known_versions(self) -> KnownVersions:
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -9,6 +9,7 @@
 
 import random
 import socket
+from typing import Protocol
 
 import attrs
 import msgspec
@@ -57,6 +58,32 @@
 IDLE_SKIP_MAX = 2  # rounds skipped in a row; an idle instance still counts as alive
 
 
+class SharedStreams(Protocol):
+    """What instances tell each other of streams and their software versions."""
+
+    def news(self, *, is_far: bool) -> list[tuple[str, str, bytes]]:
+        """Return the streams to tell others next."""
+        ...
+
+    def has_news(self, *, has_far: bool) -> bool:
+        """Return whether there are streams to tell others about."""
+        ...
+
+    def listed(self) -> list[tuple[str, str]]:
+        """Return the versions that the store lists, to tell others."""
+        ...
+
+    def merge(
+        self,
+        streams: list[tuple[str, str, bytes]],
+        listed: list[tuple[str, str]],
+        *,
+        is_neighbour: bool,
+    ) -> None:
+        """Add what another instance has told; raises `ValueError` if it is odd."""
+        ...
+
+
 class TotalsExchange:
     """Sends this instance's totals and sums up those of the others.
 
@@ -73,6 +100,8 @@
     ----------
     peer_ahead : tuple or None
         Peer that knows newer entries than this instance, with its versions.
+    streams : SharedStreams or None
+        What instances tell each other of streams.
     """
 
     def __init__(
@@ -84,6 +113,7 @@
     ) -> None:
         self.own = own
         self.peer_ahead: tuple[Peer, KnownVersions] | None = None
+        self.streams: SharedStreams | None = None
         self._view = view
         self._directory = directory
         self._evidence = evidence
@@ -207,6 +237,12 @@
         self._view.merge_said_leaving(message.said_leaving, message.name)
         if message.accused_parts or message.accused_requests:
             self._evidence.merge(message.suspects(), boot_time_s())
+        if self.streams is not None:
+            self.streams.merge(
+                message.begun_streams,
+                message.listed_versions,
+                is_neighbour=message.neighbourhood == (0, 0),
+            )
         stated = (message.era, message.versions, message.configuration)
         if stated == self._versions_known:
             return
@@ -249,6 +285,9 @@
         """Return whether no round is due, or nothing has changed since the last."""
         if now_s < self._next_round_at_s:
             return True
+        has_far = self._membership.neighbourhoods > 1
+        if self.streams is not None and self.streams.has_news(has_far=has_far):
+            return False
         # Usage is not compared: it changes all the time, and fair shares tolerate old
         # values.
         loads = [(part.loads, part.waiting) for part in sums]
@@ -305,6 +344,11 @@
         known = self._directory.versions
         versions, era = encoded_versions(known)
         suspects = self._evidence_to_send(is_far=bool(members))
+        begun: list[tuple[str, str, bytes]] = []
+        listed: list[tuple[str, str]] = []
+        if self.streams is not None:
+            begun = self.streams.news(is_far=bool(members))
+            listed = self.streams.listed()
         limits = self._view.limits_to_report()
         if members:
             limits += self._totals.neighbour_limits(boot_time_s())
@@ -327,6 +371,8 @@
                 newest_limits(limits),
                 self._view.said_leaving(),
                 accused_requests(suspects),
+                begun,
+                listed,
             )
         )
         self._send_data(peers, data)
