--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 import attrs
 
@@ -117,7 +118,11 @@
         await self.request.start_response(exchange.status, headers, flush=False)
 
     async def forward_events(
-        self, data: bytes, expected_id: int | None, server: AnnouncedServer
+        self,
+        data: bytes,
+        expected_id: int | None,
+        server: AnnouncedServer,
+        before_first: Callable[[], None] | None = None,
     ) -> bool:
         """Forward the complete events received so far; return whether there were any.
 
@@ -127,6 +132,8 @@
             Id that the first event of a resumed stream must have.
         server : AnnouncedServer
             Backend server that sent them.
+        before_first : callable, optional
+            Called right before the first event of the answer is forwarded.
 
         Raises
         ------
@@ -153,8 +160,10 @@
                 raise StreamBroken(
                     f"resumed stream did not continue at event {expected_id}"
                 )
-        if self.begun_by is None:
+        if not self.events:
             self.begun_by = server
+            if before_first is not None:
+                before_first()
         await self.request.send(block)
         self._last_block = block
         self.events += 1
