--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -20,7 +20,7 @@
 )
 from teaseldyke.placement import CrashEvidence, Patience, Silence
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import Route, RouteKind, ServiceDescription
+from teaseldyke.types import AnnouncedServer, Route, RouteKind, ServiceDescription
 
 from .errors import ChoiceLapsed
 from .interfaces import AnswerFacts, CallFacts, Headers, Wire
@@ -119,6 +119,8 @@
     is_repeated : bool
         Whether the server has got this request before. A faulty one may write its
         earlier answer again, which has the same id, so another connection is needed.
+    record_begun : callable
+        Called right before the first event of the answer is forwarded.
 
     Attributes
     ----------
@@ -144,6 +146,7 @@
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
     is_repeated: bool
+    record_begun: Callable[[], None]
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
@@ -152,6 +155,13 @@
     _silence_counted: bool = attrs.field(default=False, init=False)
     _given_up: str = attrs.field(default="", init=False)
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
+    # As it was chosen; a later entry may state another software version.
+    _server: AnnouncedServer = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.reservation.state.server, takes_self=True
+        ),
+        init=False,
+    )
 
     @property
     def has_begun(self) -> bool:
@@ -245,7 +255,7 @@
         prepare_request: Callable[[], OutgoingRequest],
         resumed_after: int | None,
     ) -> SendResult:
-        server = self.reservation.state.server
+        server = self._server
         runs_once = not self.route.repeatable
         keep_alive_share = (
             KEEP_ALIVE_SHARE_ONCE if runs_once else KEEP_ALIVE_SHARE_REPEATABLE
@@ -422,7 +432,7 @@
                 continue
             self._take_lead()
             await self.relay.start_stream(exchange, headers)
-            await self.relay.forward(block)
+            await self.relay.forward(block, self._server, self.record_begun)
             has_forwarded = True
             self._wait_for(self.patience.next_s)
         events.ensure_ended()
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -11,16 +11,33 @@
 from teaseldyke.http import CallerGone, Request
 from teaseldyke.placement import (
     STREAM_START_S,
+    EventSizes,
     RequestIdentity,
+    ServiceVersion,
     answer_time_s,
+    bound_to,
     service_time_s,
 )
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import Route, RouteKind, TeaseldykeError
+from teaseldyke.types import (
+    AnnouncedServer,
+    KeyedOrganisation,
+    Route,
+    RouteKind,
+    ServiceDescription,
+    TeaseldykeError,
+)
 
 from .attempts import SendResult
-from .call import Call, deadline_of, organisation_of, pick_service, work_of
+from .call import (
+    Call,
+    deadline_of,
+    organisation_of,
+    pick_service,
+    work_for_resumption,
+    work_of,
+)
 from .errors import (
     NotConfigured,
     Overloaded,
@@ -28,10 +45,12 @@
     ServerBroke,
     Stopping,
     TimedOut,
+    VersionUnknown,
 )
 from .interfaces import CallFacts, Headers, Wire
 from .relay import AnswerBuffers, Relay
 from .sending import Sender, caller_gone
+from .stream_memory import UNKNOWN_RETRY_S, StreamMemory
 from .view import FleetView
 
 CONFIGURATION_RETRY_S = 0.5  # retry-after before the first configuration
@@ -77,6 +96,8 @@
         Sends requests to backend servers.
     wire : Wire
         Formats of requests and answers.
+    memory : StreamMemory
+        Knows at which software version streams go on.
 
     Attributes
     ----------
@@ -89,17 +110,22 @@
         Whether new streams are accepted.
     """
 
-    def __init__(self, view: FleetView, sender: Sender, wire: Wire) -> None:
+    def __init__(
+        self, view: FleetView, sender: Sender, wire: Wire, memory: StreamMemory
+    ) -> None:
         self.streams = 0
         self.ends_at_s = math.inf
         self.accepts_streams = True
         self._view = view
         self._sender = sender
         self._wire = wire
+        self._memory = memory
         self._buffers = AnswerBuffers()
         self._longest_timeout_s: dict[str, float] = {}
+        self._event_sizes = EventSizes()
         self._running: set[_Running] = set()
         sender.may_begin = self._may_begin
+        sender.record_begun = self._record_begun
 
     @property
     def running(self) -> int:
@@ -172,6 +198,11 @@
             table.bounds.body_bytes, deadline_at_s - boot_time_s()
         )
         service = pick_service(table, route)
+        version = ""
+        if is_resumed(route, facts):
+            origin = await self._origin(facts, organisation, service)
+            service = table.services.get(origin.service, service)
+            version = origin.version
         work = work_of(
             facts,
             route,
@@ -187,6 +218,14 @@
                 body,
             ),
         )
+        work = bound_to(work, version)
+        if facts.resumes_after is not None and is_resumed(route, facts):
+            work = work_for_resumption(
+                work,
+                facts.resumes_after,
+                self._event_sizes.tokens_per_event(route.name),
+            )
+        context["begun"] = work.begun
         is_stream = route.kind is RouteKind.STREAMING
         call = running.call = Call(
             request,
@@ -206,6 +245,38 @@
         finally:
             self.streams -= is_stream
 
+    async def _origin(
+        self,
+        facts: CallFacts,
+        organisation: KeyedOrganisation | None,
+        service: ServiceDescription,
+    ) -> ServiceVersion:
+        """Return where a stream began; raises `VersionUnknown`."""
+        origin = await self._memory.origin(
+            facts.request_id.decode("latin-1"),
+            organisation.name if organisation else "",
+            facts.resumes,
+            service.name,
+            facts.caller_timeout_s,
+        )
+        if origin.begun_at is None:
+            raise VersionUnknown(
+                "the software version that began this stream is unknown",
+                retry_after_s=UNKNOWN_RETRY_S,
+            )
+        return origin.begun_at
+
+    def _record_begun(self, call: Call, server: AnnouncedServer) -> None:
+        """Record the server that brings the first event of an answer."""
+        if not call.route.resumable:
+            return
+        request_id: bytes | None = call.facts.request_id
+        if is_resumed(call.route, call.facts):
+            request_id = call.facts.resumes
+        if request_id is None:
+            return
+        self._memory.record_begun(call.work.organisation, request_id, server)
+
     def _is_resubmission(self, route: Route, facts: CallFacts) -> bool:
         """Return whether a request appears to be resubmitted by its caller.
 
@@ -269,6 +340,7 @@
 
         with scope, call.request.on_disconnect(on_caller_gone):
             result = await self._sender.send_with_retries(call)
+            self._learn_event_size(call)
             self._log_end(call, result)
         if not scope.cancelled_caught:
             return
@@ -278,6 +350,14 @@
             raise TimedOut(f"no complete answer within {left_s:.3f} s")
         raise Overloaded(f"request not sent within {left_s:.3f} s")
 
+    def _learn_event_size(self, call: Call) -> None:
+        last_event_id = call.relay.last_event_id
+        if last_event_id is None or call.facts.resumes_after is not None:
+            return
+        self._event_sizes.record_stream(
+            call.route.name, call.work.output_tokens, last_event_id
+        )
+
     def _log_end(self, call: Call, result: SendResult) -> None:
         elapsed_s = call.elapsed_s
         ANSWERS.bind(route=call.route.name, status=str(result.status)).add()
@@ -367,6 +447,11 @@
     ANSWERS_ENDED.bind(reason=reason, started=started).add()
 
 
+def is_resumed(route: Route, facts: CallFacts) -> bool:
+    """Return whether a request resumes a stream that an earlier one has begun."""
+    return route.resumable and facts.resumes_after is not None
+
+
 def _stopped(call: Call | None) -> TeaseldykeError:
     """Return the error of a request that a stop ended before its answer."""
     if call is not None and call.possible_runs:
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -53,6 +53,28 @@
     executed = "no"
 
 
+class VersionGone(TeaseldykeError):
+    """No server is left of the software version that began the stream.
+
+    The caller can't resume it, but can begin it anew.
+    """
+
+    code = "version_gone"
+    status = 503
+    executed = "no"
+
+
+class VersionUnknown(TeaseldykeError):
+    """Nothing tells at which software version the stream to be resumed began.
+
+    The caller can begin it anew.
+    """
+
+    code = "version_unknown"
+    status = 503
+    executed = "no"
+
+
 class ChoiceLapsed(TeaseldykeError):
     """The chosen server must not get the request any more; it is placed anew."""
 
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -49,6 +49,9 @@
         Ids and tokens of the prompt's parts, in order.
     resumes_after : int or None
         Id of the last event that the caller received of a stream to be resumed.
+    resumes : bytes or None
+        Request id of the caller's attempt that received that stream's first event, as
+        the caller states it.
     """
 
     request_id: bytes
@@ -59,6 +62,7 @@
     output_tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
     resumes_after: int | None = None
+    resumes: bytes | None = None
 
 
 @attrs.frozen
@@ -284,7 +288,41 @@
     configuration: int
 
 
-class Directory(Protocol):
+class StreamRows(Protocol):
+    """Rows of the store about streams and the software versions that began them."""
+
+    @property
+    def store_era(self) -> int:
+        """Era of the store, which grows when it is restored from a copy."""
+        ...
+
+    async def stream_rows(self) -> tuple[dict[str, tuple[int, bytes]], int]:
+        """Return all rows with their versions, and the store's time in ms.
+
+        Raises `PlatformUnavailable`.
+        """
+        ...
+
+    async def write_stream_row(
+        self, key: str, value: bytes, known: int | None
+    ) -> int | None:
+        """Write a row and return its version.
+
+        Parameters
+        ----------
+        known : int or None
+            Version that the row must have, 0 if there must be none; otherwise nothing
+            is written and ``None`` returned.
+
+        Raises
+        ------
+        PlatformUnavailable, AnswerLost
+            If the store fails; after `AnswerLost`, the row may have been written.
+        """
+        ...
+
+
+class Directory(StreamRows, Protocol):
     """Follows the entries of the operator and of the backend servers in the store.
 
     Attributes
--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -204,6 +204,7 @@
 
     def _may_send(self, race: CallRace, now_s: float) -> bool:
         call = race.call
+        call.bind_to_version()
         if call.possible_runs >= call.route.attempts_max or call.sends >= SENDS_MAX:
             return False
         if call.relay.started and call.route.kind is not RouteKind.STREAMING:
@@ -211,7 +212,7 @@
         return (
             self._may_begin(call)
             and race.budget.allows(now_s, self._fleet.instances)
-            and self._placer.has_other(call.service, frozenset(call.avoid))
+            and self._placer.has_other(call.service, call.work, frozenset(call.avoid))
         )
 
     async def _run_second(self, race: CallRace, silent: Attempt) -> None:
--- a/libs/gateway/src/teaseldyke/gateway/refusing.py
+++ b/libs/gateway/src/teaseldyke/gateway/refusing.py
@@ -16,12 +16,13 @@
     limits_allow_in_s,
     next_accepting_in_s,
     retry_delay_s,
+    servers_for,
 )
 from teaseldyke.telemetry import counter
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import ServiceDescription
 
-from .errors import NoServer, Overloaded
+from .errors import NoServer, Overloaded, VersionGone
 from .share_log import ShareLog
 from .view import FleetView
 
@@ -82,39 +83,51 @@
         queue: RequestQueue[Any],
         now_s: float,
     ) -> float:
-        """Return the expected queueing time of a new request, by prefill rate.
+        """Return the expected queueing time of a new request, by prefill rates.
 
         Ejected engines and engines that asked for a pause don't count; while all
         servers pause, it is at least the time until the first pause ends, and while all
         state limits, the time until these allow it. Otherwise 0 while no rate is known
         and for plain services.
         """
-        states = self._view.states_of(service.name)
         usable = [
             state
-            for state in states
+            for state in self._view.states_of(service.name)
             if not state.is_ejected(now_s) and state.accepts_requests(now_s)
         ]
+        own_usable = servers_for(usable, work)
+        own_states = servers_for(self._view.states_of(service.name), work)
         pause_s = max(
-            next_accepting_in_s(states, now_s),
-            self._limits_allow_in_s(usable, work, queue, now_s),
+            next_accepting_in_s(own_states, now_s),
+            self._limits_allow_in_s(own_usable, work, queue, now_s),
         )
         if not service.is_engine:
             return pause_s
         mean_tokens = self._demand.mean_prompt_tokens(service.name)
         rate = sum(state.served_rate(mean_tokens) for state in usable)
-        if rate <= 0.0:
+        own_rate = sum(state.served_rate(mean_tokens) for state in own_usable)
+        if own_rate <= 0.0:
             return pause_s
-        ahead_tokens = queue.tokens_ahead(work, self._fair_shares, now_s)
-        return max(pause_s, ahead_tokens / rate)
+        wait_s = queue.prefill_wait_s(work, self._fair_shares, now_s, rate, own_rate)
+        return max(pause_s, wait_s)
 
-    def no_server(self, service: ServiceDescription, work: Work) -> NoServer:
+    def no_server(
+        self, service: ServiceDescription, work: Work
+    ) -> NoServer | VersionGone:
         """Count a refusal because no server may get requests; return its error."""
-        self.count_refused(service, work, "no server")
         left_s = work.deadline_at_s - boot_time_s()
+        retry_after_s = retry_delay_s(NO_SERVER_RETRY_S, left_s, random.random())
+        if work.version:
+            self.count_refused(service, work, "version gone")
+            return VersionGone(
+                f"service {service.name} has no backend server of software version "
+                f"{work.version} left",
+                retry_after_s=retry_after_s,
+            )
+        self.count_refused(service, work, "no server")
         return NoServer(
             f"service {service.name} has no backend server available",
-            retry_after_s=retry_delay_s(NO_SERVER_RETRY_S, left_s, random.random()),
+            retry_after_s=retry_after_s,
         )
 
     def count_refused(
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -8,6 +8,7 @@
 import attrs
 
 from teaseldyke.http import AnswerTooLarge, Exchange, ExchangeBroken, Request
+from teaseldyke.types import AnnouncedServer
 
 from .interfaces import Headers, Wire
 
@@ -144,12 +145,15 @@
     ----------
     events : int
         Blocks of complete events forwarded.
+    begun_by : AnnouncedServer or None
+        Backend server whose event was forwarded first.
     """
 
     request: Request
     wire: Wire
     buffers: AnswerBuffers
     events: int = 0
+    begun_by: AnnouncedServer | None = None
     _last_block: bytes = b""
 
     @property
@@ -169,8 +173,25 @@
             return
         await self.request.start_response(exchange.status, headers, flush=False)
 
-    async def forward(self, block: bytes) -> None:
-        """Forward complete events."""
+    async def forward(
+        self,
+        block: bytes,
+        server: AnnouncedServer,
+        before_first: Callable[[], None] | None = None,
+    ) -> None:
+        """Forward complete events.
+
+        Parameters
+        ----------
+        server : AnnouncedServer
+            Backend server that sent them.
+        before_first : callable, optional
+            Called right before the first event of the answer is forwarded.
+        """
+        if not self.events:
+            self.begun_by = server
+            if before_first is not None:
+                before_first()
         await self.request.send(block)
         self._last_block = block
         self.events += 1
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -17,10 +17,11 @@
     lapse_reason,
     plain_patience,
     retry_delay_s,
+    servers_for,
 )
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import RouteKind, TeaseldykeError
+from teaseldyke.types import AnnouncedServer, RouteKind, TeaseldykeError
 
 from .attempts import Attempt, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
@@ -88,6 +89,8 @@
         self._evidence = evidence
         # Whether an answer that is begun now would be complete in time.
         self.may_begin: Callable[[Call], bool] = lambda _call: True
+        # Records which server brings the first event of a stream.
+        self.record_begun: Callable[[Call, AnnouncedServer], None] = ignore_begun
         self._attempts: set[Attempt] = set()
         self._budgets: dict[str, RetryBudget] = {}
         self._probe = CrashProbe()
@@ -138,6 +141,7 @@
     async def _send(self, call: Call, race: CallRace) -> SendResult:
         """Send a call to a server, and to others beside it while that one is silent."""
         _ensure_wanted(call)
+        call.bind_to_version()
         reservation = await self._placer.place(
             call.service, call.work, frozenset(call.avoid)
         )
@@ -194,6 +198,7 @@
             self._evidence,
             lambda: self._probe.has_crashed(server),
             (server.host, server.port) in call.addresses,
+            lambda: self.record_begun(call, server),
         )
         call.addresses.add((server.host, server.port))
         call.avoid.add(server.id)
@@ -268,9 +273,10 @@
     def _ensure_choice_holds(self, reservation: Reservation) -> None:
         """Raise `ChoiceLapsed` if the chosen server must not get requests any more."""
         state = reservation.state
+        states = self._view.states_of(state.server.service)
         reason = lapse_reason(
             state,
-            is_usable=state in self._view.states_of(state.server.service),
+            is_usable=state in servers_for(states, reservation.work),
             chosen_at_s=reservation.sent_at_s,
             now_s=boot_time_s(),
         )
@@ -307,6 +313,9 @@
             limit_per_s=reservation.state.limit.per_s,
             own_limit_per_s=round(reservation.state.limit.own_per_s, 3),
             send=call.sends - 1,
+            begun=call.work.begun,
+            bound_to=call.work.version or None,
+            software=reservation.state.server.version,
         )
 
     def _retry_or_raise(
@@ -332,7 +341,7 @@
         if call.possible_runs:
             raise ServerBroke(result.detail)
         left_s = call.work.deadline_at_s - now_s
-        pause_s = self._placer.next_accepting_in_s(call.service.name)
+        pause_s = self._placer.next_accepting_in_s(call.service.name, call.work)
         raise NoServer(
             result.detail,
             retry_after_s=retry_delay_s(pause_s, left_s, random.random()),
@@ -349,6 +358,10 @@
         return budget
 
 
+def ignore_begun(_call: Call, _server: AnnouncedServer) -> None:
+    """Record nothing."""
+
+
 def _ensure_wanted(call: Call) -> float:
     """Return the time left of a request whose caller still waits for the answer.
 
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
+from .begun_streams import (
+    BegunStream,
+    BegunStreams,
+    FactSource,
+    News,
+    ServiceVersion,
+    split_keys,
+    stream_key,
+)
 from .choice import Choice, choose_engine, choose_plain, rendezvous_weight, shortlist
 from .crash_evidence import CrashEvidence
 from .demand import ServiceDemand
@@ -17,6 +26,7 @@
     service_time_s,
 )
 from .request_identity import RequestIdentity
+from .resumption import EventSizes, work_left
 from .servers import (
     FAILURE_RATE_MAX,
     CapacityQuota,
@@ -29,6 +39,8 @@
 from .shares import DecayingSum, FairShares, Standing, water_level
 from .silence import Patience, ServerVoice, Silence, engine_patience, plain_patience
 from .stated_limit import LimitReport, StatedLimit
+from .stream_origins import StreamOrigin, StreamVersions
+from .stream_version import bound_to, may_copy_memory, servers_for
 from .suspects import REQUEST_DEPTH, SuspectReport, is_request
 from .waiting import AwaitedServer, QueuedRequest, RequestQueue
 from .window_budget import ColdRateLimit, RetryBudget, cold_senders_max
@@ -36,19 +48,24 @@
 
 __all__ = [
     "CHOICE_TTL_S",
+    "EventSizes",
     "FAILURE_RATE_MAX",
     "REQUEST_DEPTH",
     "STREAM_START_S",
     "AwaitedServer",
+    "BegunStream",
+    "BegunStreams",
     "CapacityQuota",
     "Choice",
     "ColdRateLimit",
     "CrashEvidence",
     "DecayingSum",
+    "FactSource",
     "FairShares",
     "FleetDemand",
     "LimitReport",
     "Load",
+    "News",
     "Patience",
     "QueuedRequest",
     "Refusal",
@@ -59,12 +76,16 @@
     "ServerState",
     "ServerVoice",
     "ServiceDemand",
+    "ServiceVersion",
     "Silence",
     "Standing",
     "StatedLimit",
+    "StreamOrigin",
+    "StreamVersions",
     "SuspectReport",
     "Work",
     "answer_time_s",
+    "bound_to",
     "capacity_within_limits",
     "check_admission",
     "choose_engine",
@@ -76,12 +97,17 @@
     "limit_senders",
     "limit_share",
     "limits_allow_in_s",
+    "may_copy_memory",
     "next_accepting_in_s",
     "plain_patience",
     "rendezvous_weight",
     "retry_delay_s",
+    "servers_for",
     "service_time_s",
     "shortlist",
+    "split_keys",
+    "stream_key",
     "usable",
     "water_level",
+    "work_left",
 ]
