--- a/libs/placement/tests/test_window_budget.py
+++ b/libs/placement/tests/test_window_budget.py
@@ -38,6 +38,12 @@
         assert sum(budget.try_spend(9.9, 1) for _ in range(20)) == 0
         assert sum(budget.try_spend(10.1, 1) for _ in range(20)) == first
 
+    def test_question_counts_nothing(self) -> None:
+        budget = RetryBudget(0.0, 2.6, 10.0)  # two retries
+        assert all(budget.allows(0.0, 1) for _ in range(9))
+        assert [budget.try_spend(0.0, 1) for _ in range(3)] == [True, True, False]
+        assert not budget.allows(0.0, 1)
+
 
 class TestColdRateLimit:
     @pytest.mark.parametrize("instances", [1, 3, 7, 87])
