Send an endless event to another engine though bytes of it lie unread

Callers of a stream whose engine sends an event without an end got a 504 at their deadline from a busy instance, where another engine could have served them.

Bytes that lie unread break a silence, since the instance itself may be late; of an endless event some always do. What was read of it so far was no whole event, so more of the same is no reason to wait any more.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -153,6 +153,7 @@
     is_superseded: bool = attrs.field(default=False, init=False)
     _silence: Silence | None = attrs.field(default=None, init=False)
     _silence_counted: bool = attrs.field(default=False, init=False)
+    _has_part_of_event: bool = attrs.field(default=False, init=False)
     _given_up: str = attrs.field(default="", init=False)
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
     # As it was chosen; a later entry may state another software version.
@@ -180,7 +181,8 @@
     def is_silent(self, now_s: float) -> bool:
         """Return whether its server's silence calls for a second server now.
 
-        What lies unread, in an instance that is late itself, breaks the silence.
+        What lies unread, in an instance that is late itself, breaks the silence, unless
+        what was read of it so far is no whole event.
         """
         if self._silence is None or self._connection is None:
             return False
@@ -188,7 +190,7 @@
         self._silence.running = max(self._silence.running, state.own_load.running)
         if not self._silence.is_due(now_s, state.voice):
             return False
-        return self._connection.is_idle()
+        return self._has_part_of_event or self._connection.is_idle()
 
     def count_silence(self) -> None:
         """Count a silence against its server, once."""
@@ -428,6 +430,7 @@
                 sound_at_s = now_s + SOUND_AFTER_S
                 self.reservation.record_first_event()
             block = events.add(data)
+            self._has_part_of_event = not block
             if not block:
                 continue
             self._take_lead()
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 
 import pytest
@@ -118,6 +119,31 @@
         sent_bytes = sum(engine.endless_bytes for engine in fleet.engines.values())
         assert sent_bytes <= limit_bytes + BUFFERED_BYTES
 
+    async def test_busy_instance_sends_an_endless_event_to_another_engine(
+        self, fleet: Fleet
+    ) -> None:
+        """Bytes of the event always lay unread and were taken for a next event."""
+        request_count = 0
+
+        async def first_endless(engine, stream, arrival):  # type: ignore[no-untyped-def]
+            nonlocal request_count
+            request_count += 1
+            endless_event = endless(begin(200, CHUNKED, EVENTS), chunk(b"x"))
+            chosen = endless_event if request_count == 1 else stream_of(1, 3)
+            return await chosen(engine, stream, arrival)
+
+        async def keep_busy() -> None:
+            while True:
+                time.sleep(0.02)
+                await trio.lowlevel.checkpoint()
+
+        script_all(fleet, first_endless, first_endless)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_busy)
+            answer = await request(fleet, "/stream/a")
+            nursery.cancel_scope.cancel()
+        assert (answer.status, answer.complete) == (200, True)
+
     async def test_endless_bytes_after_an_answer_close_the_connection(
         self, fleet: Fleet
     ) -> None:
