--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -22,7 +22,7 @@
 )
 from teaseldyke.placement import CrashEvidence
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import Route, RouteKind, ServiceDescription
+from teaseldyke.types import AnnouncedServer, Route, RouteKind, ServiceDescription
 
 from .errors import ChoiceLapsed
 from .interfaces import AnswerFacts, CallFacts, Headers, Wire
@@ -126,8 +126,6 @@
     is_repeated : bool
         Whether the server has got this request before. A faulty one may write its
         earlier answer again, which has the same id, so another connection is needed.
-    record_begun : callable
-        Called right before the first event of the answer is forwarded.
 
     Attributes
     ----------
@@ -150,11 +148,17 @@
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
     is_repeated: bool
-    record_begun: Callable[[], None]
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
     _connection: ServerConnection | None = attrs.field(default=None, init=False)
+    # As it was chosen; a later entry may state another software version.
+    _server: AnnouncedServer = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.reservation.state.server, takes_self=True
+        ),
+        init=False,
+    )
 
     def abandon_unless_begun(self) -> None:
         """Reset the connection if no event has come, so that the server drops it."""
@@ -201,7 +205,7 @@
         prepare_request: Callable[[], OutgoingRequest],
         resumed_after: int | None,
     ) -> SendResult:
-        server = self.reservation.state.server
+        server = self._server
         runs_once = not self.route.repeatable
         keep_alive_share = (
             KEEP_ALIVE_SHARE_ONCE if runs_once else KEEP_ALIVE_SHARE_REPEATABLE
@@ -335,7 +339,7 @@
                 self.reservation.record_first_event()
                 exchange.idle_timeout_s = self.policy.idle_s
                 await self.relay.start_stream(exchange, headers)
-            if await self.relay.forward_events(data, expected_id, self.record_begun):
+            if await self.relay.forward_events(data, expected_id, self._server):
                 expected_id = None
                 event_due_s = now_s + self.policy.idle_s
             elif now_s > event_due_s:
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from functools import partial
 
 import attrs
 import trio
@@ -11,6 +12,7 @@
 from teaseldyke.http import CallerGone, Request
 from teaseldyke.placement import (
     STREAM_START_S,
+    EventSizes,
     RequestIdentity,
     ServiceVersion,
     answer_time_s,
@@ -29,7 +31,7 @@
 )
 
 from .attempts import SendResult
-from .call import Call, organisation_of, pick_service, work_of
+from .call import Call, organisation_of, pick_service, work_for_resumption, work_of
 from .errors import (
     NotConfigured,
     Overloaded,
@@ -110,9 +112,9 @@
         self._memory = memory
         self._buffers = AnswerBuffers()
         self._longest_timeout_s: dict[str, float] = {}
+        self._event_sizes = EventSizes()
         self._running: set[_Running] = set()
         sender.may_begin = self._may_begin
-        sender.record_begun = self._record_begun
 
     @property
     def running(self) -> int:
@@ -198,6 +200,12 @@
             ),
         )
         work = bound_to(work, version)
+        if is_resumed(route, facts) and facts.resumes_after is not None:
+            work = work_for_resumption(
+                work,
+                facts.resumes_after,
+                self._event_sizes.tokens_per_event(route.name),
+            )
         is_stream = route.kind is RouteKind.STREAMING
         call = running.call = Call(
             request,
@@ -210,6 +218,7 @@
             Relay(request, self._wire, self._buffers),
             version=table.version,
         )
+        call.relay.on_begun = partial(self._record_begun, call)
         self._check_time_left(call, is_stream)
         self.streams += is_stream
         try:
@@ -312,6 +321,7 @@
 
         with scope, call.request.on_disconnect(on_caller_gone):
             result = await self._sender.send_with_retries(call)
+            self._learn_event_size(call)
             self._log_end(call, result)
         if not scope.cancelled_caught:
             return
@@ -321,6 +331,14 @@
             raise TimedOut(f"no complete answer within {left_s:.3f} s")
         raise Overloaded(f"request not sent within {left_s:.3f} s")
 
+    def _learn_event_size(self, call: Call) -> None:
+        last_event_id = call.relay.last_event_id
+        if last_event_id is None or call.facts.resumes_after is not None:
+            return
+        self._event_sizes.record_stream(
+            call.route.name, call.work.output_tokens, last_event_id
+        )
+
     def _log_end(self, call: Call, result: SendResult) -> None:
         elapsed_s = call.elapsed_s
         ANSWERS.bind(route=call.route.name, status=str(result.status)).add()
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -26,6 +26,7 @@
     service_time_s,
 )
 from .request_identity import RequestIdentity
+from .resumption import EventSizes, work_left
 from .servers import (
     FAILURE_RATE_MAX,
     CapacityQuota,
@@ -46,6 +47,7 @@
 
 __all__ = [
     "CHOICE_TTL_S",
+    "EventSizes",
     "FAILURE_RATE_MAX",
     "REQUEST_DEPTH",
     "AwaitedServer",
@@ -101,4 +103,5 @@
     "stream_key",
     "usable",
     "water_level",
+    "work_left",
 ]
