--- a/libs/gateway/src/teaseldyke/gateway/stream_memory.py
+++ b/libs/gateway/src/teaseldyke/gateway/stream_memory.py
@@ -50,6 +50,7 @@
 INSTANCES_PER_READ_S = 20  # a large fleet reads less often
 RANK_DELAY_S = 0.1  # per instance; the first one to find a version lists it
 RANK_DELAY_MAX_S = 1.0
+POLL_MAX_S = 13.0  # of the servers' entries, its answer included
 RETRY_MIN_S = 0.1  # doubles with each failed call
 RETRY_MAX_S = 0.8
 
@@ -78,6 +79,11 @@
         """Number of instances, this one included."""
         ...
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether most instances were heard of lately, and none knows newer entries."""
+        ...
+
     def rank(self, key: str) -> int:
         """Return this instance's rank in the fleet for a key, from 0."""
         ...
@@ -172,9 +178,21 @@
             self.versions.record_timeout(route.timeout_s)
 
     def observe(
-        self, states: Iterable[ServerState], servers_as_of_s: float, now_s: float
+        self,
+        states: Iterable[ServerState],
+        servers_as_of_s: float,
+        now_s: float,
+        *,
+        store_available: bool,
     ) -> None:
-        """Record the versions of all servers that are known."""
+        """Record the versions of all servers that are known.
+
+        A change ends the long poll of each instance at once, so that a poll that waits
+        tells as much as one that has ended, unless this instance was cut off.
+        """
+        is_polling = store_available and now_s - servers_as_of_s < POLL_MAX_S
+        if is_polling and self._fleet.is_in_touch:
+            servers_as_of_s = now_s
         present: dict[str, set[str]] = {name: set() for name in self._services}
         for state in states:
             versions = present.get(state.server.service)
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -178,6 +178,12 @@
         """Return this instance's rendezvous rank in the fleet for a key, from 0."""
         return self._membership.rank(key)
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether most instances were heard of lately, and none knows newer entries."""
+        membership = self._membership
+        return self.peer_ahead is None and 2 * membership.alive > membership.instances
+
     def neighbour_names(self) -> list[str]:
         """Return the live instances of the neighbourhood, this one included."""
         return [peer.name for peer in self._membership.neighbours()]
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -37,7 +37,12 @@
         ...
 
     def observe(
-        self, states: Iterable[ServerState], servers_as_of_s: float, now_s: float
+        self,
+        states: Iterable[ServerState],
+        servers_as_of_s: float,
+        now_s: float,
+        *,
+        store_available: bool,
     ) -> None:
         """Record the versions of all servers that are known."""
         ...
@@ -344,7 +349,12 @@
         self._evict_vanished(now_s)
         gate = self.version_gate
         if gate is not None:
-            gate.observe(self._states.values(), self.servers_as_of_s, now_s)
+            gate.observe(
+                self._states.values(),
+                self.servers_as_of_s,
+                now_s,
+                store_available=self.store_available,
+            )
         by_service: dict[str, list[ServerState]] = {}
         for state in self._states.values():
             server = state.server
--- a/libs/placement/src/teaseldyke/placement/stream_origins.py
+++ b/libs/placement/src/teaseldyke/placement/stream_origins.py
@@ -24,7 +24,7 @@
 LIFE_MARGIN = 1.5  # clocks of callers, and attempts that follow each other
 # A listed version begins no stream until all instances in touch with the store know of
 # its servers. One that knows less takes no version for the sole one.
-SETTLE_S = 1.5
+SETTLE_S = 0.8
 # Listed versions are removed later than any instance forgets them.
 REMOVAL_MARGIN_S = 60.0
 # While the store doesn't list a version, it serves after so long if no other does.
@@ -184,8 +184,8 @@
                 elif is_first:
                     state.serves_from_s = math.inf
                 if age_s is not None and state.serves_from_s == math.inf:
-                    settled_s = max(0.0, age_s) if is_first else 0.0
-                    state.serves_from_s = now_s + max(0.0, SETTLE_S - settled_s)
+                    settled_s = min(SETTLE_S, max(0.0, age_s))
+                    state.serves_from_s = now_s + SETTLE_S - settled_s
         if is_old:
             self._doubted_until_s = now_s + self.life_s
 
