--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from functools import partial
 
 import attrs
 import trio
@@ -114,7 +115,6 @@
         self._event_sizes = EventSizes()
         self._running: set[_Running] = set()
         sender.may_begin = self._may_begin
-        sender.record_begun = self._record_begun
 
     @property
     def running(self) -> int:
@@ -200,13 +200,12 @@
             ),
         )
         work = bound_to(work, version)
-        if facts.resumes_after is not None and is_resumed(route, facts):
+        if is_resumed(route, facts) and facts.resumes_after is not None:
             work = work_for_resumption(
                 work,
                 facts.resumes_after,
                 self._event_sizes.tokens_per_event(route.name),
             )
-        context["begun"] = work.begun
         is_stream = route.kind is RouteKind.STREAMING
         call = running.call = Call(
             request,
@@ -219,6 +218,7 @@
             Relay(request, self._wire, self._buffers),
             version=table.version,
         )
+        call.relay.on_begun = partial(self._record_begun, call)
         self._check_time_left(call, is_stream)
         self.streams += is_stream
         try:
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -89,6 +89,8 @@
         Blocks of complete events forwarded.
     begun_by : AnnouncedServer or None
         Backend server whose event was forwarded first.
+    on_begun : callable or None
+        Called with it right before that event is forwarded.
     """
 
     request: Request
@@ -96,6 +98,7 @@
     buffers: AnswerBuffers
     events: int = 0
     begun_by: AnnouncedServer | None = None
+    on_begun: Callable[[AnnouncedServer], None] | None = None
     _partial_event: bytes = b""
     _last_block: bytes = b""
 
@@ -118,11 +121,7 @@
         await self.request.start_response(exchange.status, headers, flush=False)
 
     async def forward_events(
-        self,
-        data: bytes,
-        expected_id: int | None,
-        server: AnnouncedServer,
-        before_first: Callable[[], None] | None = None,
+        self, data: bytes, expected_id: int | None, server: AnnouncedServer
     ) -> bool:
         """Forward the complete events received so far; return whether there were any.
 
@@ -132,8 +131,6 @@
             Id that the first event of a resumed stream must have.
         server : AnnouncedServer
             Backend server that sent them.
-        before_first : callable, optional
-            Called right before the first event of the answer is forwarded.
 
         Raises
         ------
@@ -160,10 +157,10 @@
                 raise StreamBroken(
                     f"resumed stream did not continue at event {expected_id}"
                 )
-        if not self.events:
+        if self.begun_by is None:
             self.begun_by = server
-            if before_first is not None:
-                before_first()
+            if self.on_begun is not None:
+                self.on_begun(server)
         await self.request.send(block)
         self._last_block = block
         self.events += 1
