--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -206,6 +206,7 @@
                 facts.resumes_after,
                 self._event_sizes.tokens_per_event(route.name),
             )
+        context["begun"] = work.begun
         is_stream = route.kind is RouteKind.STREAMING
         call = running.call = Call(
             request,
