--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -119,8 +119,6 @@
     is_repeated : bool
         Whether the server has got this request before. A faulty one may write its
         earlier answer again, which has the same id, so another connection is needed.
-    record_begun : callable
-        Called right before the first event of the answer is forwarded.
 
     Attributes
     ----------
@@ -146,7 +144,6 @@
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
     is_repeated: bool
-    record_begun: Callable[[], None]
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
@@ -435,7 +432,7 @@
                 continue
             self._take_lead()
             await self.relay.start_stream(exchange, headers)
-            await self.relay.forward(block, self._server, self.record_begun)
+            await self.relay.forward(block, self._server)
             has_forwarded = True
             self._wait_for(self.patience.next_s)
         events.ensure_ended()
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -147,6 +147,8 @@
         Blocks of complete events forwarded.
     begun_by : AnnouncedServer or None
         Backend server whose event was forwarded first.
+    on_begun : callable or None
+        Called with it right before that event is forwarded.
     """
 
     request: Request
@@ -154,6 +156,7 @@
     buffers: AnswerBuffers
     events: int = 0
     begun_by: AnnouncedServer | None = None
+    on_begun: Callable[[AnnouncedServer], None] | None = None
     _last_block: bytes = b""
 
     @property
@@ -173,25 +176,18 @@
             return
         await self.request.start_response(exchange.status, headers, flush=False)
 
-    async def forward(
-        self,
-        block: bytes,
-        server: AnnouncedServer,
-        before_first: Callable[[], None] | None = None,
-    ) -> None:
+    async def forward(self, block: bytes, server: AnnouncedServer) -> None:
         """Forward complete events.
 
         Parameters
         ----------
         server : AnnouncedServer
             Backend server that sent them.
-        before_first : callable, optional
-            Called right before the first event of the answer is forwarded.
         """
-        if not self.events:
+        if self.begun_by is None:
             self.begun_by = server
-            if before_first is not None:
-                before_first()
+            if self.on_begun is not None:
+                self.on_begun(server)
         await self.request.send(block)
         self._last_block = block
         self.events += 1
