Soak instances with releases beside kills, resets and a store that is away

A round of four seconds runs three instances on loopback: releases in series, some turned back, beside kills of one or all instances, engines that crash and come back or are silent for 1.1 s, and a store that refuses, is silent, or comes back from a copy. Clients lose their connection and take streams up with `Resumes`. Checked: no stream holds two versions, events are in order and once, no request at an instance that runs on is left without an answer, take-ups go on at half the share of new streams at least (LOST), and all succeed again afterwards.

Each stream of the tests has a body of its own: with one body for all, the crashes of engines made them a deadly request.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,7 @@
 SEED ?= 1
 soak: $(READY)
 	$(BIN)/python -m tests.processes.soak --seconds $(SECONDS) --seed $(SEED)
+
+.PHONY: fleet-soak
+fleet-soak: $(READY)
+	$(BIN)/python -m tests.platform.fleet_soak --seconds $(SECONDS) --seed $(SEED)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -195,8 +195,8 @@
         """Start an instance with the name and the addresses of a killed one."""
         await wait_until(lambda: killed.settings.name not in self._running)
         gateway = _make_gateway(killed.settings)
-        self.gateways.append(gateway)
         await self._start(gateway)
+        self.gateways.append(gateway)
         return gateway
 
     async def _start(self, gateway: Gateway) -> None:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -40,6 +40,8 @@
         Connections that the peer closed during an answer.
     endless_bytes : int
         Bytes of endless answers that the peer accepted.
+    silent_until_s : float
+        Until when streams and plain answers of versions pause.
     """
 
     id: str
@@ -48,6 +50,7 @@
     connections: int = 0
     closed_by_peer: int = 0
     endless_bytes: int = 0
+    silent_until_s: float = 0.0
     port: int = 0
     starts: int = 0
     _running: trio.CancelScope = attrs.field(factory=trio.CancelScope)
--- a/tests/platform/stream_client.py
+++ b/tests/platform/stream_client.py
@@ -46,6 +46,7 @@
     async def script(
         engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
     ) -> bool:
+        await trio.sleep_until(engine.silent_until_s)
         if not arrival.target.startswith("/stream"):
             await stream.send_all(
                 answer_head(arrival, 200, "Content-Length: 0") + b"\r\n"
@@ -60,6 +61,7 @@
         await stream.send_all(head + b"\r\n")
         first = int(arrival.headers.get("last-event-id", "0")) + 1
         for number in range(first, LAST_EVENT + 1):
+            await trio.sleep_until(engine.silent_until_s)
             data = f"id: {number}\ndata: {version}\n\n".encode()
             await stream.send_all(chunk(data))
             await trio.sleep(gap_s)
@@ -121,10 +123,13 @@
         Status of each answer; 0 if there was none.
     is_complete : bool
         Whether the last answer ended as a whole.
+    body : bytes
+        Body of each client attempt, the stream's own.
     """
 
     fleet: Fleet
     target: str = "/stream/a"
+    body: bytes = attrs.field(factory=lambda: new_id().encode())
     events: list[tuple[int, str]] = attrs.field(factory=list)
     began_as: str = ""
     statuses: list[int] = attrs.field(factory=list)
@@ -165,7 +170,12 @@
         answer = Answer(0, {}, b"", False)
         try:
             with trio.fail_after(10):
-                await caller.send(self.target, headers=headers, request_id=request_id)
+                await caller.send(
+                    self.target,
+                    headers=headers,
+                    request_id=request_id,
+                    body=self.body,
+                )
                 answer = await read_events(caller, until)
         except (OSError, trio.BrokenResourceError):
             pass  # the instance was killed
