--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -193,12 +193,13 @@
 
     async def test_broken_answer_ends_incomplete_at_once(self) -> None:
         async with running_versions("v1") as fleet:
-            serve_version(fleet.engines["e-0"], "v1", gap_s=0.1)
+            serve_version(fleet.engines["e-0"], "v1", gap_s=0.18)
             client = StreamClient(fleet)
             fleet.nursery.start_soon(client.begin, fleet.gateways[0], LAST_EVENT + 1)
             await wait_until(lambda: fleet.arrivals == 1)
             await add_version(fleet, "e-1", "v2")
             await leave(fleet, "e-0")
+            assert not client.statuses
             fleet.engines["e-0"].crash()
             await wait_until(lambda: bool(client.statuses), AT_ONCE_S)
             assert client.versions == {"v1"}
