--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -13,6 +13,7 @@
     RetryBudget,
     lapse_reason,
     retry_delay_s,
+    servers_for,
 )
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
@@ -129,6 +130,7 @@
 
     async def _send(self, call: Call) -> SendResult:
         _ensure_wanted(call)
+        call.bind_to_version()
         reservation = await self._placer.place(
             call.service, call.work, frozenset(call.avoid)
         )
@@ -256,9 +258,10 @@
     def _ensure_choice_holds(self, reservation: Reservation) -> None:
         """Raise `ChoiceLapsed` if the chosen server must not get requests any more."""
         state = reservation.state
+        states = self._view.states_of(state.server.service)
         reason = lapse_reason(
             state,
-            is_usable=state in self._view.states_of(state.server.service),
+            is_usable=state in servers_for(states, reservation.work),
             chosen_at_s=reservation.sent_at_s,
             now_s=boot_time_s(),
         )
@@ -341,7 +344,7 @@
         if call.possible_runs:
             raise ServerBroke(result.detail)
         left_s = call.work.deadline_at_s - now_s
-        pause_s = self._placer.next_accepting_in_s(call.service.name)
+        pause_s = self._placer.next_accepting_in_s(call.service.name, call.work)
         raise NoServer(
             result.detail,
             retry_after_s=retry_delay_s(pause_s, left_s, random.random()),
