--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 import attrs
 
@@ -88,6 +89,8 @@
         Blocks of complete events forwarded.
     begun_by : AnnouncedServer or None
         Backend server whose event was forwarded first.
+    on_begun : callable or None
+        Called with it right before that event is forwarded.
     """
 
     request: Request
@@ -95,6 +98,7 @@
     buffers: AnswerBuffers
     events: int = 0
     begun_by: AnnouncedServer | None = None
+    on_begun: Callable[[AnnouncedServer], None] | None = None
     _partial_event: bytes = b""
     _last_block: bytes = b""
 
@@ -155,6 +159,8 @@
                 )
         if self.begun_by is None:
             self.begun_by = server
+            if self.on_begun is not None:
+                self.on_begun(server)
         await self.request.send(block)
         self._last_block = block
         self.events += 1
