Probe a server again when another caller's probe was cancelled

What callers see: an answer or stream that ends with its connection, cut off by a crash, counts as complete. Cause: callers that ask at the same time wait for one probe. If the one that makes it is cancelled (its caller leaves, or a second send ends), the others read its default, "not crashed". Fix: a cancelled probe answers nothing; one of those that wait makes another.

--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -47,6 +47,7 @@
 
     at_s: float
     done: trio.Event = attrs.field(factory=trio.Event)
+    is_cancelled: bool = False
     refused: bool = False
 
 
@@ -113,11 +114,13 @@
     async def has_crashed(self, server: AnnouncedServer) -> bool:
         """Return whether a server whose answer broke off refuses connections."""
         key = (server.id, server.started)
-        now_s = boot_time_s()
         probe = self._probes.get(key)
-        if probe is not None and not probe.done.is_set():
+        while probe is not None and not probe.done.is_set():
             await probe.done.wait()
-            return probe.refused
+            if not probe.is_cancelled:
+                return probe.refused
+            probe = self._probes.get(key)
+        now_s = boot_time_s()
         if probe is not None and probe.refused and now_s - probe.at_s < PROBE_TTL_S:
             return True
         probe = self._probes[key] = _Probe(now_s)
@@ -129,6 +132,9 @@
             if not probe.refused:
                 await trio.sleep(PROBE_REPEAT_S)
                 probe.refused = await self._refuses(server)
+        except trio.Cancelled:
+            probe.is_cancelled = True
+            raise
         finally:
             probe.done.set()
         if probe.refused:
