Keep a second send's complete answer as the result of its call

What callers see: the connection of an answer that was complete is reset, or the call is sent once more (a second send answers while a third, made when the second had fallen silent, connects to a server that is gone). Cause: the last second send that ends gives the result, also one that was not sent or lapsed after another had answered. Evidence: the test failed before (NOT_SENT, expected DONE). Fix: a complete answer is final, and ends what still runs beside it.

--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -79,6 +79,19 @@
         self._scopes.discard(scope)
         self._changed.set()
 
+    def record_result(self, result: SendResult) -> None:
+        """Record how a second send ended; no other may follow a complete answer."""
+        if self.is_answered or result.outcome is Outcome.SUPERSEDED:
+            return
+        self.result = result
+        if self.is_answered:
+            self.end()
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether a second send has brought the complete answer."""
+        return self.result is not None and self.result.outcome is Outcome.DONE
+
     def stop_placing(self) -> None:
         """End a second send that has no server yet."""
         if self.is_placing:
@@ -224,8 +237,8 @@
             with scope:
                 result = await self._place_and_send(race, silent)
                 ended = "not_placed" if result is None else result.outcome.value
-                if result is not None and result.outcome is not Outcome.SUPERSEDED:
-                    race.result = result
+                if result is not None:
+                    race.record_result(result)
             if scope.cancelled_caught:
                 ended = "cancelled"
         except TeaseldykeError as exc:
