End a second send's wait for a server with the last attempt

What callers see: a call whose attempts have all broken is retried only after a second send has got a server, which it then doesn't use. Cause: the wait is ended when the first attempt ends, not when the one that had overtaken it does; a second send that ends also marks another one, which still waits, as placed; one that begins after its call isn't ended at all. Evidence: the test failed before (not ended after 3 s). Fix: the wait ends once no attempt runs; only the send that waits ends its mark.

--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -72,11 +72,15 @@
         scope = self._placing = trio.CancelScope()
         self._scopes.add(scope)
         self.is_placing = True
+        if self.attempts.is_over:
+            scope.cancel()
         return scope
 
     def close_scope(self, scope: trio.CancelScope) -> None:
         """Record that a second send has ended."""
         self._scopes.discard(scope)
+        if scope is self._placing:
+            self.is_placing = False
         self._changed.set()
 
     def record_result(self, result: SendResult) -> None:
@@ -101,6 +105,8 @@
         """Wait until all second sends that have a server have ended."""
         self.stop_placing()
         while self._scopes:
+            if not self.attempts.running:
+                self.stop_placing()  # no attempt is left that it could go beside
             self._changed = trio.Event()
             await self._changed.wait()
 
@@ -251,7 +257,6 @@
             race.error = ServerBroke(f"{type(exc).__name__}: {exc}")
             silent.supersede()
         finally:
-            race.is_placing = False
             race.close_scope(scope)
             SECONDS.bind(result=ended).add()
             log_decision(
--- a/libs/gateway/tests/test_racing.py
+++ b/libs/gateway/tests/test_racing.py
@@ -141,3 +141,29 @@
 
     sends.later = [lead_and_answer, find_no_server]
     assert (await sends.run()).outcome is Outcome.DONE
+
+
+async def test_broken_call_does_not_wait_for_a_server_for_nothing(
+    sends: Sends,
+) -> None:
+    """A second send's wait for a server went on after all attempts had ended."""
+    is_placing = trio.Event()
+
+    async def place_at_once() -> None:
+        pass
+
+    async def place_never() -> None:
+        is_placing.set()
+        await trio.sleep_forever()
+
+    async def lead_and_break(attempt: SilentAttempt) -> SendResult:
+        sends.attempts.lead(attempt)  # type: ignore[arg-type]
+        await is_placing.wait()
+        return SendResult(Outcome.BROKEN)
+
+    async def never(attempt: SilentAttempt) -> SendResult:
+        raise AssertionError
+
+    sends.places = [place_at_once, place_never]
+    sends.later = [lead_and_break, never]
+    assert (await sends.run()).outcome is Outcome.BROKEN
