Leave the first attempt alone when a second send fails unexpectedly

What callers see: an answer that is still coming is ended by an error inside this instance. Cause: an unexpected error of a second send ends the attempt beside it, also where the second one had not taken the lead. Evidence: the test failed before (ServerBroke, expected DONE). Fix: only taking the lead ends the other attempt.

--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -255,7 +255,6 @@
                 silent.supersede()
         except Exception as exc:  # of one call; others' second sends go on
             race.error = ServerBroke(f"{type(exc).__name__}: {exc}")
-            silent.supersede()
         finally:
             race.close_scope(scope)
             SECONDS.bind(result=ended).add()
--- a/libs/gateway/tests/test_racing.py
+++ b/libs/gateway/tests/test_racing.py
@@ -167,3 +167,23 @@
     sends.places = [place_at_once, place_never]
     sends.later = [lead_and_break, never]
     assert (await sends.run()).outcome is Outcome.BROKEN
+
+
+async def test_error_of_a_second_send_leaves_the_first_alone(sends: Sends) -> None:
+    """An unexpected error of a second send ended the answer that still came."""
+    has_failed = trio.Event()
+
+    async def fail(attempt: SilentAttempt) -> SendResult:
+        has_failed.set()
+        raise RuntimeError("unexpected")
+
+    async def answer(attempt: SilentAttempt) -> SendResult:
+        await has_failed.wait()
+        await trio.sleep(0.05)
+        if attempt.is_superseded:
+            return SendResult(Outcome.SUPERSEDED)
+        return SendResult(Outcome.DONE, status=200)
+
+    sends.run_first = answer  # type: ignore[method-assign]
+    sends.later = [fail]
+    assert (await sends.run()).outcome is Outcome.DONE
