Leave an answer alone that was complete at its deadline

What callers see: the connection of a complete answer is reset, which may destroy what they haven't read. Cause: a second send completes the answer while the first one still ends (up to 0.23 s, if its server is probed); the deadline, or a disconnect, in between counts the call as unanswered and aborts the connection. Evidence: the test failed before (TimedOut). Fix: a call whose answer is finished ends without an error.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -270,7 +270,7 @@
         with scope, call.request.on_disconnect(on_caller_gone):
             result = await self._sender.send_with_retries(call)
             self._log_end(call, result)
-        if not scope.cancelled_caught:
+        if not scope.cancelled_caught or call.request.finished:
             return
         if gone:
             raise caller_gone(call)
