--- a/libs/gateway/tests/test_racing.py
+++ b/libs/gateway/tests/test_racing.py
@@ -54,6 +54,7 @@
         monkeypatch.setattr(racing, "SECOND_PAUSE_S", 0.0)
         self.call: Any = SimpleNamespace(
             text_id="c",
+            bind_to_version=lambda: None,
             service="app",
             work=None,
             avoid=set(),
@@ -79,7 +80,7 @@
             lambda call: True,  # type: ignore[arg-type]
         )
 
-    def has_other(self, service: str, avoid: frozenset[str]) -> bool:
+    def has_other(self, *args: object) -> bool:
         return bool(self.later)
 
     async def place(self, *args: object, **kwargs: object) -> Any:
