--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -27,7 +27,8 @@
         request.finished = True  # by a second send, while the first one still ends
         await trio.sleep_forever()
 
-    sender: Any = SimpleNamespace(send_with_retries=answer_and_wait)
-    view: Any = None
-    wire: Any = None
-    await CallHandler(view, sender, wire)._run_call(call)
+    handler = CallHandler.__new__(CallHandler)
+    handler._sender = SimpleNamespace(  # type: ignore[assignment]
+        send_with_retries=answer_and_wait
+    )
+    await handler._run_call(call)
