--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -343,7 +343,7 @@
             result = await self._sender.send_with_retries(call)
             self._learn_event_size(call)
             self._log_end(call, result)
-        if not scope.cancelled_caught:
+        if not scope.cancelled_caught or call.request.finished:
             return
         if gone:
             raise caller_gone(call)
--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -72,13 +72,30 @@
         scope = self._placing = trio.CancelScope()
         self._scopes.add(scope)
         self.is_placing = True
+        if self.attempts.is_over:
+            scope.cancel()
         return scope
 
     def close_scope(self, scope: trio.CancelScope) -> None:
         """Record that a second send has ended."""
         self._scopes.discard(scope)
+        if scope is self._placing:
+            self.is_placing = False
         self._changed.set()
 
+    def record_result(self, result: SendResult) -> None:
+        """Record how a second send ended; no other may follow a complete answer."""
+        if self.is_answered or result.outcome is Outcome.SUPERSEDED:
+            return
+        self.result = result
+        if self.is_answered:
+            self.end()
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether a second send has brought the complete answer."""
+        return self.result is not None and self.result.outcome is Outcome.DONE
+
     def stop_placing(self) -> None:
         """End a second send that has no server yet."""
         if self.is_placing:
@@ -88,6 +105,8 @@
         """Wait until all second sends that have a server have ended."""
         self.stop_placing()
         while self._scopes:
+            if not self.attempts.running:
+                self.stop_placing()  # no attempt is left that it could go beside
             self._changed = trio.Event()
             await self._changed.wait()
 
@@ -225,8 +244,8 @@
             with scope:
                 result = await self._place_and_send(race, silent)
                 ended = "not_placed" if result is None else result.outcome.value
-                if result is not None and result.outcome is not Outcome.SUPERSEDED:
-                    race.result = result
+                if result is not None:
+                    race.record_result(result)
             if scope.cancelled_caught:
                 ended = "cancelled"
         except TeaseldykeError as exc:
@@ -237,9 +256,7 @@
                 silent.supersede()
         except Exception as exc:  # of one call; others' second sends go on
             race.error = ServerBroke(f"{type(exc).__name__}: {exc}")
-            silent.supersede()
         finally:
-            race.is_placing = False
             race.close_scope(scope)
             SECONDS.bind(result=ended).add()
             log_decision(
