--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -185,7 +185,7 @@
             return False
         state = self.reservation.state
         self._silence.running = max(self._silence.running, state.own_load.running)
-        if not self._silence.is_due(now_s, state.voice):
+        if not self._silence.is_due(now_s, state.activity):
             return False
         return self._has_part_of_event or self._connection.is_idle()
 
@@ -333,7 +333,7 @@
     ) -> SendResult:
         status = exchange.status
         self.reservation.record_head()
-        self.reservation.state.voice.hear(boot_time_s())
+        self.reservation.state.activity.record(boot_time_s())
         facts = self.wire.read_answer(status, exchange.headers)
         connection.keep_alive_s = facts.keep_alive_s
         self.reservation.record_statements(status, facts)
@@ -412,13 +412,13 @@
         self, exchange: Exchange, headers: Headers, resumed_after: int | None
     ) -> None:
         events = EventSplitter(None if resumed_after is None else resumed_after + 1)
-        voice = self.reservation.state.voice
+        activity = self.reservation.state.activity
         is_first_chunk = True
         has_forwarded = False
         sound_at_s = math.inf
         async for data in exchange.chunks():
             now_s = boot_time_s()
-            voice.hear(now_s)
+            activity.record(now_s)
             if now_s >= sound_at_s:
                 sound_at_s = math.inf
                 self._record_sound(now_s)
--- a/libs/gateway/src/teaseldyke/gateway/stream_memory.py
+++ b/libs/gateway/src/teaseldyke/gateway/stream_memory.py
@@ -167,8 +167,6 @@
         self._written_at_s = -math.inf
         self._retry_s = RETRY_MIN_S
 
-    # What this instance serves
-
     def apply_routing(self, table: RoutingTable) -> None:
         """Find the services with streams that callers can resume."""
         for route in table.routes:
@@ -273,8 +271,6 @@
         )
         return origin
 
-    # What other instances are told
-
     def news(self, *, is_far: bool) -> EncodedStreams:
         """Return the streams to tell others next."""
         if not self.versions.shares_streams(boot_time_s()):
@@ -330,8 +326,6 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    # What the store keeps
-
     async def run(self) -> None:
         """Read and write the store's rows until cancelled."""
         while True:
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -37,7 +37,7 @@
     usable,
 )
 from .shares import DecayingSum, FairShares, Standing, water_level
-from .silence import Patience, ServerVoice, Silence, engine_patience, plain_patience
+from .silence import Patience, ServerActivity, Silence, engine_patience, plain_patience
 from .stated_limit import LimitReport, StatedLimit
 from .stream_origins import StreamOrigin, StreamVersions
 from .stream_version import bound_to, may_copy_memory, servers_for
@@ -74,7 +74,7 @@
     "RetryBudget",
     "RoundSends",
     "ServerState",
-    "ServerVoice",
+    "ServerActivity",
     "ServiceDemand",
     "ServiceVersion",
     "Silence",
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -18,7 +18,7 @@
 
 from teaseldyke.types import AnnouncedServer
 
-from .silence import ServerVoice
+from .silence import ServerActivity
 from .stated_limit import StatedLimit
 from .window_budget import ColdRateLimit
 from .work import Work
@@ -149,7 +149,7 @@
     said_leaving : bool
         Whether an answer of the server stated that it leaves. Holds until the server
         starts anew, whatever its entry in the store says.
-    voice : ServerVoice
+    activity : ServerActivity
         When requests of this instance got bytes from it.
     """
 
@@ -167,7 +167,7 @@
     full_until_s: float = 0.0
     paused_until_s: float = 0.0
     said_leaving: bool = False
-    voice: ServerVoice = attrs.field(factory=ServerVoice)
+    activity: ServerActivity = attrs.field(factory=ServerActivity)
     backlog_tokens: float = 0.0
     backlog_requests: int = 0
     limit: StatedLimit = attrs.field(factory=StatedLimit)
--- a/libs/placement/src/teaseldyke/placement/silence.py
+++ b/libs/placement/src/teaseldyke/placement/silence.py
@@ -65,33 +65,33 @@
 
 
 @attrs.define
-class ServerVoice:
-    """When the requests of an instance hear a server.
+class ServerActivity:
+    """When a server last sent anything to any request of this instance.
 
     Attributes
     ----------
-    heard_at_s : float
-        When any of them last did.
-    speaks_since_s : float
-        End of the last pause before it.
+    received_at_s : float
+        When bytes of it last arrived.
+    active_since_s : float
+        End of the last pause before that.
     """
 
-    heard_at_s: float = 0.0
-    speaks_since_s: float = 0.0
+    received_at_s: float = 0.0
+    active_since_s: float = 0.0
 
-    def hear(self, now_s: float) -> None:
+    def record(self, now_s: float) -> None:
         """Record that a request has got bytes of the server."""
-        if now_s - self.heard_at_s > PAUSE_MIN_S:
-            self.speaks_since_s = now_s
-        self.heard_at_s = now_s
+        if now_s - self.received_at_s > PAUSE_MIN_S:
+            self.active_since_s = now_s
+        self.received_at_s = now_s
 
-    def has_gone_on(self, now_s: float, for_s: float) -> bool:
-        """Return whether the server has been heard for a time, without a pause.
+    def is_active_again(self, now_s: float, for_s: float) -> bool:
+        """Return whether the server has sent for a time, without a pause.
 
-        The requests of one that has just ended its pause are heard one after another.
+        One that has just ended its pause continues its answers one after another.
         """
-        is_heard = now_s - self.heard_at_s < for_s
-        return is_heard and now_s - self.speaks_since_s >= for_s
+        is_sending = now_s - self.received_at_s < for_s
+        return is_sending and now_s - self.active_since_s >= for_s
 
 
 @attrs.define
@@ -119,33 +119,35 @@
     draw: float
     running: int
 
-    def is_due(self, now_s: float, voice: ServerVoice) -> bool:
+    def is_due(self, now_s: float, activity: ServerActivity) -> bool:
         """Return whether a second server may get the request now.
 
-        A server from which no request hears anything is more likely to pause than one
-        that goes on with others. A few of its requests
-        go to a second server at once; the others are put off, since it may go on.
+        A server that sends nothing to any request is more likely to pause than one that
+        continues others. A few of its requests go to a second server at once; the
+        others are put off, since it may continue.
 
         Parameters
         ----------
-        voice : ServerVoice
-            What all requests of this instance hear of the server.
+        activity : ServerActivity
+            What the server sends to all requests of this instance.
 
         Examples
         --------
         >>> silence = Silence(0.0, 1.0, 0.6, draw=0.5, running=16)
-        >>> silence.is_due(1.1, ServerVoice(heard_at_s=1.0))
+        >>> silence.is_due(1.1, ServerActivity(received_at_s=1.0))
         True
-        >>> silence.is_due(1.1, ServerVoice(heard_at_s=0.1))
+        >>> silence.is_due(1.1, ServerActivity(received_at_s=0.1))
         False
-        >>> silence.is_due(1.5, ServerVoice(heard_at_s=0.1))
+        >>> silence.is_due(1.5, ServerActivity(received_at_s=0.1))
         True
         """
         over_s = now_s - self.since_s - self.patience_s
         if over_s < 0.0:
             return False
-        has_gone_on = voice.has_gone_on(now_s, SHARED_FRACTION * self.patience_s)
-        if has_gone_on or self.draw * self.running < PROBES:
+        is_active_again = activity.is_active_again(
+            now_s, SHARED_FRACTION * self.patience_s
+        )
+        if is_active_again or self.draw * self.running < PROBES:
             return True
         # Few soon and most late, since short pauses are the most frequent ones.
         return over_s >= math.sqrt(self.draw) * self.spread_s
--- a/libs/placement/tests/test_silence.py
+++ b/libs/placement/tests/test_silence.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from teaseldyke.placement import ServerVoice, Silence, engine_patience, plain_patience
+from teaseldyke.placement import (
+    ServerActivity,
+    Silence,
+    engine_patience,
+    plain_patience,
+)
 
 STREAMS = 16
 DRAWS = [(i + 0.5) / STREAMS for i in range(STREAMS)]
@@ -12,24 +17,24 @@
 
 def due_at(
     now_s: float,
-    heard_at_s: float,
+    received_at_s: float,
     running: int = STREAMS,
-    speaks_since_s: float = -9.0,
+    active_since_s: float = -9.0,
 ) -> int:
     """Return how many of the streams that were silent since 0 s are due."""
-    voice = ServerVoice(heard_at_s, speaks_since_s)
+    activity = ServerActivity(received_at_s, active_since_s)
     silences = [Silence(0.0, 1.0, 0.6, draw, running) for draw in DRAWS]
-    return sum(silence.is_due(now_s, voice) for silence in silences)
+    return sum(silence.is_due(now_s, activity) for silence in silences)
 
 
-@pytest.mark.parametrize("heard_at_s", [0.0, 0.99])
-def test_no_request_is_due_before_its_patience_ends(heard_at_s: float) -> None:
-    assert due_at(0.99, heard_at_s) == 0
+@pytest.mark.parametrize("received_at_s", [0.0, 0.99])
+def test_no_request_is_due_before_its_patience_ends(received_at_s: float) -> None:
+    assert due_at(0.99, received_at_s) == 0
 
 
 def test_stream_that_is_silent_alone_is_due_at_once() -> None:
     """Its engine goes on with others, so it doesn't pause."""
-    assert due_at(1.01, heard_at_s=0.97) == STREAMS
+    assert due_at(1.01, received_at_s=0.97) == STREAMS
 
 
 @pytest.mark.parametrize(
@@ -40,24 +45,24 @@
     now_s: float, least: int, most: int
 ) -> None:
     """All at once were sixteen prefills elsewhere for a pause of a second."""
-    assert least <= due_at(now_s, heard_at_s=0.1) <= most
+    assert least <= due_at(now_s, received_at_s=0.1) <= most
 
 
 def test_engine_that_has_just_gone_on_is_given_time_to_go_on_with_all() -> None:
     """Its first stream was heard, and all others were sent elsewhere at once."""
-    voice = ServerVoice()
+    activity = ServerActivity()
     for at_s in (8.0, 8.1, 9.35):
-        voice.hear(at_s)
-    assert due_at(1.36, 1.35, speaks_since_s=1.35) == due_at(1.36, 0.1)
-    assert not voice.has_gone_on(9.4, 0.5)
+        activity.record(at_s)
+    assert due_at(1.36, 1.35, active_since_s=1.35) == due_at(1.36, 0.1)
+    assert not activity.is_active_again(9.4, 0.5)
     for at_s in (9.5, 9.7, 9.86):
-        voice.hear(at_s)
-    assert voice.has_gone_on(9.87, 0.5)
+        activity.record(at_s)
+    assert activity.is_active_again(9.87, 0.5)
 
 
 @pytest.mark.parametrize("running", [1, 2])
 def test_few_requests_of_a_silent_server_are_not_put_off(running: int) -> None:
-    assert due_at(1.01, heard_at_s=0.0, running=running) == STREAMS
+    assert due_at(1.01, received_at_s=0.0, running=running) == STREAMS
 
 
 @pytest.mark.parametrize(
