--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,9 +18,9 @@
 )
 from link import Link
 
-CUT_S = 2.0
-CHANGE_AFTER_S = 0.1  # from the beginning of the cut
-REMOVAL_AFTER_S = 0.3
+CUT_S = 1.5
+CHANGE_AFTER_S = 0.05  # from the beginning of the cut
+REMOVAL_AFTER_S = 0.2
 STABLE_WINDOW_S = 3.0  # stableWindowMs
 DRAIN_S = 2.0  # drainMs
 MARGIN_S = 0.5
