Begin polls anew whose answer a silent store has lost

What callers saw: after 4.5 s in which the store gave no response, keys that were taken away stayed in use for up to 8 s, with the store long back. Servers that had left and evacuated domains the same way.

Cause: a long poll whose response is lost looks like one without changes. Each instance waited 12 s for it, began the next long poll while the store was still silent, and waited 12 s more. A change ends the polls of all instances at once, so that all were deaf together and none could tell the others; a connection that goes silent did the same without any outage.

What changes, for each table and at each instance (`FeedPolls`): - After a failed call the next poll doesn't wait. - The ends of the polls of a table are spread over the live instances, one a second, so that one of them finds out, whatever the phase. - The first answer to a call that was begun after a call without response shows that older unanswered calls are lost. The instance begins its own anew and tells the others in its totals, which do the same once. - A listing that a peer had to supply, or the role of leader, begins the pending poll anew, too. - Reads give up after 1 s beyond the wait (slow stores need 0.2 s), and a call without a response closes idle connections to the store or the peer, as they may have gone silent together. - One call without a response, followed by an answer, is not an outage: removals aren't doubted for 1.8 s then.

At 10 instances and more polls wait for 10 s as they did.

Spacing and margin: a machine counts as in touch 3 s after the store's return; 1 s until a poll is due, 1 s for its answer, a repeat and a round of totals stay below it.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -16,7 +16,13 @@
 import msgspec
 import trio
 
-from teaseldyke.gateway import FeedRole, FleetBounds, KnownVersions, Peer
+from teaseldyke.gateway import (
+    FeedPolls,
+    FeedRole,
+    FleetBounds,
+    KnownVersions,
+    Peer,
+)
 from teaseldyke.gateway.placing import Placer
 from teaseldyke.gateway.sums import Sums, TotalsMessage, server_number
 from teaseldyke.gateway.totals import EXCHANGE_INTERVAL_S, TotalsExchange
@@ -45,7 +51,10 @@
     """A directory that knows all changes."""
 
     versions: KnownVersions = VERSIONS
-    feed_role: FeedRole = FeedRole.FOLLOWER
+    polls: FeedPolls = attrs.field(factory=lambda: FeedPolls(FeedRole.FOLLOWER))
+
+    def take_place(self, _role: FeedRole, _rank: int, _pollers: int) -> None:
+        """Keep the role."""
 
     def is_behind(self, _versions: KnownVersions) -> bool:
         """Return that no change is missing."""
--- a/libs/gateway/src/teaseldyke/gateway/__init__.py
+++ b/libs/gateway/src/teaseldyke/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .feed_polls import FeedPolls
 from .interfaces import (
     AnswerFacts,
     CallFacts,
@@ -11,6 +12,7 @@
     FeedRole,
     Headers,
     KnownVersions,
+    LostCalls,
     Peer,
     Wire,
 )
@@ -23,12 +25,14 @@
     "CallMalformed",
     "Directory",
     "DirectoryListener",
+    "FeedPolls",
     "FeedRole",
     "FleetBounds",
     "Gateway",
     "GatewaySettings",
     "Headers",
     "KnownVersions",
+    "LostCalls",
     "Peer",
     "Wire",
 ]
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from enum import Enum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 import trio
@@ -18,6 +18,9 @@
     TeaseldykeError,
 )
 
+if TYPE_CHECKING:
+    from .feed_polls import FeedPolls
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -258,6 +261,22 @@
         ...
 
 
+@attrs.frozen
+class LostCalls:
+    """Calls of the store to which no response will come.
+
+    Parameters
+    ----------
+    before_s : float
+        Those that were begun before this moment and aren't answered are lost.
+    was_away : bool
+        Whether the store was away until then, and not only some connections silent.
+    """
+
+    before_s: float
+    was_away: bool = False
+
+
 class FeedRole(Enum):
     """How an instance follows the entries in the store.
 
@@ -327,18 +346,32 @@
 
     Attributes
     ----------
-    feed_role : FeedRole
-        Role in which the store's entries are followed.
+    polls : FeedPolls
+        Which calls of the store are lost.
     relay : callable or None
         Sends the neighbours the changes that were read.
     new_era : trio.Event
         Set, and then replaced, when the store was restored from a copy.
     """
 
-    feed_role: FeedRole
+    polls: FeedPolls
     new_era: trio.Event
     relay: Callable[[bytes], Awaitable[None]] | None
 
+    def take_place(self, role: FeedRole, rank: int, pollers: int) -> None:
+        """Set in which role the store's entries are followed.
+
+        Parameters
+        ----------
+        rank, pollers : int
+            Rank of this instance among those that poll the store, and their number.
+        """
+        ...
+
+    def note_lost_calls(self, lost: LostCalls) -> None:
+        """Repeat calls that another instance found to be lost."""
+        ...
+
     def apply_changes(self, data: bytes, as_of_s: float) -> None:
         """Apply changes that a neighbour relayed.
 
--- a/libs/gateway/src/teaseldyke/gateway/membership.py
+++ b/libs/gateway/src/teaseldyke/gateway/membership.py
@@ -169,6 +169,14 @@
         first = min(peer.name for peer in self.neighbours())
         return FeedRole.LEADER if first == self.own.name else FeedRole.FOLLOWER
 
+    def poll_rank(self) -> tuple[int, int]:
+        """Return the rank of this instance among its live neighbours, and their number.
+
+        They poll the same tables of the store.
+        """
+        names = sorted(peer.name for peer in self.neighbours())
+        return names.index(self.own.name), len(names)
+
     def receivers(self, now_s: float) -> tuple[list[Peer], list[Peer]]:
         """Return the receivers of the own totals and of the neighbourhood's sum.
 
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -276,6 +276,8 @@
                 )
                 self.directory.import_listing(answer.body)
             except (TeaseldykeError, ValueError) as exc:
+                # Connections that have gone silent would delay the next fetch.
+                client.close()
                 log_decision("listing_not_fetched", peer=peer.name, error=str(exc))
                 continue
             log_decision(
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -93,6 +93,9 @@
         Empty unless streams may be of several versions.
     listed_versions : list of tuple
         Services and software versions that the store lists, at the same times.
+    lost_calls : tuple or None
+        Calls of the store that the sender has lately found to be lost: since when in
+        seconds, and whether the store was away, as in `LostCalls`.
     """
 
     name: str
@@ -114,6 +117,7 @@
     accused_requests: list[AccusedRequest] = []
     begun_streams: list[tuple[str, str, bytes]] = []
     listed_versions: list[tuple[str, str]] = []
+    lost_calls: tuple[float, bool] | None = None
 
     @property
     def known_versions(self) -> KnownVersions:
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -24,7 +24,7 @@
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s
 
-from .interfaces import Directory, KnownVersions, Peer
+from .interfaces import Directory, KnownVersions, LostCalls, Peer
 from .membership import ALIVE_TIMEOUT_S, Membership
 from .placing import Placer
 from .sums import (
@@ -249,6 +249,10 @@
                 message.listed_versions,
                 is_neighbour=message.neighbourhood == (0, 0),
             )
+        if message.lost_calls is not None:
+            age_s, was_away = message.lost_calls
+            lost = LostCalls(boot_time_s() - age_s, was_away)
+            self._directory.note_lost_calls(lost)
         stated = (message.era, message.versions, message.configuration)
         if stated == self._versions_known:
             return
@@ -263,7 +267,8 @@
         """Apply the others' totals, and send this instance's if a round is due."""
         now_s = boot_time_s()
         self._membership.refresh(now_s)
-        self._directory.feed_role = self._membership.feed_role()
+        rank, pollers = self._membership.poll_rank()
+        self._directory.take_place(self._membership.feed_role(), rank, pollers)
         neighbours = self._totals.neighbour_sums(now_s)
         if now_s - self._summed_at_s >= self._round_s / 2.0:
             others = self._totals.other_neighbourhood_sums(now_s)
@@ -303,6 +308,7 @@
             self._evidence.changed_at_s,
             self._view.limits_changed_at_s,
             self._view.said_leaving(),
+            self._directory.polls.lost,
             loads,
         )
         if content == self._last_content and self._skipped < IDLE_SKIP_MAX:
@@ -379,6 +385,7 @@
                 accused_requests(suspects),
                 begun,
                 listed,
+                self._directory.polls.loss_to_tell(boot_time_s()),
             )
         )
         self._send_data(peers, data)
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -52,6 +52,7 @@
     calls: list[str] = attrs.field(factory=list)
     written: list[tuple[str, str]] = attrs.field(factory=list)
     port: int = 0
+    _held: set[trio.CancelScope] = attrs.field(factory=set)
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
     def put(self, table: str, key: str, value: object) -> None:
@@ -87,6 +88,11 @@
         self.era = (self.era or 0) + 1
         self._notify_feeds()
 
+    def lose_calls(self) -> None:
+        """Give no response to the calls in progress; later ones are answered."""
+        for held in list(self._held):
+            held.cancel()
+
     def compact(self) -> None:
         """Discard the change history, so that feeds must read the table in full."""
         self.version += 1
@@ -117,8 +123,19 @@
 
     async def _handle(self, request: Request) -> None:
         self.calls.append(f"{request.method} {request.target}")
-        if self.silent:
-            await trio.sleep_forever()
+        if not self.silent:
+            with trio.CancelScope() as held:
+                self._held.add(held)
+                try:
+                    await self._answer_call(request)
+                finally:
+                    self._held.discard(held)
+            if not held.cancelled_caught:
+                return
+        # The response is lost, and the connection delivers nothing further.
+        await trio.sleep_forever()
+
+    async def _answer_call(self, request: Request) -> None:
         if self.status != 200:
             await request.respond(self.status, headers=self._headers)
             return
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -157,7 +157,7 @@
         """Calls of the store are the largest price of a fleet of 195 instances."""
         store = ChangingStore(table)
         store_directory = StoreDirectory(store, RecordingListener())
-        store_directory.feed_role = feed_role
+        store_directory.polls.role = feed_role
         copy = dict(store_directory._copies())[table]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(store_directory.run)
@@ -186,7 +186,7 @@
         """
         store = ChangingStore()
         follower = StoreDirectory(store, RecordingListener())
-        follower.feed_role = FeedRole.FOLLOWER
+        follower.polls.role = FeedRole.FOLLOWER
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.run)
             for _ in range(round(10 * OBSERVED_S)):
@@ -205,7 +205,7 @@
             directory(),
         )
         follower._servers.replace(rows(4), at(9))
-        leader.feed_role = FeedRole.LEADER
+        leader.polls.role = FeedRole.LEADER
 
         async def relay(data: bytes) -> None:
             follower.apply_changes(data, boot_time_s())
@@ -224,7 +224,7 @@
         """Both may have missed changes; the leader alone is told so by the store."""
         store = ChangingStore()
         follower = StoreDirectory(store, RecordingListener())
-        follower.feed_role = FeedRole.FOLLOWER
+        follower.polls.role = FeedRole.FOLLOWER
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.run)
             await trio.sleep(0.3)
