Ignore changes that a newer copy of a table includes

What callers saw: grants went to an engine that had left, for as long as it lived, and were broken off when it exited.

Cause: an answer belongs to the copy that it was asked for. A poll's answer was held up by a short cut; meanwhile a peer's listing had replaced the copy, without the engine, and the old answer then added it again. The next poll went on after the listing's version, so that the removal was never heard of. Only removals were compared with the copy.

Fix: a copy includes all changes up to its version, so a change up to that version is ignored, from whichever source it comes (`TableCopy.apply`, used for polls and relays, of both tables and all eras).

The same cause on related paths: - A feed leader labelled what it relayed with the version of its copy, not of the answer. If a listing had come in between, followers skipped the changes of the listing. - A listing of several pages bore the version of its last page, so a change between two pages was missed. It bears that of the first now. - A listing that was refused as older still raised the version that the instance told others. Read without a finding: rows of instances (only added), rows of streams (read and written by one task), the configuration (its own number decides).

--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -11,6 +11,7 @@
 from teaseldyke.adapter.directory import FOLLOWER_TIMEOUT_S, RELAY_PAUSE_S
 from teaseldyke.adapter.store import Page, StoredRow
 from teaseldyke.gateway import FeedRole, KnownVersions
+from teaseldyke.http import Response
 from teaseldyke.settings import Address
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
@@ -96,6 +97,150 @@
         assert copy.apply([StoredRow("key-7", at(11), b"new")], at(12)) == ["key-7"]
 
 
+class LateStore(StoreClient):
+    """A store whose first poll of each table is answered late.
+
+    Attributes
+    ----------
+    answers : list of tuple
+        Rows and version of the answers, the late one first.
+    """
+
+    def __init__(self, *answers: Page) -> None:
+        super().__init__(Address("127.0.0.1", 1))
+        self.era = 1
+        self.answers = list(answers)
+        self.is_due = trio.Event()
+
+    async def rows(self, table: str) -> Page:
+        return Page(rows(4, 7), at(9))
+
+    async def changes(self, table: str, after: StoreVersion, wait_s: float) -> Page:
+        await trio.lowlevel.checkpoint()
+        if not wait_s:
+            return Page([], after)
+        if table != "servers" or not self.answers:
+            await trio.sleep_forever()
+        # As an answer that has arrived when its call is cancelled.
+        with trio.CancelScope(shield=True):
+            await self.is_due.wait()
+        return self.answers.pop(0)
+
+
+def changed_at_10() -> Page:
+    return Page([StoredRow("key-7", at(10), b"{}")], at(10))
+
+
+class TestLateAnswers:
+    """An answer belongs to the copy that it was asked for."""
+
+    @pytest.mark.parametrize("source", ["peer", "relay"])
+    @pytest.mark.parametrize(
+        ("gone", "expected"),
+        [(["key-7"], {"key-4"}), ([], {"key-4", "key-7"})],
+        ids=["removed-since", "changed-since"],
+    )
+    async def test_late_answer_brought_back_a_server_that_had_left(
+        self, gone: list[str], expected: set[str], source: str
+    ) -> None:
+        """Its next polls went on after the removal, so that it was never heard of."""
+        store = LateStore(changed_at_10())
+        late = StoreDirectory(store, RecordingListener())
+        newer = [StoredRow("key-7", at(12), None if gone else b"{2}")]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(late.run)
+            await trio.sleep(0.3)
+            if source == "peer":
+                peer = directory()
+                peer._servers.replace(rows(4, 7), at(9))
+                peer._servers.apply(newer, at(12))
+                late.import_listing(peer.export_listing())
+            else:
+                data = Changes(
+                    9, 12, [(row.key, 12, row.value) for row in newer], 1, "servers"
+                )
+                late.apply_changes(msgspec.msgpack.encode(data), boot_time_s())
+            store.is_due.set()
+            await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+        assert set(late._servers.rows) == expected
+        assert late._servers.synced_version == at(12)
+        assert all(row.version != at(10) for row in late._servers.rows.values())
+
+    async def test_leader_relayed_changes_up_to_a_version_it_had_not_read(self) -> None:
+        """Its followers then missed what a peer's listing had told the leader."""
+        store = LateStore(changed_at_10())
+        leader, follower = StoreDirectory(store, RecordingListener()), directory()
+        follower._servers.replace(rows(4, 7), at(9))
+        leader.polls.role = FeedRole.LEADER
+        relayed: list[Changes] = []
+
+        async def relay(data: bytes) -> None:
+            changes = msgspec.msgpack.decode(data, type=Changes)
+            if changes.table == "servers":
+                relayed.append(changes)
+                follower.apply_changes(data, boot_time_s())
+
+        leader.relay = relay
+        peer = directory()
+        peer._servers.replace(rows(4, 7), at(9))
+        peer._servers.apply([StoredRow("key-4", at(12), None)], at(12))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader.run)
+            await trio.sleep(0.3)
+            leader.import_listing(peer.export_listing())
+            store.is_due.set()
+            await trio.sleep(0.2)
+            nursery.cancel_scope.cancel()
+        assert set(leader._servers.rows) == {"key-7"}
+        told = [(row[0], row[2]) for changes in relayed for row in changes.rows]
+        is_told = ("key-4", None) in told
+        assert is_told or follower._servers.synced_version < at(12)
+
+    def test_refused_listing_left_its_version_behind(self) -> None:
+        """The instance then told others that it knew what it didn't."""
+        own, peer = directory(), directory()
+        own._servers.replace(rows(4), at(20))
+        peer._servers.replace(rows(4, 25), at(14))
+        own.import_listing(peer.export_listing())
+        assert own.versions.servers == at(4)
+
+    def test_answer_of_an_era_that_has_ended_is_ignored(self) -> None:
+        copy = TableCopy()
+        copy.replace(rows(4, 7), at(90))
+        copy.replace(rows(4, era=2), at(9, era=2))
+        assert copy.apply([StoredRow("key-7", at(91), b"{}")], at(91)) == []
+        assert copy.synced_version == at(9, era=2)
+
+
+class PagedStore(StoreClient):
+    """A store whose listing takes two pages, with a removal in between."""
+
+    def __init__(self) -> None:
+        super().__init__(Address("127.0.0.1", 1))
+        self.era = 1
+
+    async def _call(self, method: str, target: str, *args: object) -> Response:
+        is_first = "from=" not in target
+        found = [4, 7] if is_first else [12]
+        body = {
+            "rows": [{"key": f"key-{n:02}", "ver": n, "value": ""} for n in found],
+            "ver": 10 if is_first else 12,  # key-04 is removed at 11
+            "hasMore": is_first,
+        }
+        return Response(200, [], msgspec.json.encode(body))
+
+
+async def test_change_between_two_pages_of_a_listing_was_missed() -> None:
+    copy = TableCopy()
+    page = await PagedStore().rows("servers")
+    copy.replace(page.rows, page.version)
+    assert copy.synced_version == at(10)
+    copy.apply([StoredRow("key-04", at(11), None)], at(12))
+    assert set(copy.rows) == {"key-07", "key-12"}
+    assert copy.synced_version == copy.newest_change == at(12)
+
+
 class ChangingStore(StoreClient):
     """A store in which an entry of one table changes with each poll."""
 
