Let a stream's route decide at which service it goes on

What callers saw: streams that broke off were taken up seconds after their route had been moved to another service, and ran at the old one, for as long as the stream was remembered (60 s at least). With two public routes, a stream named on the other route ran at the first one's service.

Cause: the service that began a stream was taken whenever it was still configured; nothing asked whether the request's route leads there.

Fix: the route in force decides where a request may go, the stream at which software version (`services_to_resume_at`): the service that began it if the route leads there and has servers of the version, else another service of the route that has some, else a 503 `service_left` at once, not run, with Retry-After.

The same cause on related paths: - Where nobody knows the stream, the version was that of the service drawn. Attempts within one answer stay at the service that they were sent to: their request is older than the change.

Not covered: an instance that starts after a route was moved doesn't know where it led before; and a stream that nobody knows, named on a route that it didn't begin on.

--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections.abc import Sequence
 
 import attrs
 
@@ -131,10 +132,12 @@
     return organisation
 
 
-def pick_service(table: RoutingTable, route: Route) -> ServiceDescription:
-    """Return a service of the route, drawn at random by weight."""
-    names = [name for name, _ in route.split]
-    weights = [weight for _, weight in route.split]
+def pick_service(
+    table: RoutingTable, split: Sequence[tuple[str, float]]
+) -> ServiceDescription:
+    """Return a service of a route, drawn at random by weight."""
+    names = [name for name, _ in split]
+    weights = [weight for _, weight in split]
     name = names[0] if len(names) == 1 else random.choices(names, weights)[0]
     return table.services[name]
 
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -18,6 +18,7 @@
     answer_time_s,
     bound_to,
     service_time_s,
+    services_to_resume_at,
 )
 from teaseldyke.telemetry import counter, histogram, log_decision
 from teaseldyke.timers import boot_time_s
@@ -26,6 +27,7 @@
     KeyedOrganisation,
     Route,
     RouteKind,
+    RoutingTable,
     ServiceDescription,
     TeaseldykeError,
 )
@@ -44,6 +46,7 @@
     Overloaded,
     RouteUnknown,
     ServerBroke,
+    ServiceLeft,
     Stopping,
     TimedOut,
     VersionUnknown,
@@ -55,6 +58,7 @@
 from .view import FleetView
 
 CONFIGURATION_RETRY_S = 0.5  # retry-after before the first configuration
+SERVICE_LEFT_RETRY_S = 1.0  # retry-after; a release may bring servers of the version
 STOPPING_RETRY_S = 0.1  # retry-after; another instance can serve at once
 RESUBMISSION_TIMEOUT_SHARE = 0.8  # of the longest caller time-out seen on a route
 
@@ -197,12 +201,12 @@
         body = await request.read_body(
             table.bounds.body_bytes, deadline_at_s - boot_time_s()
         )
-        service = pick_service(table, route)
+        service = pick_service(table, route.split)
         version = ""
         if is_resumed(route, facts):
-            origin = await self._origin(facts, organisation, service)
-            service = table.services.get(origin.service, service)
-            version = origin.version
+            begun_at = await self._origin(facts, route, organisation, service)
+            service = self._pick_service_to_resume_at(table, route, begun_at)
+            version = begun_at.version
         work = work_of(
             facts,
             route,
@@ -246,9 +250,28 @@
         finally:
             self.streams -= is_stream
 
+    def _pick_service_to_resume_at(
+        self, table: RoutingTable, route: Route, begun_at: ServiceVersion
+    ) -> ServiceDescription:
+        """Return a service that may go on with a stream; raises `ServiceLeft`."""
+        versions = {
+            name: {state.server.version for state in self._view.states_of(name)}
+            for name, _ in route.split
+        }
+        split = services_to_resume_at(route.split, begun_at, versions)
+        if not split:
+            raise ServiceLeft(
+                f"route {route.name!r} no longer leads to service"
+                f" {begun_at.service!r}, and to no server of version"
+                f" {begun_at.version!r}",
+                retry_after_s=SERVICE_LEFT_RETRY_S,
+            )
+        return pick_service(table, split)
+
     async def _origin(
         self,
         facts: CallFacts,
+        route: Route,
         organisation: KeyedOrganisation | None,
         service: ServiceDescription,
     ) -> ServiceVersion:
@@ -257,6 +280,7 @@
             facts.request_id.decode("latin-1"),
             organisation.name if organisation else "",
             facts.resumes,
+            route,
             service.name,
             facts.caller_timeout_s,
         )
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -75,6 +75,17 @@
     executed = "no"
 
 
+class ServiceLeft(TeaseldykeError):
+    """The route leads to no service that can go on with the stream to be resumed.
+
+    The caller can begin it anew.
+    """
+
+    code = "service_left"
+    status = 503
+    executed = "no"
+
+
 class ChoiceLapsed(TeaseldykeError):
     """The chosen server must not get the request any more; it is placed anew."""
 
--- a/libs/gateway/src/teaseldyke/gateway/stream_memory.py
+++ b/libs/gateway/src/teaseldyke/gateway/stream_memory.py
@@ -29,6 +29,7 @@
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
     AnnouncedServer,
+    Route,
     RoutingTable,
     TeaseldykeError,
 )
@@ -149,6 +150,9 @@
         self._rows = rows
         self._fleet = fleet
         self._services: set[str] = set()
+        # Until when each route, by host and prefix, has led to its services.
+        self._led_to: dict[tuple[str, str], dict[str, float]] = {}
+        self._changing_routes: list[tuple[str, str]] = []  # with several services
         self._near = News(includes_heard=False)
         self._far = News(includes_heard=True)
         self._was_shared = False
@@ -169,11 +173,32 @@
 
     def apply_routing(self, table: RoutingTable) -> None:
         """Find the services with streams that callers can resume."""
+        now_s = boot_time_s()
+        for services in self._led_to.values():
+            for name, until_s in services.items():
+                services[name] = min(until_s, now_s)
         for route in table.routes:
             if not route.resumable:
                 continue
-            self._services.update(name for name, _ in route.split)
+            names = [name for name, _ in route.split]
+            self._services.update(names)
+            led_to = self._led_to.setdefault((route.host, route.prefix), {})
+            led_to.update(dict.fromkeys(names, math.inf))
             self.versions.record_timeout(route.timeout_s)
+        for key in list(self._led_to):
+            if not self._services_led_to(key, now_s):
+                del self._led_to[key]
+        self._changing_routes = [
+            key for key, services in self._led_to.items() if len(services) > 1
+        ]
+
+    def _services_led_to(self, key: tuple[str, str], now_s: float) -> set[str]:
+        """Return the services at which a route's streams that go on may have begun."""
+        return {
+            name
+            for name, until_s in self._led_to.get(key, {}).items()
+            if now_s - until_s < self.versions.life_s
+        }
 
     def observe(
         self,
@@ -197,7 +222,8 @@
             if versions is not None:
                 versions.add(state.server.version)
         self.versions.servers_as_of_s = servers_as_of_s
-        self.versions.observe(present, now_s)
+        groups = [self._services_led_to(key, now_s) for key in self._changing_routes]
+        self.versions.observe(present, now_s, groups)
         is_shared = self.versions.shares_streams(now_s)
         if is_shared != self._was_shared:
             self._was_shared = is_shared
@@ -234,6 +260,7 @@
         request_id: str,
         organisation: str,
         resumes: bytes | None,
+        route: Route,
         service: str,
         caller_timeout_s: float | None,
     ) -> StreamOrigin:
@@ -245,12 +272,17 @@
             Id of the request that resumes it, for the log.
         resumes : bytes or None
             Id of the request that began it.
+        route : Route
+            Route of the request that resumes it.
+        service : str
+            Service of that route.
         """
         if caller_timeout_s is not None:
             self.versions.record_timeout(caller_timeout_s)
         key = stream_key(organisation, resumes) if resumes else b""
         started_at_s = boot_time_s()
-        origin = self.versions.origin(key, service, started_at_s)
+        services = self._services_led_to((route.host, route.prefix), started_at_s)
+        origin = self.versions.origin(key, service, started_at_s, services)
         is_ready = self.versions.is_read and self.versions.is_current(started_at_s)
         if origin.begun_at is None and (key or not is_ready):
             with trio.move_on_after(UNKNOWN_WAIT_S):
@@ -259,7 +291,8 @@
                 while origin.begun_at is None:
                     with trio.move_on_after(UNKNOWN_CHECK_S):
                         await self._changed.wait()
-                    origin = self.versions.origin(key, service, boot_time_s())
+                    now_s = boot_time_s()
+                    origin = self.versions.origin(key, service, now_s, services)
         TAKE_UPS.bind(source=origin.source.value).add()
         log_decision(
             "stream_taken_up" if origin.begun_at else "stream_version_unknown",
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -40,7 +40,12 @@
 from .silence import Patience, ServerActivity, Silence, engine_patience, plain_patience
 from .stated_limit import LimitReport, StatedLimit
 from .stream_origins import StreamOrigin, StreamVersions
-from .stream_version import bound_to, may_copy_memory, servers_for
+from .stream_version import (
+    bound_to,
+    may_copy_memory,
+    servers_for,
+    services_to_resume_at,
+)
 from .suspects import REQUEST_DEPTH, SuspectReport, is_request
 from .waiting import AwaitedServer, QueuedRequest, RequestQueue
 from .window_budget import ColdRateLimit, RetryBudget, cold_senders_max
@@ -103,6 +108,7 @@
     "rendezvous_weight",
     "retry_delay_s",
     "servers_for",
+    "services_to_resume_at",
     "service_time_s",
     "shortlist",
     "split_keys",
--- a/libs/placement/src/teaseldyke/placement/stream_origins.py
+++ b/libs/placement/src/teaseldyke/placement/stream_origins.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 
 import attrs
 
@@ -107,10 +107,20 @@
         life_s = min(STREAM_LIFE_MAX_S, LIFE_MARGIN * timeout_s)
         self.life_s = self.streams.life_s = max(self.life_s, life_s)
 
-    def observe(self, present: Mapping[str, Set[str]], now_s: float) -> None:
+    def observe(
+        self,
+        present: Mapping[str, Set[str]],
+        now_s: float,
+        groups: Iterable[Set[str]] = (),
+    ) -> None:
         """Record the versions of the known servers, by service.
 
         Services without an entry have no streams to resume.
+
+        Parameters
+        ----------
+        groups : iterable of set of str
+            Services between which streams of a route may go on.
         """
         for service in self._services.keys() - present.keys():
             self._observe(self._services[service], frozenset(), now_s)
@@ -120,7 +130,8 @@
         is_ready = self.is_read and self.is_current(now_s)
         if not is_ready and now_s - self._started_at_s < STARTUP_S:
             return
-        if any(self._may_be_mixed(service, now_s) for service in present):
+        together = [*({service} for service in present), *groups]
+        if any(self._may_be_mixed(services, now_s) for services in together):
             self._shared_until_s = now_s + SHARED_MIN_S
 
     def _observe(
@@ -255,7 +266,9 @@
             for other in known.values()
         )
 
-    def origin(self, key: bytes, service: str, now_s: float) -> StreamOrigin:
+    def origin(
+        self, key: bytes, service: str, now_s: float, services: Set[str] = frozenset()
+    ) -> StreamOrigin:
         """Return the version that began a stream.
 
         Parameters
@@ -264,25 +277,28 @@
             Of the request that began it; empty if the caller names none.
         service : str
             Service that it is resumed at, unless another is known to have begun it.
+        services : set of str
+            All services at which it may have begun.
         """
         begun = self.streams.find(key) if key else None
         if begun is not None:
             return StreamOrigin(begun.begun_at, begun.source)
-        version = self.sole_version(service, now_s)
+        version = self.sole_version({service, *services}, now_s)
         if version is None:
             return UNKNOWN_ORIGIN
         return StreamOrigin(ServiceVersion(service, version), FactSource.SOLE)
 
-    def sole_version(self, service: str, now_s: float) -> str | None:
-        """Return the version of all streams of a service, if there is only one."""
+    def sole_version(self, services: Set[str], now_s: float) -> str | None:
+        """Return the version of all streams of services, if there is only one."""
         if self.is_doubted(now_s) or not self.is_current(now_s):
             return None
-        versions = [
+        versions = {
             version
-            for version, state in self._services.get(service, {}).items()
+            for name in services
+            for version, state in self._services.get(name, {}).items()
             if state.is_present or now_s - state.changed_at_s < self.life_s
-        ]
-        return versions[0] if len(versions) == 1 else None
+        }
+        return versions.pop() if len(versions) == 1 else None
 
     def shares_streams(self, now_s: float) -> bool:
         """Return whether instances must tell each other which streams have begun."""
@@ -292,8 +308,8 @@
         """Return whether the versions of the servers are known well enough."""
         return now_s - self.servers_as_of_s <= SETTLE_S
 
-    def _may_be_mixed(self, service: str, now_s: float) -> bool:
-        known = self._services.get(service, {})
-        if not any(state.is_present for state in known.values()):
+    def _may_be_mixed(self, services: Set[str], now_s: float) -> bool:
+        known = [self._services.get(service, {}) for service in services]
+        if not any(state.is_present for found in known for state in found.values()):
             return False
-        return self.sole_version(service, now_s) is None
+        return self.sole_version(services, now_s) is None
--- a/libs/placement/tests/test_stream_origins.py
+++ b/libs/placement/tests/test_stream_origins.py
@@ -144,16 +144,16 @@
         versions = instance(listed=(OLD, NEW), present=("v1", "v2"))
         observe(versions, {"v2"}, 10.0)
         observe(versions, {"v2"}, 10.0 + LIFE_S - 0.1)
-        assert versions.sole_version(SERVICE, 10.0 + LIFE_S - 0.1) is None
+        assert versions.sole_version({SERVICE}, 10.0 + LIFE_S - 0.1) is None
         observe(versions, {"v2"}, 10.0 + LIFE_S)
-        assert versions.sole_version(SERVICE, 10.0 + LIFE_S) == "v2"
+        assert versions.sole_version({SERVICE}, 10.0 + LIFE_S) == "v2"
 
     def test_nothing_is_sole_while_the_servers_are_not_known_to_be_current(
         self,
     ) -> None:
         versions = instance()
-        assert versions.sole_version(SERVICE, SETTLE_S) == "v1"
-        assert versions.sole_version(SERVICE, SETTLE_S + 0.1) is None
+        assert versions.sole_version({SERVICE}, SETTLE_S) == "v1"
+        assert versions.sole_version({SERVICE}, SETTLE_S + 0.1) is None
 
     def test_known_stream_goes_on_though_the_servers_are_not_current(self) -> None:
         versions = instance()
