Take no version for the sole one without hearing of the fleet

What callers saw: an instance that was cut off while engines of a new software version joined took up streams that had begun on them, and went on at engines of the old version, with status 200.

Cause: a poll that waits counted as proof of the servers' list for 13 s, as long as most instances were heard of. An instance that had never heard of another one always had its majority, itself. Beside that, "heard of" was looked up in a list that a pause of the process leaves as it was, counted datagrams from before the end of a pause as new, and forgot for a moment that a peer knew newer entries while it fetched them.

Fix: what a waiting poll tells is as old as the oldest sign of life that a majority needs, and -inf while a peer is known to be ahead or right after a pause. A sole instance, or one without a majority, has no other proof than the store: its polls wait 0.5 s, below the 0.8 s within which every instance must know of a new version. Messages of idle instances skip fewer rounds where rounds are long, so that they tell it as well.

Not tried: followers of large fleets, three versions at a time.

--- a/libs/gateway/src/teaseldyke/gateway/feed_polls.py
+++ b/libs/gateway/src/teaseldyke/gateway/feed_polls.py
@@ -26,6 +26,9 @@
 # Long poll of a feed leader; an empty result is relayed too and keeps followers
 # from polling the store themselves.
 LEADER_POLL_WAIT_S = 1.0
+# A sole instance hears of no other that knows newer entries. Its knowledge must not be
+# older than `SETTLE_S` in `placement/stream_origins.py`.
+SOLE_POLL_WAIT_S = 0.5
 LOSS_TOLD_S = 5.0  # for which others are told that calls were lost
 
 
@@ -94,6 +97,8 @@
             return 0.0
         if self.role is FeedRole.LEADER:
             return LEADER_POLL_WAIT_S
+        if self.pollers == 1:
+            return SOLE_POLL_WAIT_S
         interval_s = min(POLL_WAIT_MAX_S, self.pollers * POLL_SPACING_S)
         if state.is_in_slot:
             return interval_s
--- a/libs/gateway/src/teaseldyke/gateway/membership.py
+++ b/libs/gateway/src/teaseldyke/gateway/membership.py
@@ -48,12 +48,16 @@
     neighbourhoods : int
         Number of neighbourhoods; a power of two, so that the loss of an instance
         rarely reassigns the others.
+    majority_heard_at_s : float
+        Since when signs of life have come from a majority, this instance included. A
+        sole instance has no majority to hear of.
     """
 
     def __init__(self, own: Peer) -> None:
         self.own = own
         self.alive_s = ALIVE_TIMEOUT_S
         self.neighbourhoods = 1
+        self.majority_heard_at_s = -math.inf
         self._known: dict[str, _Member] = {}
         self._names = [own.name]
         self._alive: list[Peer] = [own]
@@ -142,11 +146,26 @@
             if now_s - known.last_received_at_s < self.alive_s
         ]
         self._alive.append(self.own)
+        self._update_majority()
         own = self.neighbourhood_of(self.own.name)
         self._neighbours = [
             peer for peer in self._alive if self.neighbourhood_of(peer.name) == own
         ]
 
+    def _update_majority(self) -> None:
+        others_needed = len(self._names) // 2
+        heard_at_s = sorted(
+            (
+                self._known[name].last_received_at_s
+                for name in self._names
+                if name != self.own.name
+            ),
+            reverse=True,
+        )
+        self.majority_heard_at_s = (
+            heard_at_s[others_needed - 1] if others_needed else -math.inf
+        )
+
     def neighbourhood_of(self, name: str) -> int:
         """Return the neighbourhood of an instance."""
         number = self._numbers.get(name)
@@ -172,8 +191,11 @@
     def poll_rank(self) -> tuple[int, int]:
         """Return the rank of this instance among its live neighbours, and their number.
 
-        They poll the same tables of the store.
+        They poll the same tables of the store. Without a majority of the instances it
+        counts as the only one, since nobody else may tell it of changes.
         """
+        if 2 * len(self._alive) <= len(self._names):
+            return 0, 1
         names = sorted(peer.name for peer in self.neighbours())
         return names.index(self.own.name), len(names)
 
--- a/libs/gateway/src/teaseldyke/gateway/stream_memory.py
+++ b/libs/gateway/src/teaseldyke/gateway/stream_memory.py
@@ -81,8 +81,8 @@
         ...
 
     @property
-    def is_in_touch(self) -> bool:
-        """Whether most instances were heard of lately, and none knows newer entries."""
+    def in_touch_as_of_s(self) -> float:
+        """Since when most instances were heard of; -inf if one knows newer entries."""
         ...
 
     def rank(self, key: str) -> int:
@@ -211,11 +211,12 @@
         """Record the versions of all servers that are known.
 
         A change ends the long poll of each instance at once, so that a poll that waits
-        tells as much as one that has ended, unless this instance was cut off.
+        tells as much as one that has ended, unless this instance was cut off. It wasn't
+        as long as it hears of most others; a sole instance polls more often instead.
         """
         is_polling = store_available and now_s - servers_as_of_s < POLL_MAX_S
-        if is_polling and self._fleet.is_in_touch:
-            servers_as_of_s = now_s
+        if is_polling:
+            servers_as_of_s = max(servers_as_of_s, self._fleet.in_touch_as_of_s)
         present: dict[str, set[str]] = {name: set() for name in self._services}
         for state in states:
             versions = present.get(state.server.service)
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import socket
 from typing import Protocol
@@ -55,6 +56,8 @@
 # Rounds until all instances know of a send: one to the neighbours, one to the others.
 PROPAGATION_ROUNDS = 2
 ERROR_MAX = 200  # characters in a log line
+# Longer than between two messages of an idle instance.
+PAUSE_SETTLE_S = 0.4
 IDLE_SKIP_MAX = 2  # rounds skipped in a row; an idle instance still counts as alive
 
 
@@ -124,6 +127,9 @@
         self._skipped = 0
         self._next_round_at_s = 0.0
         self._read_at_s = self._born_s
+        self._arrived_after_s = self._born_s  # datagrams of the last read
+        self._paused_until_s = -math.inf
+        self._versions_ahead: KnownVersions | None = None
         self._round_s = EXCHANGE_INTERVAL_S
         self._send_round_at_s = 0.0
         self._summed_at_s = self._born_s
@@ -179,10 +185,17 @@
         return self._membership.rank(key)
 
     @property
-    def is_in_touch(self) -> bool:
-        """Whether most instances were heard of lately, and none knows newer entries."""
-        membership = self._membership
-        return self.peer_ahead is None and 2 * membership.alive > membership.instances
+    def in_touch_as_of_s(self) -> float:
+        """Since when most instances were heard of; -inf if one knows newer entries.
+
+        After a pause of this instance, old datagrams are read first.
+        """
+        ahead = self._versions_ahead
+        if ahead is not None and self._directory.is_behind(ahead):
+            return -math.inf
+        if boot_time_s() - self._paused_until_s < PAUSE_SETTLE_S:
+            return -math.inf
+        return min(self._membership.majority_heard_at_s, self._arrived_after_s)
 
     def neighbour_names(self) -> list[str]:
         """Return the live instances of the neighbourhood, this one included."""
@@ -207,6 +220,9 @@
         totals are used in the next round only.
         """
         as_of_s, read_at_s = self._read_at_s, boot_time_s()
+        self._arrived_after_s = as_of_s
+        if read_at_s - as_of_s > ALIVE_TIMEOUT_S:
+            self._paused_until_s = read_at_s
         try:
             for _ in range(DATAGRAMS_PER_READ_MAX):
                 self._read_datagram(as_of_s)
@@ -260,6 +276,7 @@
         if self._directory.is_behind(versions):
             sender = Peer(message.name, message.host, message.port)
             self.peer_ahead = (sender, versions)
+            self._versions_ahead = versions
             return
         self._versions_known = stated
 
@@ -311,7 +328,11 @@
             self._directory.polls.lost,
             loads,
         )
-        if content == self._last_content and self._skipped < IDLE_SKIP_MAX:
+        may_skip = (
+            self._skipped < IDLE_SKIP_MAX
+            and (self._skipped + 2) * self._round_s <= ALIVE_TIMEOUT_S
+        )
+        if content == self._last_content and may_skip:
             self._skipped += 1
             return True
         self._skipped = 0
--- a/libs/gateway/tests/test_feed_polls.py
+++ b/libs/gateway/tests/test_feed_polls.py
@@ -9,6 +9,7 @@
     LOSS_TOLD_S,
     POLL_SPACING_S,
     POLL_WAIT_MAX_S,
+    SOLE_POLL_WAIT_S,
     FeedPolls,
 )
 from teaseldyke.gateway.interfaces import FeedRole, LostCalls
@@ -50,6 +51,8 @@
         ]
         assert max(gaps_s) <= POLL_SPACING_S + 1e-9
         per_s = max(1.0 / POLL_SPACING_S, pollers / POLL_WAIT_MAX_S)
+        if pollers == 1:
+            per_s = 1.0 / SOLE_POLL_WAIT_S
         assert len(ends) <= per_s * OBSERVED_S + 2 * pollers
 
     @pytest.mark.parametrize("is_silent", [True, False], ids=["silent", "refused"])
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -176,7 +176,7 @@
             readiness=free_address(),
             exchange=free_address(),
             metrics=free_address(),
-            platform=Address("127.0.0.1", self.store.port),
+            platform=fields.pop("platform", Address("127.0.0.1", self.store.port)),
             bounds=fields.pop("bounds", BOUNDS),
             **fields,
         )
