--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -8,6 +8,17 @@
 import pytest
 import trio
 
+from teaseldyke.adapter import StoreClient
+from teaseldyke.adapter.store import LISTING_MAX_BYTES
+from teaseldyke.gateway.process import LISTING_TARGET, LISTING_TIMEOUT_S
+from teaseldyke.http import HttpClient
+from teaseldyke.settings import Address
+from teaseldyke.types import (
+    AnswerLost,
+    PlatformUnavailable,
+    StoreVersion,
+    TeaseldykeError,
+)
 from tests.platform.conftest import Answer, Fleet, script_all, wait_until
 from tests.platform.standins import (
     Arrival,
@@ -187,3 +198,89 @@
         # The engines may have run the requests, so no status below 502 is true.
         assert [answer.status for answer in answers if answer.status < 502] == []
         assert peak_bytes <= SMALLEST_INSTANCE_BYTES // 2
+
+
+OK = b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
+ENDLESS = {
+    "first-line": (b"", b"x", 128 * 1024),
+    "header": (OK, b"A: b\r\n", 128 * 1024),
+    "informational": (b"", b"HTTP/1.1 100 C\r\n\r\n", 128 * 1024),
+    "chunked-body": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n",
+        chunk(b"x" * 999),
+        LISTING_MAX_BYTES,
+    ),
+    "body-without-length": (OK + b"\r\n", b"x", LISTING_MAX_BYTES),
+    "huge-length": (
+        OK + b"Content-Length: 99999999999\r\n\r\n",
+        b"x",
+        LISTING_MAX_BYTES,
+    ),
+}
+
+
+class EndlessServer:
+    """Sends the same bytes again and again after a beginning, until it is closed."""
+
+    def __init__(self, beginning: bytes, repeated: bytes) -> None:
+        self.sent_bytes = 0
+        self.port = 0
+        self._beginning = beginning
+        self._page = repeated * max(1, 16384 // len(repeated))
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        try:
+            await stream.receive_some(65536)
+            await stream.send_all(self._beginning)
+            while True:
+                await stream.send_all(self._page)
+                self.sent_bytes += len(self._page)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+@pytest.mark.parametrize(
+    ("beginning", "repeated", "limit_bytes"), ENDLESS.values(), ids=ENDLESS
+)
+class TestOtherEndlessAnswers:
+    @pytest.mark.parametrize("call", ["listing", "poll", "write"])
+    async def test_endless_answer_of_the_store_ended_the_part_that_follows_it(
+        self, beginning: bytes, repeated: bytes, limit_bytes: int, call: str
+    ) -> None:
+        """Its error was none that a failing store may raise."""
+        server = EndlessServer(beginning, repeated)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.run)
+            client = StoreClient(Address("127.0.0.1", server.port))
+            client.era = 1
+            calls = {
+                "listing": lambda: client.rows("servers"),
+                "poll": lambda: client.changes("servers", StoreVersion(1, 3), 10.0),
+                "write": lambda: client.write("routers", "g-1", b"{}"),
+            }
+            with (
+                trio.fail_after(5.0),
+                pytest.raises((PlatformUnavailable, AnswerLost)),
+            ):
+                await calls[call]()
+            nursery.cancel_scope.cancel()
+        assert server.sent_bytes <= limit_bytes + BUFFERED_BYTES
+
+    async def test_endless_listing_of_an_instance_is_bounded(
+        self, beginning: bytes, repeated: bytes, limit_bytes: int
+    ) -> None:
+        server = EndlessServer(beginning, repeated)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.run)
+            client = HttpClient(timeout_s=LISTING_TIMEOUT_S)
+            with trio.fail_after(5.0), pytest.raises(TeaseldykeError):
+                await client.request("GET", "127.0.0.1", server.port, LISTING_TARGET)
+            nursery.cancel_scope.cancel()
+        assert server.sent_bytes <= 2 * limit_bytes + BUFFERED_BYTES
