Ask the store at once after word of its outage

Found while reading the change anew: an instance that another one had told of lost calls after an outage counted the store as away until its next long poll ended, up to 10 s later. Its next polls don't wait now. And a refusal long before made a single silent connection count as an outage.

Evidence: test_lost_polls.py checks that the store counts as available within a second of the word, and test_feed_polls.py has the refusal before the silence.

--- a/libs/gateway/src/teaseldyke/gateway/feed_polls.py
+++ b/libs/gateway/src/teaseldyke/gateway/feed_polls.py
@@ -139,12 +139,18 @@
             Whether nothing had changed.
         """
         self._tables[table] = _Table(True, is_empty and wait_s > 0.0)
+        if self._silent_at_s == math.inf:
+            self._was_away = False
         if begun_at_s < self._silent_at_s:
             return
         self._silent_at_s = math.inf
         self.lost = LostCalls(begun_at_s, self._was_away)
         self._was_away = False
 
+    def doubt(self, table: str) -> None:
+        """Let the next poll of a table find out whether the store answers."""
+        self._tables[table] = _Table()
+
     def loss_to_tell(self, now_s: float) -> tuple[float, bool] | None:
         """Return the age of `lost` and whether the store was away, while it is new."""
         age_s = now_s - self.lost.before_s
