Answer a failure after a run with 502, whatever its status promises

Cause: a server that fails a request after it has run it may answer 408, 429 or 503. Without the header that says "not run" this is a failure, but it was passed on, and between gateway and caller these statuses promise that the request has not run.

Such an answer now counts as failed: a request that may be repeated goes to another server, any other ends with 502 and without the server's signature. It holds for all routes, since the promise does not depend on the kind of request.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -40,6 +40,8 @@
 # From the first event of a stream until its prompt counts as sound.
 SOUND_AFTER_S = 0.25
 UNBOUNDED_S = 3600.0  # no time-out but the request's deadline
+# Statuses other than 421 that tell a caller that its request has not run.
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
 
 
 class Outcome(Enum):
@@ -358,7 +360,8 @@
         is_raced = self.race.has_others(self)
         is_stream = self.route.kind is RouteKind.STREAMING
         is_error = status >= 500 or (is_raced and is_stream and status != 200)
-        if is_error and (is_raced or not self.forwards_errors):
+        is_untrue = status in NOT_RUN_STATUSES  # the server doesn't say so itself
+        if is_untrue or (is_error and (is_raced or not self.forwards_errors)):
             self._record_survived()
             await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             return SendResult(Outcome.FAILED, f"server answered {status}", status)
