Bound the memory for bodies that arrive slowly

Callers whose long bodies arrive slowly could fill an instance's memory.

Cause: answers that are buffered have a limit for all together, bodies had one each. 33 bodies of the largest size that the operators allow, 4 MiB, exceed the 128 MB of the smallest instance without any code of its own.

Bodies now count from their first byte to the final answer. Beyond 16 MiB in all, one that has more than 16 KiB is refused with 503 and a time to come back; it has not run. While an answer is awaited, the body is held once instead of twice.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -33,6 +33,7 @@
 )
 
 from .attempts import SendResult
+from .bodies import HeldBody, RequestBodies
 from .call import (
     Call,
     deadline_of,
@@ -86,6 +87,7 @@
     """A request without a complete answer, and its call once it has been read."""
 
     request: Request
+    body: HeldBody
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     call: Call | None = None
 
@@ -125,6 +127,7 @@
         self._sender = sender
         self._wire = wire
         self._memory = memory
+        self._bodies = RequestBodies()
         self._buffers = AnswerBuffers()
         self._longest_timeout_s: dict[str, float] = {}
         self._event_sizes = EventSizes()
@@ -150,7 +153,7 @@
 
     async def handle(self, request: Request) -> None:
         """Answer one request."""
-        running = _Running(request)
+        running = _Running(request, HeldBody(self._bodies))
         self._running.add(running)
         arrived_at_s = boot_time_s()
         UNREAD.observe(max(0.0, arrived_at_s - request.unread_since_s))
@@ -171,6 +174,7 @@
             raise
         finally:
             self._running.discard(running)
+            running.body.release()
 
     async def _serve(
         self,
@@ -199,7 +203,9 @@
             facts, route, min(arrived_at_s, request.unread_since_s)
         )
         body = await request.read_body(
-            table.bounds.body_bytes, deadline_at_s - boot_time_s()
+            table.bounds.body_bytes,
+            deadline_at_s - boot_time_s(),
+            running.body.add,
         )
         service = pick_service(table, route.split)
         version = ""
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -45,6 +45,12 @@
     executed = "no"
 
 
+class BodiesFull(Overloaded):
+    """The bodies of other requests leave no memory for this one's."""
+
+    code = "bodies_full"
+
+
 class NoServer(TeaseldykeError):
     """No backend server accepted the request; none has run it."""
 
--- a/libs/http/src/teaseldyke/http/body.py
+++ b/libs/http/src/teaseldyke/http/body.py
@@ -59,8 +59,13 @@
         self._deadline_s = trio.current_time() + limits.body_timeout_s
         self._parse_buffered()
 
-    async def read(self, limit_bytes: int, timeout_s: float = math.inf) -> bytes:
-        """Return the whole body; raises as `chunks` does."""
+    async def read(
+        self,
+        limit_bytes: int,
+        timeout_s: float = math.inf,
+        on_data: Callable[[int], None] = lambda size_bytes: None,
+    ) -> bytes:
+        """Return the whole body; raises as `chunks` and ``on_data`` do."""
         self._deadline_s = min(self._deadline_s, trio.current_time() + timeout_s)
         limit_bytes = min(limit_bytes, self._limits.body_bytes)
         self._check_length(limit_bytes)
@@ -68,6 +73,7 @@
         size_bytes = 0
         async for chunk in self.chunks():
             size_bytes += len(chunk)
+            on_data(len(chunk))
             if size_bytes > limit_bytes:
                 raise BodyTooLarge(f"request body exceeds {limit_bytes} bytes")
             parts.append(chunk)
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -240,6 +240,7 @@
         self.sent = True
         try:
             await self._connection.send(data)
+            del data  # a second copy of the body; the answer may take long
             response = await self._connection.receive_head()
         except ExchangeBroken as exc:
             if self._watch.expired:
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -117,7 +117,12 @@
         value = first_header(self.headers, name.lower().encode("ascii"))
         return None if value is None else value.decode("latin-1")
 
-    async def read_body(self, limit_bytes: int, timeout_s: float = math.inf) -> bytes:
+    async def read_body(
+        self,
+        limit_bytes: int,
+        timeout_s: float = math.inf,
+        on_data: Callable[[int], None] = lambda size_bytes: None,
+    ) -> bytes:
         """Return the whole body.
 
         Parameters
@@ -126,6 +131,8 @@
             Largest body.
         timeout_s : float
             Longest wait for its end, if shorter than the server's.
+        on_data : callable
+            Called with the size of each part; what it raises ends the reading.
 
         Raises
         ------
@@ -136,7 +143,7 @@
         CallerGone
             If the caller closes its connection before the end of the body.
         """
-        return await self._body.read(limit_bytes, timeout_s)
+        return await self._body.read(limit_bytes, timeout_s, on_data)
 
     def body_chunks(self) -> AsyncIterator[bytes]:
         """Return an iterator over the body as it arrives; raises as `read_body`."""
