Tell routers of a ramp that was reset

Cause: a dispatcher listed the ramps in its batches only with completions. After a reset there are none, so the routers kept the state from before it, and reported that to the dispatcher's successor, which took the cold engine for a warm one.

A state is listed as soon as its epoch or its completions aren't zero. The epoch grows with each reset, so a successor prefers the reset to older reports.

A restart that the lost dispatcher did not see is not covered by this.

--- a/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
@@ -328,9 +328,11 @@
         seq = next(self._seqs)
         for grant in router.pending:
             router.grants[grant.grant_id].seq = seq
-        ramps = [
-            slots.ramp_state() for slots in self.slots.values() if slots.ramp.completed
-        ]
+        ramps = []
+        for slots in self.slots.values():
+            # A reset must reach the routers, or a successor adopts what was before it.
+            if slots.ramp.epoch or slots.ramp.completed:
+                ramps.append(slots.ramp_state())
         batch = GrantBatch(
             shard=self.shard.name,
             incarnation=self.incarnation,
--- a/libs/dispatch/tests/conftest.py
+++ b/libs/dispatch/tests/conftest.py
@@ -16,12 +16,19 @@
 class FakeServer:
     name: str
     capacity: int
+    cold_limit: int = 0
     running: int = 0
     max_running: int = 0
     overruns: int = 0
     started_at_s: float = 1.0
     completed: int = 0
 
+    def restart(self) -> None:
+        """Start again, cold for good."""
+        self.started_at_s += 1.0
+        self.completed = 0
+        self.capacity = self.cold_limit
+
     def begin(self) -> None:
         self.running += 1
         self.max_running = max(self.max_running, self.running)
@@ -159,7 +166,9 @@
             servers = {}
             for server in configuration.backend_servers.values():
                 service = configuration.services[server.service]
-                servers[server.name] = FakeServer(server.name, service.limit)
+                servers[server.name] = FakeServer(
+                    server.name, service.limit, service.cold_limit
+                )
             fleet = Fleet(
                 nursery,
                 MemoryNetwork(nursery, delay_s=delay_s),
--- a/libs/dispatch/tests/test_failures.py
+++ b/libs/dispatch/tests/test_failures.py
@@ -7,6 +7,8 @@
 from teaseldyke.dispatch import OrganisationRefused, PermitLapsed
 from teaseldyke.types import Switches
 
+WARM_AFTER_REQUESTS = 8
+
 
 def longest_pause_s(fleet, since_s: float, until_s: float) -> float:
     times = [at_s for at_s, _, _ in fleet.sent if since_s <= at_s <= until_s]
@@ -137,6 +139,38 @@
     assert all(server.completed >= 5 for server in fleet.servers.values())
 
 
+def cold_configuration(make_configuration):
+    return make_configuration(
+        servers=1, limit=4, cold_limit=1, warm_after_requests=WARM_AFTER_REQUESTS
+    )
+
+
+async def send_burst(fleet, name: str) -> None:
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(fleet.request, name, "a", 0.2)
+
+
+@pytest.mark.promise("cold-backend-server")
+async def test_successor_of_a_dispatcher_that_saw_a_restart(
+    autojump_clock, make_fleet, make_configuration
+) -> None:
+    """The restart was seen before any request was completed since."""
+    fleet = await make_fleet(cold_configuration(make_configuration))
+    for _ in range(WARM_AFTER_REQUESTS):
+        await fleet.request("router-0", "a", 0.1)
+    (dispatcher,) = fleet.acting_routers()
+    server = fleet.servers["engine-0"]
+    server.restart()
+    name = next(name for name in fleet.routers if name != dispatcher)
+    fleet.nursery.start_soon(fleet.request, name, "a", 100.0)
+    await trio.sleep(1.5)  # several load polls
+    fleet.kill(dispatcher)
+    with trio.move_on_after(8.0):
+        await send_burst(fleet, name)
+    assert server.overruns == 0
+
+
 @pytest.mark.promise("no-starvation")
 async def test_small_organisation_is_served_under_a_flood(
     autojump_clock, make_fleet, make_configuration
