Send a call elsewhere only on connections that worked in its silence

Callers saw streams cut at their deadline, and plain requests unanswered, after the open connections to several servers had fallen silent for good while new ones worked.

Cause: a call whose server is silent was sent to a second server on that one's newest idle connection. The same fault had silenced it: both attempts were spent on dead connections. So it was with the retry after a silent attempt had broken.

Later sends of the call take an idle connection only if its last exchange ended after that, else a new one. The pool is last in, first out, so its newest connection tells. Older ones stay: nothing is closed for a silence. A busy server still gets these sends on connections that exist.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -121,6 +121,8 @@
     is_repeated : bool
         Whether the server has got this request before. A faulty one may write its
         earlier answer again, which has the same id, so another connection is needed.
+    proven_since_s : float
+        Time since which a connection must have worked to be reused.
 
     Attributes
     ----------
@@ -146,6 +148,7 @@
     evidence: CrashEvidence
     has_crashed: Callable[[], Awaitable[bool]]
     is_repeated: bool
+    proven_since_s: float = 0.0
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
@@ -267,6 +270,7 @@
                 server.port,
                 fresh=self.is_repeated,
                 keep_alive_share=keep_alive_share,
+                proven_since_s=self.proven_since_s,
             )
         except ConnectFailed as exc:
             return SendResult(Outcome.NOT_SENT, exc.detail)
--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -68,6 +68,8 @@
         Why the last send failed.
     crashes : int
         Number of servers that crashed while they had it.
+    silent_since_s : float
+        When a server of it last fell silent beyond patience; 0 if none did.
     """
 
     request: Request
@@ -85,6 +87,7 @@
     version: int = 0
     last_failure: str = ""
     crashes: int = 0
+    silent_since_s: float = 0.0
 
     def bind_to_version(self) -> None:
         """Bind a stream that has begun to the software version of its server."""
--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -214,6 +214,8 @@
             race.stop_placing()
             return
         attempt.count_silence()
+        # The path to other servers may have failed at the same moment.
+        race.call.silent_since_s = now_s - attempt.silent_for_s(now_s)
         if race.is_placing or now_s < race.next_at_s:
             return
         if not self._may_send(race, now_s):
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -196,6 +196,7 @@
             self._evidence,
             lambda: self._probe.has_crashed(server),
             (server.host, server.port) in call.addresses,
+            call.silent_since_s,
         )
         call.addresses.add((server.host, server.port))
         call.avoid.add(server.id)
--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -124,6 +124,7 @@
         *,
         fresh: bool = False,
         keep_alive_share: float = 1.0,
+        proven_since_s: float = 0.0,
     ) -> ServerConnection:
         """Return an idle connection or a new one; raises `ConnectFailed`.
 
@@ -134,10 +135,13 @@
         keep_alive_share : float
             Fraction of the server's keep-alive timeout after which an idle connection
             is no longer reused.
+        proven_since_s : float
+            Time since which an idle connection must have completed an exchange, on
+            the clock of `boot_time_s`. Others stay in the pool.
         """
         idle = self._idle.get((host, port))
         now_s = boot_time_s()
-        while idle and not fresh:
+        while idle and not fresh and idle[-1].idle_since_s >= proven_since_s:
             connection = idle.pop()
             idle_s = now_s - connection.idle_since_s
             keep_alive_s = (
