Log and count why answers and connections end, and on which side

Before, the line of a request that ended at its deadline said neither whose time-out that was, nor whether a newer configuration allowed more, nor what its server did at that moment; a send that ended with its call had no line; a caller that left within its body or during a write had neither a line nor a counter; connections closed while idle had none.

Added, as fields of existing lines where there was one: - failed, refused at a deadline: bound_by, allowed_s, allowed_now_s - send_ended: silent_s, reused, idle_s, closed_by, and the outcome cancelled - failed of a cut answer: closed_by - caller_gone: also within a body and during a write, once for a request - three counters: teaseldyke_deadlines_passed_total, teaseldyke_sends_ended_total, teaseldyke_idle_connections_closed_total

Idle closes are counted only, so that their number stays bounded.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -22,6 +22,7 @@
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer, Route, RouteKind, ServiceDescription
 
+from .connection_use import ConnectionUse
 from .errors import ChoiceLapsed
 from .interfaces import AnswerFacts, CallFacts, Headers, Wire
 from .race import Race
@@ -132,6 +133,8 @@
         Whether the server has run the request, at least for a moment, and lives.
     is_trial : bool
         Whether the request is sent to find out if it still crashes servers.
+    connection : ConnectionUse or None
+        How its connection was used; ``None`` until one is open.
     """
 
     pool: BackendPool
@@ -153,6 +156,7 @@
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
     is_superseded: bool = attrs.field(default=False, init=False)
+    connection: ConnectionUse | None = attrs.field(default=None, init=False)
     _silence: Silence | None = attrs.field(default=None, init=False)
     _silence_counted: bool = attrs.field(default=False, init=False)
     _has_part_of_event: bool = attrs.field(default=False, init=False)
@@ -288,6 +292,7 @@
         try:
             self.sent = True
             self._connection = connection
+            self.connection = ConnectionUse.begin(connection, boot_time_s())
             self._wait_for(self.patience.first_s)
             await exchange.start(request, UNBOUNDED_S)
             return await self._read(connection, exchange, resumed_after)
@@ -303,9 +308,12 @@
                 timed_out=bool(self._given_up),
             )
         finally:
+            silent_s = self.silent_for_s(boot_time_s())
             self._connection = None
             self._silence = None
             self.pool.release(connection, exchange)
+            if self.connection is not None:
+                self.connection.end(connection, silent_s)
 
     def _wait_for(self, patience_s: float) -> None:
         """Begin to wait for the server's next word."""
--- a/libs/gateway/src/teaseldyke/gateway/call.py
+++ b/libs/gateway/src/teaseldyke/gateway/call.py
@@ -70,6 +70,8 @@
         Number of servers that crashed while they had it.
     silent_since_s : float
         When a server of it last fell silent beyond patience; 0 if none did.
+    is_caller_gone : bool
+        Whether its caller was found to have left.
     """
 
     request: Request
@@ -88,6 +90,7 @@
     last_failure: str = ""
     crashes: int = 0
     silent_since_s: float = 0.0
+    is_caller_gone: bool = False
 
     def bind_to_version(self) -> None:
         """Bind a stream that has begun to the software version of its server."""
@@ -205,6 +208,13 @@
     return waiting_since_s + min(caller_timeout_s - FINAL_MARGIN_S, route.timeout_s)
 
 
+def time_limit_of(facts: CallFacts, route: Route) -> tuple[str, float]:
+    """Return whose time-out bounds a request, and the time that it allows."""
+    allowed_s = deadline_of(facts, route, 0.0)
+    bound_by = "route" if allowed_s >= route.timeout_s else "caller"
+    return bound_by, allowed_s
+
+
 def work_of(
     facts: CallFacts,
     route: Route,
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from teaseldyke.http import CallerGone, Request
+from teaseldyke.http import CallerGone, CallerTooSlow, Request
 from teaseldyke.placement import (
     STREAM_START_S,
     EventSizes,
@@ -39,6 +39,7 @@
     deadline_of,
     organisation_of,
     pick_service,
+    time_limit_of,
     work_for_resumption,
     work_of,
 )
@@ -54,7 +55,7 @@
 )
 from .interfaces import CallFacts, Headers, Wire
 from .relay import AnswerBuffers, Relay
-from .sending import Sender, caller_gone
+from .sending import CALLERS_GONE, Sender, caller_gone
 from .stream_memory import UNKNOWN_RETRY_S, StreamMemory
 from .view import FleetView
 
@@ -72,6 +73,11 @@
     "teaseldyke_answers_ended_total",
     "Answers ended by this instance, by reason and whether a part had gone out.",
 )
+DEADLINES_PASSED = counter(
+    "teaseldyke_deadlines_passed_total",
+    "Requests ended at their deadline, by whose time-out it was, and whether the"
+    " configuration in force then allowed more time.",
+)
 UNREAD_REFUSED = counter(
     "teaseldyke_unread_refused_total",
     "Refusals before a request was read, by code.",
@@ -82,6 +88,16 @@
 ).bind()
 
 
+@attrs.frozen
+class _TimeLimit:
+    """When a request must be answered, and by whose time-out."""
+
+    table: RoutingTable
+    bound_by: str
+    allowed_s: float
+    deadline_at_s: float
+
+
 @attrs.define(eq=False)
 class _Running:
     """A request without a complete answer, and its call once it has been read."""
@@ -90,6 +106,7 @@
     body: HeldBody
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     call: Call | None = None
+    limit: _TimeLimit | None = None
 
 
 class CallHandler:
@@ -165,9 +182,11 @@
                 await self._serve(running, facts, arrived_at_s, context)
             if running.scope.cancelled_caught:
                 raise _stopped(running.call)
-        except CallerGone:
+        except CallerGone as exc:
+            _log_left(running, facts, exc, arrived_at_s)
             raise
         except TeaseldykeError as exc:
+            context |= self._end_of_time(running, facts)
             await self._refuse(request, facts, exc, arrived_at_s, context)
         except trio.Cancelled:
             self._log_cancelled(request, facts, arrived_at_s, context)
@@ -202,6 +221,7 @@
         deadline_at_s = deadline_of(
             facts, route, min(arrived_at_s, request.unread_since_s)
         )
+        running.limit = _TimeLimit(table, *time_limit_of(facts, route), deadline_at_s)
         body = await request.read_body(
             table.bounds.body_bytes,
             deadline_at_s - boot_time_s(),
@@ -429,6 +449,32 @@
         age_s = boot_time_s() - self._view.in_force_since_s
         return {"in_force": table.version, "in_force_s": round(age_s, 3)}
 
+    def _end_of_time(
+        self, running: _Running, facts: CallFacts | None
+    ) -> dict[str, object]:
+        """Count a deadline that has passed; return whose it was, for logs.
+
+        A request keeps the time-out of the configuration that it was resolved with.
+        """
+        limit = running.limit
+        if limit is None or facts is None or boot_time_s() < limit.deadline_at_s:
+            return {}
+        allowed_now_s: float | None = limit.allowed_s
+        table = self._view.table
+        if table is not None and table is not limit.table:
+            path = running.request.raw_target.partition("?")[0]
+            route = table.match(facts.host, path)
+            allowed_now_s = time_limit_of(facts, route)[1] if route else None
+        allows_more = allowed_now_s is not None and allowed_now_s > limit.allowed_s
+        DEADLINES_PASSED.bind(
+            bound_by=limit.bound_by, allows_more="yes" if allows_more else "no"
+        ).add()
+        return {
+            "bound_by": limit.bound_by,
+            "allowed_s": round(limit.allowed_s, 3),
+            "allowed_now_s": None if allowed_now_s is None else round(allowed_now_s, 3),
+        }
+
     async def _refuse(
         self,
         request: Request,
@@ -447,6 +493,7 @@
             retry_after_s=error.retry_after_s,
             after_s=round(boot_time_s() - arrived_at_s, 4),
             cut=request.response_started,
+            closed_by=_closed_by(request),
             **self._configuration_in_force(),
             **context,
         )
@@ -473,6 +520,35 @@
         return self.describe(error)
 
 
+def _closed_by(request: Request) -> str | None:
+    """Return which side closes the connection of an answer that is cut."""
+    if not request.response_started:
+        return None
+    return "caller" if request.has_caller_disconnected() else "instance"
+
+
+def _log_left(
+    running: _Running,
+    facts: CallFacts | None,
+    error: CallerGone,
+    arrived_at_s: float,
+) -> None:
+    """Log a caller that a read or a write of its connection found gone."""
+    call = running.call
+    if isinstance(error, CallerTooSlow) or (call is not None and call.is_caller_gone):
+        return
+    CALLERS_GONE.bind(route=call.route.name if call else "").add()
+    request_id = facts.request_id if facts else None
+    log_decision(
+        "caller_gone",
+        id=request_id.decode("latin-1") if request_id else None,
+        sends=call.sends if call else 0,
+        reason=error.detail,
+        cut=running.request.response_started,
+        after_s=round(boot_time_s() - arrived_at_s, 4),
+    )
+
+
 def _count_ended(reason: str, request: Request) -> None:
     started = "yes" if request.response_started else "no"
     ANSWERS_ENDED.bind(reason=reason, started=started).add()
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -31,7 +31,7 @@
 from .placing import FULL_SERVER_BACKOFF_S, Placer
 from .racing import SENDS_MAX, CallRace, SecondSends
 from .reservation import Reservation
-from .send_log import log_send_ended, log_suspect
+from .send_log import log_send_cancelled, log_send_ended, log_suspect
 from .settings import FleetBounds
 from .view import FleetView
 
@@ -205,6 +205,9 @@
         race.attempts.running.append(attempt)
         try:
             result = await attempt.run(prepare_request, resumed_after)
+        except trio.Cancelled:
+            log_send_cancelled(call, attempt)
+            raise
         finally:
             self._attempts.discard(attempt)
             race.attempts.leave(attempt)
@@ -219,7 +222,7 @@
             reservation.state.mark_replaced(boot_time_s())
         must_not_repeat = await self._must_not_repeat(call, attempt, result)
         if result.outcome is not Outcome.DONE:
-            log_send_ended(call, reservation, result)
+            log_send_ended(call, attempt, result)
         if must_not_repeat:
             raise ServerBroke(f"the server crashed under it: {result.detail}")
         return result
@@ -398,6 +401,7 @@
 def caller_gone(call: Call) -> CallerGone:
     """Log and count a caller's disconnect; return the error that ends its request."""
     CALLERS_GONE.bind(route=call.route.name).add()
+    call.is_caller_gone = True
     log_decision(
         "caller_gone",
         id=call.text_id,
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -15,7 +15,7 @@
 from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission, Decision
-from .closures import Cause, RequestState, record_closure
+from .closures import Cause, IdleClose, RequestState, record_closure, record_idle_close
 from .errors import (
     Busy,
     CallerGone,
@@ -95,7 +95,7 @@
                 connection.limit_idle_time(FIRST_REQUEST_GRACE_S)
                 continue
             if is_idle(connection.stream):
-                close_now(connection.stream)
+                connection.close_idle(IdleClose.STOPPING)
 
 
 class CallerConnection:
@@ -134,10 +134,17 @@
         self._unread_since_s = unread_since_s
         self._caller = caller
         self.is_used = False
+        self._is_idle_closed = False
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=context.limits.header_bytes
         )
 
+    def close_idle(self, cause: IdleClose) -> None:
+        """Close the connection, on which no request has started to arrive."""
+        record_idle_close(cause)
+        self._is_idle_closed = True
+        close_now(self.stream)
+
     def limit_idle_time(self, seconds: float) -> None:
         """Close the connection unless the next request starts in time."""
         self._watch.deadline_s = trio.current_time() + seconds
@@ -203,8 +210,12 @@
 
         After a pause of the process, a request may lie unread that came in time.
         """
-        if is_idle(stream):
-            close_now(stream)
+        if not is_idle(stream):
+            return
+        if self._context.idle_closed:
+            self.close_idle(IdleClose.FIRST_REQUEST_GRACE)
+            return
+        self.close_idle(IdleClose.IDLE_TIMEOUT)
 
     def _record_closure(self, cause: Cause, request: Request) -> None:
         state = (
@@ -250,6 +261,7 @@
         with trio.move_on_after(self._limits.header_timeout_s) as scope:
             while head is None:
                 if not await self._receive():
+                    record_idle_close(IdleClose.CALLER_IN_HEADER)
                     return None
                 head = self._parse_head()
         if scope.cancelled_caught:
@@ -263,11 +275,14 @@
             idle_timeout_s = self._limits.idle_timeout_s
             if self._context.idle_closed:
                 if self.is_used and is_idle(self.stream):
+                    self.close_idle(IdleClose.STOPPING)
                     return False
                 idle_timeout_s = FIRST_REQUEST_GRACE_S
             self._context.idle.add(self)
             self.limit_idle_time(idle_timeout_s)
             received = await self._receive()
+            if not received and not self._is_idle_closed:
+                record_idle_close(IdleClose.CALLER)
             # On a new connection the request may have arrived before it was accepted.
             self._unread_since_s = min(
                 self._unread_since_s, self._passes.unread_since_s
--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from .closures import Side, side_of
 from .errors import AnswerBroken, AnswerTimedOut, AnswerTooLarge, ExchangeBroken
 from .headers import Headers, first_header
 from .stream import TcpStream, close_now, close_with_reset, is_idle
@@ -58,6 +59,8 @@
         End of the last exchange, on the clock of `boot_time_s`.
     keep_alive_s : float or None
         Keep-alive timeout that the server announced, if any.
+    closed_by : Side or None
+        Which side closed it first, as far as that is known; ``None`` while it is open.
     """
 
     def __init__(self, stream: TcpStream, host: str, port: int) -> None:
@@ -67,6 +70,7 @@
         self.used = False
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
+        self.closed_by: Side | None = None
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=RESPONSE_HEADER_MAX_BYTES
         )
@@ -89,10 +93,12 @@
 
     def close(self) -> None:
         """Close without waiting."""
+        self.closed_by = self.closed_by or Side.INSTANCE
         close_now(self.stream)
 
     def abort(self) -> None:
         """Close with a reset, which drops what the server has not received yet."""
+        self.closed_by = self.closed_by or Side.INSTANCE
         close_with_reset(self.stream)
 
     def encode(self, request: OutgoingRequest) -> bytes:
@@ -170,7 +176,10 @@
         try:
             data = await self.stream.receive_some()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self.closed_by = self.closed_by or side_of(exc, Side.SERVER)
             raise ExchangeBroken("server reset the connection") from exc
+        if not data:
+            self.closed_by = Side.SERVER
         self._parser.receive_data(data)
 
 
--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -13,7 +13,13 @@
 import trio.testing
 
 from teaseldyke.http import Request, ServerLimits, serve, server
-from teaseldyke.http.closures import CONNECTIONS_CLOSED, Cause, RequestState
+from teaseldyke.http.closures import (
+    CONNECTIONS_CLOSED,
+    IDLE_CLOSED,
+    Cause,
+    IdleClose,
+    RequestState,
+)
 from teaseldyke.http.connection import CallerConnection, Handler, ServerContext
 from teaseldyke.http.stream import SENDS_PER_CHECKPOINT, TcpStream
 
@@ -189,6 +195,71 @@
             assert (await connection.receive()).startswith(b"HTTP/1.1 500")
 
 
+class TestIdleCloses:
+    """Connections without a whole request on them; counted, not logged."""
+
+    @pytest.mark.parametrize(
+        ("cause", "used"),
+        [
+            (IdleClose.IDLE_TIMEOUT, True),
+            (IdleClose.IDLE_TIMEOUT, False),
+            (IdleClose.STOPPING, True),
+            (IdleClose.FIRST_REQUEST_GRACE, False),
+            (IdleClose.CALLER, True),
+            (IdleClose.CALLER, False),
+            (IdleClose.CALLER_IN_HEADER, True),
+        ],
+    )
+    async def test_each_is_counted_once_with_its_cause(
+        self, cause: IdleClose, used: bool
+    ) -> None:
+        limits = ServerLimits()
+        if cause is IdleClose.IDLE_TIMEOUT:
+            limits = ServerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
+        before = idle_closes()
+        async with served(limits=limits) as connection:
+            if used:
+                await connection.request()
+            if cause in (IdleClose.STOPPING, IdleClose.FIRST_REQUEST_GRACE):
+                await trio.testing.wait_all_tasks_blocked()
+                connection.context.stopping.set()
+                connection.context.close_idle()
+            if cause is IdleClose.CALLER_IN_HEADER:
+                connection.sock.sendall(GET[:9])
+                await trio.sleep(0.05)
+            if cause in (IdleClose.CALLER, IdleClose.CALLER_IN_HEADER):
+                connection.sock.shutdown(socket.SHUT_WR)
+            else:
+                assert await connection.receive() == b""
+            await trio.sleep(0.05)
+        assert idle_closes() == {**before, cause: before[cause] + 1}
+
+    async def test_connection_that_becomes_idle_after_a_stop(self) -> None:
+        async def answer(request: Request) -> None:
+            await trio.sleep(0.1)
+            await request.respond(200, b"ok")
+
+        before = idle_closes()
+        async with served(answer) as connection:
+            connection.sock.sendall(GET)
+            await trio.sleep(0.05)
+            connection.context.close_idle()
+            assert (await connection.receive()).startswith(b"HTTP/1.1 200")
+            assert await connection.receive() == b""
+        cause = IdleClose.STOPPING
+        assert idle_closes() == {**before, cause: before[cause] + 1}
+
+
+def idle_closes() -> dict[IdleClose, float]:
+    """Return how many connections were closed without a request, by cause."""
+    return {
+        cause: IDLE_CLOSED.bind(
+            cause=cause.value[0], closed_by=cause.value[1].value
+        ).value
+        for cause in IdleClose
+    }
+
+
 def closed(cause: Cause, state: RequestState) -> float:
     return CONNECTIONS_CLOSED.bind(cause=cause.value, request=state.value).value
 
--- a/tests/platform/test_ended_answers.py
+++ b/tests/platform/test_ended_answers.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from teaseldyke.gateway import calls
+from teaseldyke.gateway import calls, send_log, sending
 from teaseldyke.http import Request
 from teaseldyke.settings import Address
 from tests.platform.conftest import Fleet, configuration, script_all, wait_until
@@ -66,6 +66,192 @@
         assert 0.0 <= line["in_force_s"] < 5.0
         assert counter.value == before + 1
 
+    @pytest.mark.parametrize(
+        ("route", "caller_ms", "new_ms", "bound_by", "allows_more"),
+        [
+            ("short", 2500, None, "route", "no"),
+            ("short", 2500, 300, "route", "no"),
+            ("short", 2500, 200, "route", "no"),
+            ("short", 2500, 900, "route", "yes"),
+            ("short", 250, None, "caller", "no"),
+            ("once", 250, 9000, "caller", "no"),
+        ],
+    )
+    async def test_end_at_a_deadline_tells_whose_time_it_was(
+        self,
+        fleet: Fleet,
+        logged: list[dict[str, Any]],
+        route: str,
+        caller_ms: int,
+        new_ms: int | None,
+        bound_by: str,
+        allows_more: str,
+    ) -> None:
+        counter = calls.DEADLINES_PASSED.bind(
+            bound_by=bound_by, allows_more=allows_more
+        )
+        before = counter.value
+        script_all(fleet, hang)
+        caller = fleet.caller()
+        headers = {"X-Teaseldyke-Deadline-Ms": str(caller_ms)}
+        await caller.send(f"/{route}/a", headers=headers)
+        await wait_until(lambda: fleet.arrivals == 1)
+        if new_ms is not None:
+            value = configuration(7)
+            for item in value["routes"]:
+                if item["name"] == route:
+                    item["timeoutMs"] = new_ms
+            fleet.store.put("op", "config", value)
+        answer = await caller.receive_answer()
+        assert answer.status == 504
+        (line,) = [item for item in logged if item["event"] == "failed"]
+        allowed_s = 0.3 if bound_by == "route" else 0.22
+        assert line["bound_by"] == bound_by
+        assert line["version"] == 1
+        assert line["allowed_s"] == allowed_s
+        now_s = new_ms / 1000 if new_ms and bound_by == "route" else allowed_s
+        assert line["allowed_now_s"] == now_s
+        assert line["in_force"] == (1 if new_ms is None else 7)
+        assert line["closed_by"] is None
+        assert counter.value == before + 1
+
+    async def test_end_at_a_deadline_of_a_route_that_is_gone(
+        self, fleet: Fleet, logged: list[dict[str, Any]]
+    ) -> None:
+        script_all(fleet, hang)
+        caller = fleet.caller()
+        await caller.send("/short/a")
+        await wait_until(lambda: fleet.arrivals == 1)
+        value = configuration(7)
+        value["routes"] = value["routes"][:2]
+        fleet.store.put("op", "config", value)
+        assert (await caller.receive_answer()).status == 504
+        (line,) = [item for item in logged if item["event"] == "failed"]
+        assert line["allowed_s"] == SHORT_TIMEOUT_S
+        assert line["allowed_now_s"] is None
+
+    async def test_end_before_the_deadline_names_no_time_out(
+        self, fleet: Fleet, logged: list[dict[str, Any]]
+    ) -> None:
+        script_all(fleet, reset)
+        assert (await fleet.caller().request("/once/a")).status == 502
+        (line,) = [item for item in logged if item["event"] == "failed"]
+        assert "bound_by" not in line
+
+    @pytest.mark.parametrize("is_reused", [False, True])
+    @pytest.mark.parametrize("route", ["once", "stream", "single"])
+    async def test_silent_server_at_a_deadline_is_told(
+        self,
+        fleet: Fleet,
+        logged: list[dict[str, Any]],
+        route: str,
+        is_reused: bool,
+    ) -> None:
+        caller = fleet.caller()
+        first, other = fleet.engines.values()
+        fleet.store.put("servers", other.id, other.entry("elsewhere"))
+        view = fleet.gateways[0].view
+        await wait_until(lambda: len(view.states_of("app")) == 1)
+        if is_reused:
+            first.scripts = [] if route == "once" else [stream_of(1, 3)]
+            assert (await caller.request(f"/{route}/a")).status == 200
+            await trio.sleep(0.3)
+        logged.clear()
+        script_all(fleet, *[begun(event(1), then=hang)] * 4)
+        if route == "once":
+            script_all(fleet, hang)
+        counters = [
+            send_log.SENDS_ENDED.bind(
+                outcome="cancelled",
+                connection="reused" if is_reused else "new",
+                silent=silent,
+                closed_by="instance",
+            )
+            for silent in ("yes", "no")
+        ]
+        before = sum(counter.value for counter in counters)
+        headers = {"X-Teaseldyke-Deadline-Ms": "1500"}
+        await caller.request(f"/{route}/a", headers=headers)
+        lines = [item for item in logged if item["event"] == "send_ended"]
+        assert lines
+        for line in lines:
+            assert line["outcome"] == "cancelled"
+            assert line["closed_by"] == "instance"
+        line = lines[0]
+        assert line["reused"] == is_reused
+        assert line["idle_s"] >= 0.3 * is_reused
+        assert line["silent_s"] >= 1.0
+        total = sum(counter.value for counter in counters)
+        assert total == before + len(lines)
+
+    @pytest.mark.parametrize(
+        ("script", "closed_by"),
+        [
+            (reset, "server"),
+            (not_run(), None),
+            (answer_with(200, "Content-Encoding: gzip"), "instance"),
+        ],
+        ids=["reset", "not-run", "faulty"],
+    )
+    async def test_send_tells_which_side_closed_its_connection(
+        self,
+        fleet: Fleet,
+        logged: list[dict[str, Any]],
+        script: Script,
+        closed_by: str | None,
+    ) -> None:
+        script_all(fleet, *[script] * 4)
+        await fleet.caller().request("/once/a")
+        lines = [item for item in logged if item["event"] == "send_ended"]
+        assert {line["closed_by"] for line in lines} == {closed_by}
+
+    @pytest.mark.parametrize("cut", [False, True])
+    async def test_caller_that_leaves_is_told_once(
+        self, fleet: Fleet, logged: list[dict[str, Any]], cut: bool
+    ) -> None:
+        script_all(fleet, begun(event(1), then=hang) if cut else hang)
+        caller = fleet.caller()
+        await caller.send("/single/a")
+        await wait_until(lambda: fleet.arrivals == 1)
+        await trio.sleep(0.1)
+        assert caller.stream is not None
+        await caller.stream.aclose()
+        await wait_until(lambda: fleet.gateways[0].calls.running == 0)
+        assert [item["event"] for item in logged if "gone" in item["event"]] == [
+            "caller_gone"
+        ]
+
+    async def test_caller_that_leaves_within_its_body_is_told(
+        self, fleet: Fleet, logged: list[dict[str, Any]]
+    ) -> None:
+        caller = fleet.caller()
+        assert (await caller.request("/once/a")).status == 200
+        assert caller.stream is not None
+        await caller.stream.send_all(
+            b"POST /once/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 9\r\n"
+            b"X-Teaseldyke-Request-Id: r-9\r\n\r\nabc"
+        )
+        await trio.sleep(0.05)
+        await caller.stream.aclose()
+        await wait_until(lambda: fleet.gateways[0].calls.running == 0)
+        (line,) = [item for item in logged if item["event"] == "caller_gone"]
+        assert line["id"] == "r-9"
+        assert line["sends"] == 0
+        assert "within the request body" in line["reason"]
+
+
+@pytest.fixture
+def logged(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
+    """Lines of the request's log, as events with their fields."""
+    lines: list[dict[str, Any]] = []
+
+    def log(event: str, **fields: Any) -> None:
+        lines.append({"event": event, **fields})
+
+    for module in (calls, send_log, sending):
+        monkeypatch.setattr(module, "log_decision", log)
+    return lines
+
 
 def begun(*parts: bytes, then: Script, pause_s: float = 0.0) -> Script:
     """Return a script that sends a head and parts of events, then runs another."""
