Deliver the refusal of a request whose body arrives slowly

What callers saw: a request that is refused before its body is read (404, 413, 503, 400) and whose body takes longer than a second to arrive got a reset; a caller that first sends all fails within its body and never reads the refusal.

Cause: a closing connection read and discarded the rest of the body for CLOSE_TIMEOUT_S, 1 s, in all, then closed with data unread.

Now it is closed once nothing has come for CLOSE_TIMEOUT_S, or after body_timeout_s in all, the time that a body that is read may take; the limit in bytes stays. A caller that pauses for longer than 1 s within its body is still reset.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -42,7 +42,7 @@
 ErrorRenderer = Callable[[TeaseldykeError], tuple[int, Headers, bytes]]
 
 SUPPORTED_VERSIONS = (b"1.0", b"1.1")
-CLOSE_TIMEOUT_S = 1.0
+CLOSE_TIMEOUT_S = 1.0  # to write an error; without data before a close
 # Range of the jitter; short, since another instance may have capacity.
 BUSY_RETRY_AFTER_S = (0.05, 0.15)
 # From the end of accepting; covers several round trips between failure domains.
@@ -193,7 +193,12 @@
 
     async def _close_after_response(self) -> None:
         """Close the connection, after the rest of a body that wasn't read."""
-        await close_gracefully(self.stream, CLOSE_TIMEOUT_S, self._limits.body_bytes)
+        await close_gracefully(
+            self.stream,
+            CLOSE_TIMEOUT_S,
+            self._limits.body_timeout_s,
+            self._limits.body_bytes,
+        )
 
     def _encode_error(self, status: int, headers: Headers, body: bytes) -> bytes:
         fields = [
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -250,18 +250,33 @@
     close_now(stream)
 
 
-async def close_gracefully(stream: Stream, timeout_s: float, limit_bytes: int) -> None:
+async def close_gracefully(
+    stream: Stream, quiet_s: float, timeout_s: float, limit_bytes: int
+) -> None:
     """Close a connection on which the peer may still be sending.
 
     Closing with unread data would reset the connection and could destroy the response
-    in transit, so up to ``limit_bytes`` are read and discarded first.
+    in transit, so what arrives is read and discarded first.
+
+    Parameters
+    ----------
+    stream : Stream
+        Connection to close.
+    quiet_s : float
+        Time without data after which the peer has no more to send.
+    timeout_s : float
+        Longest time in all.
+    limit_bytes : int
+        Most bytes that are discarded.
     """
     discarded_bytes = 0
     with trio.move_on_after(timeout_s):
         try:
             await stream.send_eof()
             while discarded_bytes < limit_bytes:
-                data = await stream.receive_some(RECEIVE_BYTES)
+                data = b""
+                with trio.move_on_after(quiet_s):
+                    data = await stream.receive_some(RECEIVE_BYTES)
                 if not data:
                     break
                 discarded_bytes += len(data)
--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -5,7 +5,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import attrs
 import pytest
@@ -20,7 +20,12 @@
     IdleClose,
     RequestState,
 )
-from teaseldyke.http.connection import CallerConnection, Handler, ServerContext
+from teaseldyke.http.connection import (
+    CLOSE_TIMEOUT_S,
+    CallerConnection,
+    Handler,
+    ServerContext,
+)
 from teaseldyke.http.stream import SENDS_PER_CHECKPOINT, TcpStream
 
 HOST = "127.0.0.1"
@@ -29,6 +34,7 @@
 CLOSING_GET = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 BUFFERED_BYTES = 2 * 1024 * 1024  # that the buffers of a connection hold
 IDLE_TIMEOUT_S = 0.05
+SLOW_PARTS = 10  # of a body that arrives slowly
 PAUSE_S = 0.5  # of the process; longer than a grace and a sweep of the watches
 TURNS = 8  # two tasks are due after a pause, and run in random order
 
@@ -310,6 +316,51 @@
             data = await trio.to_thread.run_sync(send_all)
             assert data.startswith(b"HTTP/1.1 404")
 
+    @pytest.mark.parametrize(
+        ("version", "status"), [("1.1", 404), ("2.0", 400)], ids=["handler", "header"]
+    )
+    async def test_caller_whose_body_arrives_slowly_reads_its_refusal(
+        self, version: str, status: int
+    ) -> None:
+        """It sends all first, for longer than a closing connection used to wait."""
+
+        async def refuse(request: Request) -> None:
+            await request.respond(404, b"none")
+
+        part = b"x" * 1000
+        head = (
+            f"POST / HTTP/{version}\r\nHost: a\r\n"
+            f"Content-Length: {SLOW_PARTS * len(part)}\r\n\r\n"
+        )
+        async with served(refuse) as connection:
+            connection.sock.sendall(head.encode())
+            sent_bytes = 0
+            for _ in range(SLOW_PARTS):
+                await trio.sleep(2 * CLOSE_TIMEOUT_S / SLOW_PARTS)
+                with suppress(OSError):
+                    sent_bytes += connection.sock.send(part)
+            data = await trio.to_thread.run_sync(read_all, connection.sock)
+        assert sent_bytes == SLOW_PARTS * len(part)
+        assert data.startswith(f"HTTP/1.1 {status}".encode())
+        assert not data.endswith(b"<reset>")
+
+    async def test_refused_body_that_never_ends_is_not_read_for_ever(self) -> None:
+        async def refuse(request: Request) -> None:
+            await request.respond(404, b"none")
+
+        async with served(refuse, ServerLimits(body_timeout_s=0.3)) as connection:
+            connection.sock.sendall(
+                b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n"
+            )
+            is_closed = False
+            with trio.fail_after(2):
+                while not is_closed:
+                    await trio.sleep(0.1)
+                    try:
+                        connection.sock.sendall(b"x")
+                    except ConnectionError:
+                        is_closed = True
+
 
 def read_all(sock: socket.socket) -> bytes:
     """Return all bytes until the connection ends."""
