Bound the wait for a silent server by the time that a call has left

Callers that wait 2.5 s in all saw their streams cut at that time though another engine could have gone on with them.

Cause: patience with an engine, 1.0 s between events and 1.5 s before the first, and the spread of up to 0.6 s after it, were the same whatever time was left. A stream that fell silent 0.9 s after its request was due up to 1.7 s later, when its time was over.

Patience and spread together now end at 0.6 of the time that is left when the wait begins (WAIT_SHARE), but patience ends neither before 1.0 s nor before three times the expected time to the first event. Between events only the spread shrinks, since ordinary gaps are no shorter in a request that has little time.

The pause rows now run with callers that wait 2.5 s, too: 16 streams, pauses of 0.9 s and 1.25 s, no and at most 8 second sends, and no more new connections than these.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -293,7 +293,7 @@
             self.sent = True
             self._connection = connection
             self.connection = ConnectionUse.begin(connection, boot_time_s())
-            self._wait_for(self.patience.first_s)
+            self._wait_for(self.patience.first_wait)
             await exchange.start(request, UNBOUNDED_S)
             return await self._read(connection, exchange, resumed_after)
         except (ExchangeBroken, AnswerTooLarge) as exc:
@@ -315,13 +315,14 @@
             if self.connection is not None:
                 self.connection.end(connection, silent_s)
 
-    def _wait_for(self, patience_s: float) -> None:
+    def _wait_for(self, wait: Callable[[float], tuple[float, float]]) -> None:
         """Begin to wait for the server's next word."""
         now_s = boot_time_s()
+        patience_s, spread_s = wait(self.reservation.work.deadline_at_s - now_s)
         self._silence = Silence(
             now_s,
             patience_s,
-            self.patience.spread_s,
+            spread_s,
             self.draw,
             self.reservation.state.own_load.running,
         )
@@ -378,7 +379,7 @@
             await exchange.discard(DISCARD_MAX_BYTES, DISCARD_MAX_S)
             return SendResult(Outcome.FAILED, f"server answered {status}", status)
         headers = self.wire.answer_headers(exchange.headers)
-        self._wait_for(self.patience.first_s)
+        self._wait_for(self.patience.first_wait)
         if is_stream and status == 200:
             await self._forward_stream(exchange, headers, resumed_after)
         else:
@@ -389,7 +390,7 @@
                     status,
                 )
             body = await self.relay.buffers.read(
-                exchange, lambda: self._wait_for(self.patience.next_s)
+                exchange, lambda: self._wait_for(self.patience.next_wait)
             )
             await self._ensure_not_cut(exchange)
             self._take_lead()
@@ -449,7 +450,7 @@
             await self.relay.start_stream(exchange, headers)
             await self.relay.forward(block, self._server)
             has_forwarded = True
-            self._wait_for(self.patience.next_s)
+            self._wait_for(self.patience.next_wait)
         events.ensure_ended()
         if not has_forwarded:
             if self.relay.started:
--- a/libs/placement/src/teaseldyke/placement/silence.py
+++ b/libs/placement/src/teaseldyke/placement/silence.py
@@ -1,7 +1,8 @@
 """When a request at a silent server is sent to a second server beside it.
 
 Load patterns: servers that say nothing any more (`srv_crash` dark, `srv_grey` mute),
-and sound ones that pause for a second or so, with all their streams, and go on.
+and sound ones that pause for a second or so, with all their streams, and go on; both
+under streams of callers that wait a few seconds only.
 Replayed in ``tests/test_silence.py``.
 """
 
@@ -23,6 +24,8 @@
 SHARED_SPREAD_S = 0.6  # callers leave a stream after two seconds of silence
 PAUSE_MIN_S = 0.5  # of a server; events of several streams are closer together
 PROBES = 2.0  # requests of a silent server that are not put off
+# Of the time left when a wait begins; the rest is for the second server's answer.
+WAIT_SHARE = 0.6
 
 
 @attrs.frozen
@@ -37,11 +40,46 @@
         After it, between two events.
     spread_s : float
         Time over which requests that share a silence are spread.
+    first_least_s : float
+        Part of ``first_s`` that a server may need however little time is left.
     """
 
     first_s: float = math.inf
     next_s: float = math.inf
     spread_s: float = 0.0
+    first_least_s: float = math.inf
+
+    def first_wait(self, left_s: float) -> tuple[float, float]:
+        """Return patience and spread of a wait for the first event.
+
+        Parameters
+        ----------
+        left_s : float
+            Time left to the request when the wait begins.
+
+        Examples
+        --------
+        >>> engine_patience(0.1, 0.1).first_wait(left_s=2.0)
+        (1.2, 0.0)
+        """
+        return _shorten(self.first_s, self.first_least_s, self.spread_s, left_s)
+
+    def next_wait(self, left_s: float) -> tuple[float, float]:
+        """Return patience and spread of a wait between two events.
+
+        Ordinary gaps are as long in a request that has little time left, so only the
+        spread is shortened.
+        """
+        return _shorten(self.next_s, self.next_s, self.spread_s, left_s)
+
+
+def _shorten(
+    patience_s: float, least_s: float, spread_s: float, left_s: float
+) -> tuple[float, float]:
+    """Return patience and spread that together end at a share of the time left."""
+    until_s = WAIT_SHARE * left_s
+    shortened_s = min(patience_s, max(least_s, until_s))
+    return shortened_s, max(0.0, min(spread_s, until_s - shortened_s))
 
 
 def engine_patience(expected_first_s: float, event_gap_s: float) -> Patience:
@@ -52,10 +90,12 @@
     >>> engine_patience(0.8, 0.1).first_s
     2.4000000000000004
     """
+    expected_s = FIRST_EVENT_FACTOR * expected_first_s
     return Patience(
-        max(FIRST_EVENT_MIN_S, FIRST_EVENT_FACTOR * expected_first_s),
+        max(FIRST_EVENT_MIN_S, expected_s),
         max(EVENT_GAP_MIN_S, EVENT_GAP_FACTOR * event_gap_s),
         SHARED_SPREAD_S,
+        max(EVENT_GAP_MIN_S, expected_s),
     )
 
 
--- a/libs/placement/tests/test_silence.py
+++ b/libs/placement/tests/test_silence.py
@@ -83,3 +83,30 @@
     patience = plain_patience(latency_s)
     assert patience.first_s == pytest.approx(first_s)
     assert patience.next_s == float("inf")
+
+
+@pytest.mark.parametrize(
+    ("left_s", "expected_first_s", "first", "following"),
+    [
+        (8.0, 0.05, (1.5, 0.6), (1.0, 0.6)),
+        (2.5, 0.05, (1.5, 0.0), (1.0, 0.5)),
+        (2.5, 0.6, (1.8, 0.0), (1.0, 0.5)),
+        (1.6, 0.05, (1.0, 0.0), (1.0, 0.0)),
+        (0.5, 0.05, (1.0, 0.0), (1.0, 0.0)),
+        (-0.1, 0.05, (1.0, 0.0), (1.0, 0.0)),
+    ],
+)
+def test_wait_leaves_time_for_a_second_server_but_allows_ordinary_gaps(
+    left_s: float,
+    expected_first_s: float,
+    first: tuple[float, float],
+    following: tuple[float, float],
+) -> None:
+    """Streams of few seconds were due when their time was over."""
+    patience = engine_patience(expected_first_s, 0.1)
+    assert patience.first_wait(left_s) == pytest.approx(first)
+    assert patience.next_wait(left_s) == pytest.approx(following)
+
+
+def test_wait_for_a_plain_server_is_not_shortened() -> None:
+    assert plain_patience(0.1).first_wait(0.5) == pytest.approx((0.6, 0.0))
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -226,12 +226,38 @@
             assert other.connections == connections
 
 
+class TestShortTime:
+    """Streams of callers that wait 2.5 s were due when their time was over."""
+
+    @pytest.mark.parametrize("first_s", [0.7, 0.8, 0.9])
+    async def test_streams_are_continued_elsewhere_within_their_time(
+        self, first_s: float
+    ) -> None:
+        streams = 12
+        async with warm_fleet(engines=2) as (fleet, script):
+            script.first_s = first_s
+            fleet.gateways[0].view.state("e-1").mark_full(boot_time_s() + 0.3)
+            answers: list[Answer] = []
+
+            async def send(i: int) -> None:
+                answers.append(await ask(fleet, "/stream/a", f"r-{i}", 2500))
+
+            async with trio.open_nursery() as nursery:
+                for i in range(streams):
+                    nursery.start_soon(send, i)
+                await wait_until(lambda: script.begun == streams)
+                script.silence(fleet)
+            whole = sum(answer.complete for answer in answers)
+            assert (whole, len(answers)) == (streams, streams)
+
+
 class TestPause:
     """A sound server that pauses is no reason for many connections or sends."""
 
+    @pytest.mark.parametrize("deadline_ms", [2500, 7000])
     @pytest.mark.parametrize(("pause_s", "most"), [(0.9, 0), (1.25, 8)])
     async def test_pause_opens_no_more_connections_than_second_sends(
-        self, pause_s: float, most: int
+        self, pause_s: float, most: int, deadline_ms: int
     ) -> None:
         streams = 16
         async with warm_fleet(engines=2) as (fleet, script):
@@ -241,7 +267,7 @@
             answers: list[Answer] = []
 
             async def send(i: int) -> None:
-                answers.append(await ask(fleet, "/stream/a", f"r-{i}"))
+                answers.append(await ask(fleet, "/stream/a", f"r-{i}", deadline_ms))
 
             async with trio.open_nursery() as nursery:
                 for i in range(streams):
