Refuse what came with a connection far over the limit

What callers saw: beyond the limit of connections and 64 refusals at a time, a connection was closed with its request unread: a reset, neither an answer nor a refusal.

Cause: such a connection was closed at once, so that refusals can't pile up. Bytes that have arrived already can be read, and a refusal written, without waiting; only that is done.

Evidence: test_request_that_came_with_a_connection_far_over_the_limit_is_refused failed before: of eight connections at a limit of one, seven got no byte where 503 was due. After the fix libs/http passed.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -5,6 +5,7 @@
 import math
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import attrs
 import h11
@@ -31,6 +32,7 @@
 from .request import Request
 from .stream import (
     Stream,
+    TcpStream,
     close_gracefully,
     close_now,
     close_with_reset,
@@ -191,6 +193,16 @@
             return
         await self._close_after_response()
 
+    def refuse_pending(self, error: TeaseldykeError) -> None:
+        """Send an error response to what has arrived, without waiting."""
+        if not isinstance(self.stream, TcpStream):
+            return
+        with suppress(trio.BrokenResourceError):
+            if not self.stream.discard_pending():
+                return
+            status, headers, body = self._context.render_error(error)
+            self.stream.try_send(self._encode_error(status, headers, body))
+
     async def _close_after_response(self) -> None:
         """Close the connection, after the rest of a body that wasn't read."""
         await close_gracefully(
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -130,11 +130,13 @@
             close_now(stream)
 
     async def _refuse_connection(self, stream: Stream, caller: str) -> None:
-        if self._open_connections > self._limits.connections + REFUSALS_MAX:
-            record_closure(Cause.CONNECTION_LIMIT, RequestState.UNREAD, caller)
-            return
         error = TooManyConnections(
             f"server is at its limit of {self._limits.connections} connections",
             retry_after_s=REFUSED_RETRY_AFTER_S,
         )
-        await CallerConnection(self._context, stream).refuse(error)
+        connection = CallerConnection(self._context, stream)
+        if self._open_connections > self._limits.connections + REFUSALS_MAX:
+            record_closure(Cause.CONNECTION_LIMIT, RequestState.UNREAD, caller)
+            connection.refuse_pending(error)
+            return
+        await connection.refuse(error)
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -90,6 +90,21 @@
             except OSError as exc:
                 raise trio.BrokenResourceError from exc
 
+    def discard_pending(self) -> int:
+        """Drop received bytes, up to a read's, without waiting; return their number.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            If the connection is broken.
+        """
+        try:
+            return len(self.socket.recv(RECEIVE_BYTES))
+        except BlockingIOError:
+            return 0
+        except OSError as exc:
+            raise trio.BrokenResourceError from exc
+
     def try_send(self, data: bytes) -> bytes:
         """Send what fits into the socket's send buffer and return the rest.
 
--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -43,6 +43,11 @@
     await request.respond(200, b"ok")
 
 
+async def answer_late(request: Request) -> None:
+    await trio.sleep(0.2)
+    await answer_ok(request)
+
+
 @attrs.define
 class Served:
     """The caller's end of a served connection, read without the event loop."""
@@ -189,6 +194,33 @@
             nursery.cancel_scope.cancel()
         assert closed(Cause.CONNECTION_LIMIT, RequestState.UNREAD) == before + 1
 
+    async def test_request_that_came_with_a_connection_far_over_the_limit_is_refused(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(server, "REFUSALS_MAX", 0)
+        before = closed(Cause.CONNECTION_LIMIT, RequestState.UNREAD)
+        listener = (await trio.open_tcp_listeners(0, host=HOST))[0]
+        socks = []
+        for _ in range(TURNS):
+            sock = socket.create_connection(listener.socket.getsockname())
+            sock.sendall(CLOSING_GET)
+            socks.append(sock)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                serve, listener, answer_late, ServerLimits(connections=1)
+            )
+            answers = []
+            for sock in socks:
+                with sock:
+                    answers.append(await trio.to_thread.run_sync(read_all, sock))
+            nursery.cancel_scope.cancel()
+        assert sorted(answer[9:12] for answer in answers) == [
+            b"200",
+            *[b"503"] * (TURNS - 1),
+        ]
+        count = closed(Cause.CONNECTION_LIMIT, RequestState.UNREAD) - before
+        assert count == TURNS - 1
+
     @pytest.mark.parametrize("headers", [[("x-odd", "a\nb")], [("odd name", "a")]])
     async def test_answer_that_cannot_be_written_is_replaced(
         self, headers: list[tuple[str, str]]
