--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -394,6 +394,42 @@
                         is_closed = True
 
 
+class TestNextRequest:
+    """A request that arrives before the answer to the one ahead of it."""
+
+    @pytest.mark.parametrize(
+        ("head", "end"),
+        [
+            (b"Content-Length: 6\r\n\r\nabc", b"def"),
+            (b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", b"0\r\n\r\n"),
+        ],
+        ids=["length", "chunked"],
+    )
+    @pytest.mark.parametrize("next_parts", [[GET], [GET[:9], GET[9:]], [GET + GET]])
+    async def test_request_that_comes_with_the_end_of_a_body_is_answered(
+        self, head: bytes, end: bytes, next_parts: list[bytes]
+    ) -> None:
+        async def answer(request: Request) -> None:
+            await request.read_body(100)
+            await trio.sleep(0.05)
+            await request.respond(200, b"ok")
+
+        async with served(answer) as connection:
+            connection.sock.sendall(b"POST / HTTP/1.1\r\nHost: a\r\n" + head)
+            await trio.sleep(0.05)
+            connection.sock.sendall(end + next_parts[0])
+            await trio.sleep(0.02)
+            for part in next_parts[1:]:
+                connection.sock.sendall(part)
+            data = b""
+            expected = 1 + b"".join(next_parts).count(b"GET")
+            with trio.fail_after(5):
+                while data.count(b"HTTP/1.1 200") < expected:
+                    received = await connection.receive()
+                    assert received
+                    data += received
+
+
 def read_all(sock: socket.socket) -> bytes:
     """Return all bytes until the connection ends."""
     sock.settimeout(5)
