Close in time after an answer to a whole request

Since, a caller that went on sending after an answer with Connection: close to a whole request kept its connection for up to body_timeout_s, 120 s, its bytes read and dropped. Only the rest of a body that wasn't read is worth that time; after a whole request the bound is CLOSE_TIMEOUT_S again.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -191,7 +191,7 @@
                 await self.stream.send_all(data)
         except (trio.BrokenResourceError, h11.LocalProtocolError):
             return
-        await self._close_after_response()
+        await self._close_after_response(self._limits.body_timeout_s)
 
     def refuse_pending(self, error: TeaseldykeError) -> None:
         """Send an error response to what has arrived, without waiting."""
@@ -203,13 +203,10 @@
             status, headers, body = self._context.render_error(error)
             self.stream.try_send(self._encode_error(status, headers, body))
 
-    async def _close_after_response(self) -> None:
+    async def _close_after_response(self, timeout_s: float) -> None:
         """Close the connection, after the rest of a body that wasn't read."""
         await close_gracefully(
-            self.stream,
-            CLOSE_TIMEOUT_S,
-            self._limits.body_timeout_s,
-            self._limits.body_bytes,
+            self.stream, CLOSE_TIMEOUT_S, timeout_s, self._limits.body_bytes
         )
 
     def _encode_error(self, status: int, headers: Headers, body: bytes) -> bytes:
@@ -380,8 +377,11 @@
                 self._record_closure(Cause.ANSWER_FAILED, request)
             close_with_reset(self.stream)
             return False
-        if self._parser.our_state is not h11.DONE or not request.body_complete:
-            await self._close_after_response()
+        if not request.body_complete:
+            await self._close_after_response(self._limits.body_timeout_s)
+            return False
+        if self._parser.our_state is not h11.DONE:
+            await self._close_after_response(CLOSE_TIMEOUT_S)
             return False
         return True
 
--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -376,16 +376,22 @@
         assert data.startswith(f"HTTP/1.1 {status}".encode())
         assert not data.endswith(b"<reset>")
 
-    async def test_refused_body_that_never_ends_is_not_read_for_ever(self) -> None:
-        async def refuse(request: Request) -> None:
-            await request.respond(404, b"none")
-
-        async with served(refuse, ServerLimits(body_timeout_s=0.3)) as connection:
-            connection.sock.sendall(
-                b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n"
-            )
+    @pytest.mark.parametrize(
+        ("request_head", "body_timeout_s"),
+        [
+            (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n", 0.3),
+            (CLOSING_GET, 120.0),
+        ],
+        ids=["body", "next"],
+    )
+    async def test_bytes_after_an_answer_are_not_read_for_ever(
+        self, request_head: bytes, body_timeout_s: float
+    ) -> None:
+        limits = ServerLimits(body_timeout_s=body_timeout_s)
+        async with served(limits=limits) as connection:
+            connection.sock.sendall(request_head)
             is_closed = False
-            with trio.fail_after(2):
+            with trio.fail_after(3 * CLOSE_TIMEOUT_S):
                 while not is_closed:
                     await trio.sleep(0.1)
                     try:
