Send streams of services without an engine elsewhere when they fall silent

Callers of such streams got nothing more after the connection to the server had fallen silent, until their deadline cut the answer.

Cause: patience with a plain server ended at the header of the answer. That suits a plain answer, which can't go on at another server, but a stream can: between its events patience was infinite.

A stream at a plain server now has an engine's patience between events: 1.0 s or twice the route's gap, with the same spread and the same bound by the time left. Before the first event, and for plain answers, nothing changes.

--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -395,7 +395,9 @@
     """Return how long a call's server may be silent before others get the call."""
     if call.service.is_engine:
         return engine_patience(reservation.expected_first_s, call.route.event_gap_s)
-    return plain_patience(reservation.state.latency_s)
+    is_stream = call.route.kind is RouteKind.STREAMING
+    event_gap_s = call.route.event_gap_s if is_stream else None
+    return plain_patience(reservation.state.latency_s, event_gap_s)
 
 
 def caller_gone(call: Call) -> CallerGone:
--- a/libs/placement/src/teaseldyke/placement/silence.py
+++ b/libs/placement/src/teaseldyke/placement/silence.py
@@ -38,7 +38,7 @@
         From the send to the first event, or to the header of a plain answer.
     next_s : float
         After it, between two events.
-    spread_s : float
+    first_spread_s, next_spread_s : float
         Time over which requests that share a silence are spread.
     first_least_s : float
         Part of ``first_s`` that a server may need however little time is left.
@@ -46,7 +46,8 @@
 
     first_s: float = math.inf
     next_s: float = math.inf
-    spread_s: float = 0.0
+    first_spread_s: float = 0.0
+    next_spread_s: float = 0.0
     first_least_s: float = math.inf
 
     def first_wait(self, left_s: float) -> tuple[float, float]:
@@ -62,7 +63,7 @@
         >>> engine_patience(0.1, 0.1).first_wait(left_s=2.0)
         (1.2, 0.0)
         """
-        return _shorten(self.first_s, self.first_least_s, self.spread_s, left_s)
+        return _shorten(self.first_s, self.first_least_s, self.first_spread_s, left_s)
 
     def next_wait(self, left_s: float) -> tuple[float, float]:
         """Return patience and spread of a wait between two events.
@@ -70,7 +71,7 @@
         Ordinary gaps are as long in a request that has little time left, so only the
         spread is shortened.
         """
-        return _shorten(self.next_s, self.next_s, self.spread_s, left_s)
+        return _shorten(self.next_s, self.next_s, self.next_spread_s, left_s)
 
 
 def _shorten(
@@ -93,15 +94,34 @@
     expected_s = FIRST_EVENT_FACTOR * expected_first_s
     return Patience(
         max(FIRST_EVENT_MIN_S, expected_s),
-        max(EVENT_GAP_MIN_S, EVENT_GAP_FACTOR * event_gap_s),
+        _event_gap_patience_s(event_gap_s),
+        SHARED_SPREAD_S,
         SHARED_SPREAD_S,
         max(EVENT_GAP_MIN_S, expected_s),
     )
 
 
-def plain_patience(latency_s: float) -> Patience:
-    """Return the patience with a plain server of a measured latency."""
-    return Patience(max(PLAIN_MIN_S, PLAIN_FACTOR * latency_s))
+def plain_patience(latency_s: float, event_gap_s: float | None = None) -> Patience:
+    """Return the patience with a plain server of a measured latency.
+
+    Parameters
+    ----------
+    event_gap_s : float or None
+        Target for the longest gap between events of a stream; ``None`` for a plain
+        answer, which is not sent elsewhere once its header has come.
+    """
+    first_s = max(PLAIN_MIN_S, PLAIN_FACTOR * latency_s)
+    if event_gap_s is None:
+        return Patience(first_s)
+    return Patience(
+        first_s,
+        _event_gap_patience_s(event_gap_s),
+        next_spread_s=SHARED_SPREAD_S,
+    )
+
+
+def _event_gap_patience_s(event_gap_s: float) -> float:
+    return max(EVENT_GAP_MIN_S, EVENT_GAP_FACTOR * event_gap_s)
 
 
 @attrs.define
--- a/libs/placement/tests/test_silence.py
+++ b/libs/placement/tests/test_silence.py
@@ -110,3 +110,10 @@
 
 def test_wait_for_a_plain_server_is_not_shortened() -> None:
     assert plain_patience(0.1).first_wait(0.5) == pytest.approx((0.6, 0.0))
+
+
+def test_patience_with_a_plain_servers_stream_ends_between_events() -> None:
+    """Such a stream was never sent elsewhere, however long it was silent."""
+    patience = plain_patience(0.1, 0.1)
+    assert patience.first_wait(8.0) == pytest.approx((0.6, 0.0))
+    assert patience.next_wait(8.0) == pytest.approx((1.0, 0.6))
