Let the number of crashes decide between equal causes

Cause: the third crash came within 0.3 s of the second, so that both requests had equally many causes. Then the order of their keys decided which one explains the crashes. When it was the sound one, the other was held for its three crashes, too.

Between equal causes and depths the suspect with more crashes now goes first. The sound request is left with none to explain and is released.

Evidence: test_request_that_was_at_fewer_crashes_is_released_at_once[second] failed before, and passes now like [first]; the tests of libs/placement pass.

--- a/libs/placement/src/teaseldyke/placement/suspects.py
+++ b/libs/placement/src/teaseldyke/placement/suspects.py
@@ -134,8 +134,9 @@
 
     Of two that explain as many, one that was sound a short time ago goes last, and the
     narrower first: a request before parts, and a part deeper in the prompt before
-    others, since fewer requests have it. Requests that explain the very same crashes
-    can't be told apart, so all of them are returned, and so are those with
+    others, since fewer requests have it. Then the one with more crashes goes first, as
+    crashes at nearly the same time add no cause. Requests that explain the very same
+    crashes can't be told apart, so all of them are returned, and so are those with
     `CRASHES_TO_HOLD` crashes, explained or not.
 
     Parameters
@@ -155,10 +156,11 @@
     def was_sound_lately(key: str) -> bool:
         return now_s - cleared.get(key, -math.inf) <= CLEARED_TTL_S
 
-    def importance(key: str) -> tuple[int, int, str]:
-        causes = _causes(key, unexplained[key], accused[key].sequels)
+    def importance(key: str) -> tuple[int, int, int, str]:
+        crashes = unexplained[key]
+        causes = _causes(key, crashes, accused[key].sequels)
         needed = CAUSES_TO_HOLD_SOUND if was_sound_lately(key) else CAUSES_TO_HOLD
-        return causes - needed, accused[key].depth, key
+        return causes - needed, accused[key].depth, len(crashes), key
 
     found: list[str] = []
     while unexplained:
