Check a ramp against the server's start before a new dispatcher uses it

Callers of an engine that had just restarted got 500: a router that took over the dispatch sent it more than it bears while cold (cold_overrun in the soak).

Cause: a dispatcher took the progress of a slow start that routers reported, or that it had counted itself in an earlier term, without a check that the engine was still the same. Its first load report only set the known start, so a restart between the two was never seen: neither at a loss of the dispatcher, nor at a planned handover, nor after an idle time without polls.

A ramp's state names the start that it belongs to. When a dispatcher begins to act, completions adopted or counted earlier are set aside; they count once a load report shows that start, and are dropped if it shows another one. Until then the cold limit holds, for one poll. Servers that report no load keep their progress as before. A field with the default None may be missing in a row, so that routers of the build before can be among the others; a state of theirs names no start, and its server counts as cold.

--- a/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/dispatcher.py
@@ -163,7 +163,7 @@
         """Record that the server reports no load, or that it refused the poll."""
         slots = self.slots[server]
         if not refused:
-            slots.reports_load = False
+            slots.record_no_load_report()
             return
         if not slots.is_unreachable:
             slots.is_unreachable = True
@@ -270,6 +270,8 @@
             self._delegation_keys = effective_ids
         if acting and not self._acting:
             self.term += 1
+            for slots in self.slots.values():
+                slots.begin_acting()
         self._acting = acting
 
     def _update_backlog(self, now_s: float) -> bool:
@@ -331,7 +333,8 @@
         ramps = []
         for slots in self.slots.values():
             # A reset must reach the routers, or a successor adopts what was before it.
-            if slots.ramp.epoch or slots.ramp.completed:
+            ramp = slots.ramp
+            if ramp.earlier is None and (ramp.epoch or ramp.completed):
                 ramps.append(slots.ramp_state())
         batch = GrantBatch(
             shard=self.shard.name,
--- a/libs/dispatch/src/teaseldyke/dispatch/intake.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/intake.py
@@ -44,7 +44,7 @@
     for state in states:
         server = slots.get(state.server)
         if server is not None:
-            server.ramp.adopt(state.epoch, state.completed)
+            server.adopt_ramp(state)
 
 
 def update_demand(
--- a/libs/dispatch/src/teaseldyke/dispatch/messages.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/messages.py
@@ -67,11 +67,24 @@
 
 @attrs.frozen
 class RampState:
-    """Progress of the slow start of a backend server."""
+    """Progress of the slow start of a backend server.
+
+    Parameters
+    ----------
+    server : str
+        Name of the backend server.
+    epoch : int
+        Number of resets.
+    completed : int
+        Requests completed since the last reset.
+    started_at_s : float, optional
+        Start of the server, on its own clock, that the progress belongs to.
+    """
 
     server: str
     epoch: int
     completed: int
+    started_at_s: float | None = None
 
 
 @attrs.frozen
--- a/libs/dispatch/src/teaseldyke/dispatch/slots.py
+++ b/libs/dispatch/src/teaseldyke/dispatch/slots.py
@@ -113,7 +113,24 @@
 
     def ramp_state(self) -> RampState:
         """Return the progress of the slow start, for a message."""
-        return RampState(self.server, self.ramp.epoch, self.ramp.completed)
+        ramp = self.ramp
+        return RampState(self.server, ramp.epoch, ramp.completed, ramp.started_at_s)
+
+    def adopt_ramp(self, state: RampState) -> None:
+        """Adopt the progress of the slow start that another dispatcher reported."""
+        self.ramp.adopt(state.epoch, state.completed, state.started_at_s)
+        if not self.reports_load:
+            self.ramp.count_earlier()
+
+    def begin_acting(self) -> None:
+        """Await a load report, as the server may have restarted unnoticed."""
+        if self.reports_load:
+            self.ramp.set_aside()
+
+    def record_no_load_report(self) -> None:
+        """Record that the server reports no load."""
+        self.reports_load = False
+        self.ramp.count_earlier()
 
     def may_grant(
         self, delegation_gained_at_s: float, all_report: bool, now_s: float
--- a/libs/dispatch/tests/test_failures.py
+++ b/libs/dispatch/tests/test_failures.py
@@ -171,6 +171,49 @@
     assert server.overruns == 0
 
 
+@pytest.mark.promise("cold-backend-server")
+@pytest.mark.parametrize("restarts", [True, False], ids=["restart", "warm"])
+@pytest.mark.parametrize(
+    ("change", "warm_limit"),
+    [
+        ("kill", 4),
+        pytest.param("freeze", 3, id="freeze"),  # without one of three fractions
+        ("drain", 4),
+        ("idle", 4),
+    ],
+)
+async def test_restart_that_no_dispatcher_saw(
+    autojump_clock,
+    make_fleet,
+    make_configuration,
+    change: str,
+    warm_limit: int,
+    restarts: bool,
+) -> None:
+    """A dispatcher that begins to act doesn't know whether the server restarted."""
+    fleet = await make_fleet(cold_configuration(make_configuration))
+    for _ in range(WARM_AFTER_REQUESTS):
+        await fleet.request("router-0", "a", 0.1)
+    (dispatcher,) = fleet.acting_routers()
+    name = next(name for name in fleet.routers if name != dispatcher)
+    if change == "idle":
+        await trio.sleep(10.0)
+        assert fleet.acting_routers() == []
+    server = fleet.servers["engine-0"]
+    if restarts:
+        server.restart()
+    if change == "kill":
+        fleet.kill(dispatcher)
+    if change == "freeze":
+        fleet.network.frozen.add(dispatcher)
+    if change == "drain":
+        fleet.nursery.start_soon(fleet.routers[dispatcher].drain)
+    await fleet.keep_busy(name, "a", 1.0, depth=8)
+    await trio.sleep(4.0)
+    assert server.overruns == 0
+    assert server.max_running == (1 if restarts else warm_limit)
+
+
 @pytest.mark.promise("no-starvation")
 async def test_small_organisation_is_served_under_a_flood(
     autojump_clock, make_fleet, make_configuration
--- a/libs/peers/src/teaseldyke/peers/rows.py
+++ b/libs/peers/src/teaseldyke/peers/rows.py
@@ -17,7 +17,8 @@
     ----------
     cls : type
         The attrs class. Fields of type ``tuple[X, ...]``, where ``X`` is an attrs
-        class, become arrays of rows; other fields are unchanged.
+        class, become arrays of rows; other fields are unchanged. Last fields with the
+        default ``None`` may be missing in a row, as an earlier version sends it.
 
     Examples
     --------
@@ -37,7 +38,7 @@
 
     def __attrs_post_init__(self) -> None:
         hints = get_type_hints(self.cls)
-        fields = []
+        fields: list[tuple[str, Any] | tuple[str, Any, None]] = []
         for field in attrs.fields(self.cls):
             hint = hints[field.name]
             inner = _row_class(hint)
@@ -45,8 +46,11 @@
                 nested = RowType(inner)
                 self._nested[field.name] = nested
                 hint = tuple[nested.struct, ...]  # type: ignore[name-defined]
+            if field.default is None:
+                fields.append((field.name, hint, None))
+                continue
             fields.append((field.name, hint))
-        self._names = tuple(name for name, _ in fields)
+        self._names = tuple(field.name for field in attrs.fields(self.cls))
         self._build = self.cls
         self.struct = msgspec.defstruct(
             f"{self.cls.__name__}Row", fields, array_like=True
