Close idle connections older than a silence on a reused one

Callers of requests that may run once waited out their time and got 504, one for each idle connection that had fallen silent for good: nothing told the pool.

Cause: a request that ended in silence took its own connection out of the pool and left the others, which the same fault had silenced. Requests that may be repeated go to a second server; those that may run once can't.

When an attempt on a reused connection is superseded or ended in a silence beyond patience, or one that lasted until its deadline, the pool closes the server's idle connections that were last used before the silence began. Those that have worked since stay, and connections in use aren't touched, so only requests that are already on dead connections suffer. No request is sent again. A pause of a sound server costs its unused connections once; bytes that lie unread in a late instance are no silence.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -207,6 +207,7 @@
 
     def supersede(self) -> None:
         """End the attempt at once, since another one is ahead."""
+        self._report_silence()
         self.is_superseded = True
         if self._connection is not None:
             self._connection.abort()
@@ -309,12 +310,29 @@
             )
         finally:
             silent_s = self.silent_for_s(boot_time_s())
+            self._report_silence()
             self._connection = None
             self._silence = None
             self.pool.release(connection, exchange)
             if self.connection is not None:
                 self.connection.end(connection, silent_s)
 
+    def _report_silence(self) -> None:
+        """Close idle connections if this reused one ends in a silence.
+
+        Bytes that lie unread, in an instance that is late itself, break the silence.
+        """
+        connection = self._connection
+        if self._silence is None or connection is None or not connection.used:
+            return
+        deadline_at_s = self.reservation.work.deadline_at_s
+        if not self._silence.casts_doubt_on_connections(boot_time_s(), deadline_at_s):
+            return
+        if connection.is_idle():
+            self.pool.close_older(
+                connection.host, connection.port, self._silence.since_s
+            )
+
     def _wait_for(self, wait: Callable[[float], tuple[float, float]]) -> None:
         """Begin to wait for the server's next word."""
         now_s = boot_time_s()
--- a/libs/http/src/teaseldyke/http/backend.py
+++ b/libs/http/src/teaseldyke/http/backend.py
@@ -157,6 +157,18 @@
             connection.close()
         return ServerConnection(await self._connect(host, port), host, port)
 
+    def close_older(self, host: str, port: int, before_s: float) -> None:
+        """Close a server's idle connections that were last used before a time.
+
+        Parameters
+        ----------
+        before_s : float
+            Time on the clock of `boot_time_s`.
+        """
+        idle = self._idle.get((host, port))
+        while idle and idle[0].idle_since_s < before_s:
+            idle.popleft().close()
+
     def close_unusable(self) -> None:
         """Close idle connections with unexpected data or EOF pending.
 
--- a/libs/http/tests/test_backend.py
+++ b/libs/http/tests/test_backend.py
@@ -18,6 +18,7 @@
     HttpClient,
     Request,
 )
+from teaseldyke.timers import boot_time_s
 from teaseldyke.types import TeaseldykeError
 
 HOST = "127.0.0.1"
@@ -246,3 +247,32 @@
 
 
 _OPEN_SOCKETS: list[trio.socket.SocketType] = []
+
+
+class TestIdleSinceSilence:
+    async def test_only_connections_proven_since_then_are_reused(
+        self, start_scripted: StartScripted
+    ) -> None:
+        server = await start_scripted(OK, OK, close=False)
+        pool = BackendPool()
+        before_s = boot_time_s()
+        assert await _read(pool, server.port) == b"ok"
+        unproven = await pool.acquire(HOST, server.port, proven_since_s=boot_time_s())
+        assert not unproven.used
+        unproven.close()
+        proven = await pool.acquire(HOST, server.port, proven_since_s=before_s)
+        assert proven.used
+        proven.close()
+
+    @pytest.mark.parametrize("is_older", [True, False])
+    async def test_older_connections_are_closed(
+        self, start_scripted: StartScripted, is_older: bool
+    ) -> None:
+        server = await start_scripted(OK, close=False)
+        pool = BackendPool()
+        before_s = boot_time_s()
+        assert await _read(pool, server.port) == b"ok"
+        pool.close_older(HOST, server.port, boot_time_s() if is_older else before_s)
+        connection = await pool.acquire(HOST, server.port)
+        assert connection.used is not is_older
+        connection.close()
--- a/libs/placement/src/teaseldyke/placement/silence.py
+++ b/libs/placement/src/teaseldyke/placement/silence.py
@@ -179,6 +179,25 @@
     draw: float
     running: int
 
+    def casts_doubt_on_connections(self, now_s: float, deadline_at_s: float) -> bool:
+        """Return whether idle connections that it is older than may be silent, too.
+
+        It does beyond patience, and if it has lasted until the request's deadline.
+
+        Load pattern: open connections go silent for good while new ones work, under
+        requests that may run once. One that the server has answered on since is
+        proven; a pause of a sound server costs at most its unused ones.
+
+        Examples
+        --------
+        >>> silence = Silence(0.0, 0.25, 0.0, draw=0.5, running=1)
+        >>> silence.casts_doubt_on_connections(0.2, deadline_at_s=2.5)
+        False
+        >>> silence.casts_doubt_on_connections(0.3, deadline_at_s=2.5)
+        True
+        """
+        return now_s >= min(self.since_s + self.patience_s, deadline_at_s)
+
     def is_due(self, now_s: float, activity: ServerActivity) -> bool:
         """Return whether a second server may get the request now.
 
