--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,7 @@
 .PHONY: fleet-soak
 fleet-soak: $(READY)
 	$(BIN)/python -m tests.platform.fleet_soak --seconds $(SECONDS) --seed $(SEED)
+
+.PHONY: simulation
+simulation: $(READY)
+	$(BIN)/python -m tests.platform.simulation --seeds 100000 --seconds $(SECONDS) --first $(SEED)
