Don't take a late refusal for a sign of dead connections

A server that refused a request after a wait beyond patience had its idle connections closed, though the connection had just brought its answer: the attempt's wait was still open when it ended. A plain server's next 8 requests opened 7 new connections.

Only an attempt whose answer isn't complete reports its silence.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -310,7 +310,8 @@
             )
         finally:
             silent_s = self.silent_for_s(boot_time_s())
-            self._report_silence()
+            if not exchange.complete:
+                self._report_silence()
             self._connection = None
             self._silence = None
             self.pool.release(connection, exchange)
--- a/tests/platform/test_silent_once.py
+++ b/tests/platform/test_silent_once.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 import trio
 
 from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import Answer, wait_until
+from tests.platform.standins import Arrival, not_run
 from tests.platform.test_silent_connections import ask, ask_many, warm_fleet
 
 LATER = 8  # requests after the silence has been noticed
@@ -50,6 +53,22 @@
             assert [answer.status for answer in answers] == [200] * LATER
             assert engine.connections == connections
 
+    async def test_late_refusal_is_no_sign_of_dead_connections(self) -> None:
+        """The connection has brought it, so the others may work, too."""
+        async with warm_fleet(is_engine=False, engines=1) as (fleet, script):
+            (engine,) = fleet.engines.values()
+            connections = engine.connections
+
+            async def refuse_late(engine: Any, stream: Any, arrival: Arrival) -> Any:
+                await trio.sleep(1.0)
+                return await not_run()(engine, stream, arrival)
+
+            engine.scripts.insert(0, refuse_late)
+            await ask(fleet, "/once/a", "refused")
+            script.plain_s = 0.1
+            await ask_many(fleet, "/once/a", LATER)
+            assert engine.connections <= connections + 1
+
     async def test_superseded_request_tells_of_the_other_connections(self) -> None:
         async with warm_fleet(is_engine=False, engines=2) as (fleet, script):
             first = fleet.engines["e-0"]
