Show that replaced time-outs cut streams after a lost change

Callers of a landing before saw streams cut beside a change of the configuration: version 2 allows 0.3 s, the store gives no response for 4.5 s, version 3 allows 3 s and is acknowledged, and 3 s later an instance still ends streams after 0.3 s, in the middle of the answer.

No test had looked at what else an outdated configuration does: it ends answers.

Nothing in the product changes here.

--- a/tests/platform/test_lost_polls.py
+++ b/tests/platform/test_lost_polls.py
@@ -10,7 +10,15 @@
 
 from teaseldyke.gateway import FeedRole, Gateway, LostCalls
 from teaseldyke.timers import boot_time_s
-from tests.platform.conftest import Fleet, configuration, running_fleet, wait_until
+from tests.platform.conftest import (
+    Answer,
+    Fleet,
+    configuration,
+    running_fleet,
+    script_all,
+    wait_until,
+)
+from tests.platform.standins import Arrival, EngineStandin, answer_head, chunk, event
 from tests.platform.store_standin import StoreStandin
 
 OUTAGE_S = 4.5
@@ -94,6 +102,48 @@
         await all_know_changes(fleet, STABLE_S)
 
 
+async def stream_for_a_second(
+    _engine: EngineStandin, stream: trio.SocketStream, arrival: Arrival
+) -> None:
+    head = answer_head(
+        arrival, 200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"
+    )
+    await stream.send_all(head + b"\r\n")
+    for number in range(1, 6):
+        await stream.send_all(chunk(event(number)))
+        await trio.sleep(0.2)
+    await stream.send_all(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("gateways", [1, 3])
+async def test_time_outs_that_were_replaced_seconds_ago_cut_streams(
+    gateways: int,
+) -> None:
+    """The change that allows more time was among the lost responses."""
+    async with running_fleet() as fleet:
+        await with_gateways(fleet, gateways)
+        script_all(fleet, *[stream_for_a_second] * 8)
+        short = configuration(2)
+        for entry in short["routes"]:
+            entry["timeoutMs"] = 300
+        fleet.store.put("op", "config", short)
+        await wait_until(lambda: all(g.view.table.version == 2 for g in fleet.gateways))
+        await trio.sleep(0.1)
+        fleet.store.silent = True
+        fleet.store.lose_calls()
+        await trio.sleep(OUTAGE_S)
+        fleet.store.silent = False
+        fleet.store.put("op", "config", configuration(3))
+        await trio.sleep(STABLE_S)
+        answers: list[Answer] = []
+        for number, gateway in enumerate(fleet.gateways):
+            caller = fleet.caller(gateway)
+            answers.append(await caller.request("/stream/a", request_id=f"r-{number}"))
+        assert [(answer.status, answer.complete) for answer in answers] == [
+            (200, True)
+        ] * gateways
+
+
 async def test_start_beside_a_silent_store() -> None:
     async with running_fleet() as fleet:
         fleet.store.silent = True
