Hold a body of many small chunks as its bytes

Cause: each chunk was kept as an object of its own until the end of the body. The body now grows as one array of bytes.

Evidence: test_body_in_tiny_chunks_takes_the_memory_of_its_bytes failed before (4,366,472 bytes held for 200,000) and passes now.

--- a/libs/http/src/teaseldyke/http/body.py
+++ b/libs/http/src/teaseldyke/http/body.py
@@ -69,15 +69,13 @@
         self._deadline_s = min(self._deadline_s, trio.current_time() + timeout_s)
         limit_bytes = min(limit_bytes, self._limits.body_bytes)
         self._check_length(limit_bytes)
-        parts = []
-        size_bytes = 0
+        body = bytearray()  # many small chunks would take far more memory
         async for chunk in self.chunks():
-            size_bytes += len(chunk)
+            body += chunk
             on_data(len(chunk))
-            if size_bytes > limit_bytes:
+            if len(body) > limit_bytes:
                 raise BodyTooLarge(f"request body exceeds {limit_bytes} bytes")
-            parts.append(chunk)
-        return b"".join(parts)
+        return bytes(body)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+import tracemalloc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -399,6 +400,34 @@
                     except ConnectionError:
                         is_closed = True
 
+    async def test_body_in_tiny_chunks_takes_the_memory_of_its_bytes(self) -> None:
+        """Each chunk was kept as an object of its own until the end of the body."""
+        counted = 0
+
+        async def hold(request: Request) -> None:
+            def count(size_bytes: int) -> None:
+                nonlocal counted
+                counted += size_bytes
+
+            await request.read_body(BUFFERED_BYTES, 30.0, count)
+
+        async with served(hold) as connection:
+            connection.sock.sendall(
+                b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            tracemalloc.start()
+            try:
+                part = b"2\r\nab\r\n" * 5_000
+                for number in range(1, 21):
+                    connection.sock.sendall(part)
+                    with trio.fail_after(10):
+                        while counted < number * 10_000:
+                            await trio.sleep(0.01)
+                held_bytes, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+        assert held_bytes < 2 * counted
+
 
 class TestNextRequest:
     """A request that arrives before the answer to the one ahead of it."""
