Close refused connections over the limit in time

Callers were refused at the limit of connections though nobody was served: since the rest of a refused body is read for up to 120 s, connections over the limit that sent a byte now and then kept counting as open, up to 64 of them.

Evidence: test_refused_connections_keep_nobody_out_for_long failed before and passes now.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -182,8 +182,17 @@
             self._unread_since_s = math.inf
             self._parser.start_next_cycle()
 
-    async def refuse(self, error: TeaseldykeError) -> None:
-        """Send an error response and close the connection."""
+    async def refuse(
+        self, error: TeaseldykeError, discard_timeout_s: float = math.inf
+    ) -> None:
+        """Send an error response and close the connection.
+
+        Parameters
+        ----------
+        discard_timeout_s : float
+            Longest time in which what the caller still sends is read and dropped, if
+            shorter than that of a body.
+        """
         status, headers, body = self._context.render_error(error)
         try:
             data = self._encode_error(status, headers, body)
@@ -191,7 +200,9 @@
                 await self.stream.send_all(data)
         except (trio.BrokenResourceError, h11.LocalProtocolError):
             return
-        await self._close_after_response(self._limits.body_timeout_s)
+        await self._close_after_response(
+            min(discard_timeout_s, self._limits.body_timeout_s)
+        )
 
     def refuse_pending(self, error: TeaseldykeError) -> None:
         """Send an error response to what has arrived, without waiting."""
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -11,7 +11,13 @@
 
 from .admission import Admission
 from .closures import Cause, RequestState, record_closure
-from .connection import CallerConnection, ErrorRenderer, Handler, ServerContext
+from .connection import (
+    CLOSE_TIMEOUT_S,
+    CallerConnection,
+    ErrorRenderer,
+    Handler,
+    ServerContext,
+)
 from .errors import TooManyConnections
 from .limits import ServerLimits
 from .problem import problem_response
@@ -139,4 +145,5 @@
             record_closure(Cause.CONNECTION_LIMIT, RequestState.UNREAD, caller)
             connection.refuse_pending(error)
             return
-        await connection.refuse(error)
+        # It counts as open, and must not keep others out for long.
+        await connection.refuse(error, CLOSE_TIMEOUT_S)
--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -400,6 +400,33 @@
                     except ConnectionError:
                         is_closed = True
 
+    async def test_refused_connections_keep_nobody_out_for_long(self) -> None:
+        """Each sends a byte now and then, for as long as it is read."""
+        listener = (await trio.open_tcp_listeners(0, host=HOST))[0]
+        address = listener.socket.getsockname()
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n"
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, listener, answer_ok, ServerLimits(connections=1))
+            served_one = socket.create_connection(address)
+            await trio.sleep(0.1)
+            refused = [socket.create_connection(address) for _ in range(3)]
+            for sock in refused:
+                sock.sendall(head)
+            await trio.sleep(0.1)
+            served_one.close()
+            for _ in range(10):
+                for sock in refused:
+                    with suppress(OSError):
+                        sock.sendall(b"x")
+                await trio.sleep(0.2 * CLOSE_TIMEOUT_S)
+            with socket.create_connection(address) as sock:
+                sock.sendall(CLOSING_GET)
+                answer = await trio.to_thread.run_sync(read_all, sock)
+            for sock in refused:
+                sock.close()
+            nursery.cancel_scope.cancel()
+        assert answer.startswith(b"HTTP/1.1 200")
+
     async def test_body_in_tiny_chunks_takes_the_memory_of_its_bytes(self) -> None:
         """Each chunk was kept as an object of its own until the end of the body."""
         counted = 0
