--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -216,9 +216,20 @@
 
     async def _close_after_response(self, timeout_s: float) -> None:
         """Close the connection, after the rest of a body that wasn't read."""
-        await close_gracefully(
-            self.stream, CLOSE_TIMEOUT_S, timeout_s, self._limits.body_bytes
-        )
+        async with trio.open_nursery() as nursery:
+            if timeout_s > CLOSE_TIMEOUT_S:
+                nursery.start_soon(self._end_discard_at_stop, nursery.cancel_scope)
+            await close_gracefully(
+                self.stream, CLOSE_TIMEOUT_S, timeout_s, self._limits.body_bytes
+            )
+            nursery.cancel_scope.cancel()
+        close_now(self.stream)
+
+    async def _end_discard_at_stop(self, scope: trio.CancelScope) -> None:
+        """End the discarding of a body soon after the server starts to shut down."""
+        await self._context.stopping.wait()
+        await trio.sleep(CLOSE_TIMEOUT_S)
+        scope.cancel()
 
     def _encode_error(self, status: int, headers: Headers, body: bytes) -> bytes:
         fields = [
--- a/libs/http/tests/test_ends.py
+++ b/libs/http/tests/test_ends.py
@@ -400,6 +400,34 @@
                     except ConnectionError:
                         is_closed = True
 
+    async def test_body_that_is_discarded_does_not_hold_a_stop(self) -> None:
+        """The caller sends a byte now and then, for as long as it is read."""
+
+        async def refuse(request: Request) -> None:
+            await request.respond(404, b"none")
+
+        listener = (await trio.open_tcp_listeners(0, host=HOST))[0]
+        stopping = trio.Event()
+        stopped = trio.Event()
+
+        async def run() -> None:
+            await serve(listener, refuse, ServerLimits(), stopping=stopping)
+            stopped.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            with socket.create_connection(listener.socket.getsockname()) as sock:
+                sock.sendall(
+                    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n"
+                )
+                await trio.sleep(0.3)
+                stopping.set()
+                with trio.fail_after(4 * CLOSE_TIMEOUT_S):
+                    while not stopped.is_set():
+                        with suppress(OSError):
+                            sock.sendall(b"x")
+                        await trio.sleep(0.2)
+
     async def test_refused_connections_keep_nobody_out_for_long(self) -> None:
         """Each sends a byte now and then, for as long as it is read."""
         listener = (await trio.open_tcp_listeners(0, host=HOST))[0]
