Don't call a server silent that has just answered

The line send_ended and its counter called a server silent that had answered late with a failure (silent_s 0.402 beside head_s 0.402), which spoils what they are there for.

Cause: the wait for the header was not ended by the header.

Evidence: test_server_that_answers_late_is_not_called_silent failed before (0.402 s) and passes now.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -366,6 +366,7 @@
         resumed_after: int | None,
     ) -> SendResult:
         status = exchange.status
+        self._silence = None  # the server has just been heard
         self.reservation.record_head()
         self.reservation.state.activity.record(boot_time_s())
         facts = self.wire.read_answer(status, exchange.headers)
--- a/tests/platform/test_silent_once.py
+++ b/tests/platform/test_silent_once.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 import pytest
+import structlog
 import trio
 
 from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import Answer, wait_until
-from tests.platform.standins import Arrival, not_run
+from tests.platform.standins import Arrival, answer_with, not_run
 from tests.platform.test_silent_connections import ask, ask_many, warm_fleet
 
 LATER = 8  # requests after the silence has been noticed
@@ -69,6 +70,21 @@
             await ask_many(fleet, "/once/a", LATER)
             assert engine.connections <= connections + 1
 
+    async def test_server_that_answers_late_is_not_called_silent(self) -> None:
+        async with warm_fleet(is_engine=False, engines=1) as (fleet, _):
+            (engine,) = fleet.engines.values()
+
+            async def fail_late(engine: Any, stream: Any, arrival: Arrival) -> Any:
+                await trio.sleep(0.4)
+                return await answer_with(503)(engine, stream, arrival)
+
+            engine.scripts.insert(0, fail_late)
+            with structlog.testing.capture_logs() as lines:
+                answer = await ask(fleet, "/once/a", "late", 3000)
+            assert answer.status == 502
+            (line,) = [line for line in lines if line["event"] == "send_ended"]
+            assert line["silent_s"] < 0.3
+
     async def test_superseded_request_tells_of_the_other_connections(self) -> None:
         async with warm_fleet(is_engine=False, engines=2) as (fleet, script):
             first = fleet.engines["e-0"]
