Take no short silence at a deadline for a sign of dead connections

Requests that ended at their deadline closed all idle connections of a server that was talking: one that had been silent for 0.027 s closed 12 (review). That costs new connections, most of all under overload.

Cause: at the deadline, a silence of any length counted.

Evidence: both rows of test_deadline_of_a_server_that_talks_is_no_sign_of_dead_connections failed before (20 connections, 13 allowed) and pass now.

--- a/libs/placement/src/teaseldyke/placement/silence.py
+++ b/libs/placement/src/teaseldyke/placement/silence.py
@@ -182,7 +182,8 @@
     def casts_doubt_on_connections(self, now_s: float, deadline_at_s: float) -> bool:
         """Return whether idle connections that it is older than may be silent, too.
 
-        It does beyond patience, and if it has lasted until the request's deadline.
+        It does beyond patience, and if it is longer than ordinary gaps at the request's
+        deadline.
 
         Load pattern: open connections go silent for good while new ones work, under
         requests that may run once. One that the server has answered on since is
@@ -195,8 +196,13 @@
         False
         >>> silence.casts_doubt_on_connections(0.3, deadline_at_s=2.5)
         True
+        >>> silence.casts_doubt_on_connections(0.2, deadline_at_s=0.2)
+        False
         """
-        return now_s >= min(self.since_s + self.patience_s, deadline_at_s)
+        least_s = self.patience_s
+        if now_s >= deadline_at_s:
+            least_s = min(EVENT_GAP_MIN_S, self.patience_s)
+        return now_s - self.since_s >= least_s
 
     def is_due(self, now_s: float, activity: ServerActivity) -> bool:
         """Return whether a second server may get the request now.
--- a/tests/platform/test_silent_once.py
+++ b/tests/platform/test_silent_once.py
@@ -10,8 +10,16 @@
 
 from teaseldyke.timers import boot_time_s
 from tests.platform.conftest import Answer, wait_until
-from tests.platform.standins import Arrival, answer_with, not_run
+from tests.platform.standins import (
+    Arrival,
+    answer_head,
+    answer_with,
+    chunk,
+    event,
+    not_run,
+)
 from tests.platform.test_silent_connections import ask, ask_many, warm_fleet
+from tests.platform.test_silent_servers import STREAM
 
 LATER = 8  # requests after the silence has been noticed
 DEADLINE_MS = 1200  # of the first ones, so that later ones find idle connections
@@ -70,6 +78,34 @@
             await ask_many(fleet, "/once/a", LATER)
             assert engine.connections <= connections + 1
 
+    @pytest.mark.parametrize(
+        ("is_engine", "target", "deadline_ms"),
+        [(True, "/single/a", 925), (False, "/once/a", 120)],
+        ids=["stream", "plain"],
+    )
+    async def test_deadline_of_a_server_that_talks_is_no_sign_of_dead_connections(
+        self, is_engine: bool, target: str, deadline_ms: int
+    ) -> None:
+        """It had been silent for less than ordinary gaps."""
+        async with warm_fleet(is_engine=is_engine, engines=1) as (fleet, script):
+            (engine,) = fleet.engines.values()
+            connections = engine.connections
+
+            async def talk(_engine: Any, stream: Any, arrival: Arrival) -> None:
+                if is_engine:
+                    await stream.send_all(answer_head(arrival, 200, *STREAM) + b"\r\n")
+                for number in range(1, 100):
+                    if is_engine:
+                        await stream.send_all(chunk(event(number)))
+                    await trio.sleep(0.05)
+
+            engine.scripts.insert(0, talk)
+            answer = await ask(fleet, target, "slow", deadline_ms)
+            assert not answer.complete or answer.status == 504
+            script.plain_s = 0.1
+            await ask_many(fleet, "/once/a", LATER)
+            assert engine.connections <= connections + 1
+
     async def test_server_that_answers_late_is_not_called_silent(self) -> None:
         async with warm_fleet(is_engine=False, engines=1) as (fleet, _):
             (engine,) = fleet.engines.values()
