Hold past usage against no organisation in the service order

Cause: the least usage of 4 s was served first, without bounds. Once more organisations were backlogged, or capacity fell, the level fell at once and usage didn't, so whoever had much while capacity was idle waited until that was forgotten: ln(old level / new level) x 4 s.

Positions in the order are usage with a correction that keeps all backlogged organisations within half a second, at an equal part of the capacity, of their mean: credit and debt are bounded on both sides, whatever the history was. Claims beyond the next .3 s still go by the deficit over 4 s.

--- a/libs/gateway/src/teaseldyke/gateway/share_log.py
+++ b/libs/gateway/src/teaseldyke/gateway/share_log.py
@@ -104,6 +104,7 @@
         log_decision(
             "shares",
             level_tokens=fair_shares.level_tokens,
+            mean_position_tokens=fair_shares.mean_position_tokens,
             capacity_tokens=int(fair_shares.capacity_tokens),
             given_tokens=int(fair_shares.given_tokens),
             demand_tokens=int(fair_shares.demand_tokens),
@@ -124,6 +125,7 @@
                         fair_shares.peer_queued.get(name, 0.0)
                     ),
                     "usage_tokens": int(fair_shares.usage(name, now_s)),
+                    "position_tokens": int(fair_shares.position(name, now_s)),
                     "standing": fair_shares.standing(name, now_s).value,
                 }
                 for name in names[:ORGANISATIONS_MAX]
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -1,7 +1,8 @@
 """Max-min fair shares of organisations in the engines' token throughput.
 
-Load pattern: one organisation sends many times its usual load (`hot_tenant`) while the
-load of the others stays the same. Replayed in ``tests/test_shares.py``.
+Load patterns: one organisation sends many times its usual load (`hot_tenant`) while the
+load of the others stays the same, and changes of which organisations are backlogged or
+of the capacity. Replayed in ``tests/test_shares.py``.
 """
 
 from __future__ import annotations
@@ -19,6 +20,9 @@
 EXCESS_CLAIM_FRACTION = 0.2  # of it, for excess claims; uses otherwise idle capacity
 OVER_SHARE_CLAIM_FRACTION = 0.05  # of the fair share; claim of those that have it all
 UNDER_SHARE_FRACTION = 0.6  # of the share; half is unfair, and usage is known late
+# Of an equal part of the capacity; largest gap of a backlogged organisation to the mean
+# position. Usage is known late, so that smaller gaps would say nothing.
+GAP_MAX_S = 0.5
 
 
 class Standing(Enum):
@@ -146,16 +150,25 @@
     _own: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
     _level: float = attrs.field(default=math.inf, init=False)
     _demands: dict[str, float] = attrs.field(factory=dict, init=False)
+    _corrections: dict[str, DecayingSum] = attrs.field(factory=dict, init=False)
+    _mean_position: float = attrs.field(default=math.inf, init=False)
     _next_service_level: float = attrs.field(default=math.inf, init=False)
     _excess_claim_fraction: float = attrs.field(default=1.0, init=False)
     _total_claims: float = attrs.field(default=0.0, init=False)
-    _others_queued: bool = attrs.field(default=False, init=False)
+    _backlogged: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
     @property
     def level_tokens(self) -> int | None:
         """Fair share that caps larger demands; `None` if all demands fit."""
         return None if self._level == math.inf else int(self._level)
 
+    @property
+    def mean_position_tokens(self) -> int | None:
+        """Mean position of the backlogged organisations; `None` if there are none."""
+        if self._mean_position == math.inf:
+            return None
+        return int(self._mean_position)
+
     @property
     def demand_tokens(self) -> float:
         """Recent usage and queued tokens of all organisations together."""
@@ -175,6 +188,17 @@
         peer_usage_tokens = self.peer_usage.get(organisation, 0.0)
         return peer_usage_tokens + (own.at(now_s) if own is not None else 0.0)
 
+    def position(self, organisation: str, now_s: float) -> float:
+        """Return the usage of an organisation as corrected for the service order.
+
+        That of backlogged organisations stays close to their mean, so that neither
+        capacity that was idle otherwise is held against those that used it, nor
+        those that become backlogged get all capacity until they have caught up.
+        """
+        correction = self._corrections.get(organisation)
+        usage = self.usage(organisation, now_s)
+        return usage + (correction.at(now_s) if correction is not None else 0.0)
+
     def recompute(self, own_queued: Mapping[str, float], now_s: float) -> None:
         """Recompute the fair share from usage and queued requests.
 
@@ -193,21 +217,55 @@
         self.given_tokens = given
         self.capacity_tokens = max(stated, given)
         self._level = water_level(demands, self.capacity_tokens)
-        self._recompute_claims(queued, usage)
-        self._others_queued = any(
-            tokens > 0.0 and usage[name] <= self._level
+        positions = self._recompute_positions(queued, now_s)
+        self._recompute_claims(queued, positions, usage)
+        self._backlogged = frozenset(positions)
+
+    def _recompute_positions(
+        self, queued: Mapping[str, float], now_s: float
+    ) -> dict[str, float]:
+        """Return the positions of the backlogged organisations, now close together."""
+        positions = {
+            name: self.position(name, now_s)
             for name, tokens in queued.items()
-        )
+            if tokens > 0.0
+        }
+        self._corrections = {
+            name: correction
+            for name, correction in self._corrections.items()
+            if name in positions or abs(correction.at(now_s)) >= 1.0
+        }
+        if not positions:
+            self._mean_position = math.inf
+            return positions
+        mean = sum(positions.values()) / len(positions)
+        rate = self.capacity_tokens / USAGE_TIME_CONSTANT_S / len(positions)
+        gap_max = GAP_MAX_S * rate
+        for name, position in positions.items():
+            bounded = min(max(position, mean - gap_max), mean + gap_max)
+            if bounded == position:
+                continue
+            correction = self._corrections.setdefault(name, DecayingSum())
+            correction.add(bounded - position, now_s)
+            positions[name] = bounded
+        self._mean_position = sum(positions.values()) / len(positions)
+        return positions
 
     def _recompute_claims(
-        self, queued: Mapping[str, float], usage: Mapping[str, float]
+        self,
+        queued: Mapping[str, float],
+        positions: Mapping[str, float],
+        usage: Mapping[str, float],
     ) -> None:
         """Recompute the claims of all organisations on the next free capacity."""
+        queued = {name: queued[name] for name in positions}
         next_tokens = self.capacity_tokens * CLAIM_WINDOW_S / USAGE_TIME_CONSTANT_S
-        self._next_service_level = next_service_level(queued, usage, next_tokens)
+        self._next_service_level = next_service_level(queued, positions, next_tokens)
         primary_tokens = excess_tokens = 0.0
         for name, tokens in queued.items():
-            primary_claim, excess_claim = self._claims_of(tokens, usage[name])
+            primary_claim, excess_claim = self._claims_of(
+                tokens, positions[name], usage[name]
+            )
             primary_tokens += primary_claim
             excess_tokens += excess_claim
         self._excess_claim_fraction = 1.0
@@ -219,13 +277,15 @@
             primary_tokens + self._excess_claim_fraction * excess_tokens
         )
 
-    def _claims_of(self, queued: float, usage: float) -> tuple[float, float]:
+    def _claims_of(
+        self, queued: float, position: float, usage: float
+    ) -> tuple[float, float]:
         """Return the primary and the excess claim for an organisation's queued tokens.
 
-        The primary claim is for the tokens that are served next in order of usage.
+        The primary claim is for the tokens that are served next in order of position.
         Beyond it, an organisation claims up to its deficit against its fair share.
         """
-        primary_claim = min(queued, max(0.0, self._next_service_level - usage))
+        primary_claim = min(queued, max(0.0, self._next_service_level - position))
         beyond = queued - primary_claim
         if self._level == math.inf:
             return primary_claim, beyond
@@ -259,8 +319,11 @@
         total_tokens = own_tokens + self.peer_queued.get(organisation, 0.0)
         if total_tokens <= 0.0:
             return CapacityQuota(organisation, 1.0)
-        usage = self.usage(organisation, now_s)
-        primary_claim, excess_claim = self._claims_of(total_tokens, usage)
+        primary_claim, excess_claim = self._claims_of(
+            total_tokens,
+            self.position(organisation, now_s),
+            self.usage(organisation, now_s),
+        )
         own = (
             (primary_claim + self._excess_claim_fraction * excess_claim)
             * own_tokens
@@ -273,10 +336,10 @@
         return CapacityQuota(organisation, fraction)
 
     def is_over(self, organisation: str, now_s: float) -> bool:
-        """Return whether an organisation's usage exceeds its fair share."""
+        """Return whether an organisation is ahead of the mean of those backlogged."""
         if self._level == math.inf:
             return False
-        return self.usage(organisation, now_s) > self._level
+        return self.position(organisation, now_s) > self._mean_position
 
     def standing(self, organisation: str, now_s: float) -> Standing:
         """Return the standing; `OVER` only while others have queued requests."""
@@ -286,7 +349,7 @@
         demand = self._demands.get(organisation, 0.0)
         if usage < UNDER_SHARE_FRACTION * min(self._level, demand):
             return Standing.UNDER
-        if usage > self._level and self._others_queued:
+        if self._backlogged - {organisation} and self.is_over(organisation, now_s):
             return Standing.OVER
         return Standing.FAIR
 
@@ -299,6 +362,6 @@
             if self.scheduling_key(name, now_s) <= own_key
         )
 
-    def scheduling_key(self, organisation: str, now_s: float) -> tuple[bool, float]:
+    def scheduling_key(self, organisation: str, now_s: float) -> float:
         """Return the sort key of an organisation; the smallest is served first."""
-        return self.is_over(organisation, now_s), self.usage(organisation, now_s)
+        return self.position(organisation, now_s)
--- a/libs/placement/tests/test_shares.py
+++ b/libs/placement/tests/test_shares.py
@@ -98,6 +98,15 @@
         fair_shares.recompute({"hot": 2000.0, "small": 200.0}, 0.0)
         assert fair_shares.standing("hot", 0.0) is Standing.OVER
 
+    def test_organisation_that_is_backlogged_alone_is_not_over_after_a_send(
+        self,
+    ) -> None:
+        fair_shares = FairShares(tokens_per_s=250.0)
+        fair_shares.peer_usage = {"hot": 1500.0, "small": 20.0}
+        fair_shares.recompute({"hot": 2000.0}, 0.0)
+        fair_shares.charge("hot", 50.0, 0.0)
+        assert fair_shares.standing("hot", 0.0) is Standing.FAIR
+
 
 def make_fair_shares(
     own: dict[str, float],
