Tell which organisations a late instance refuses, and which places stay free

- instance_late has refused_organisations, by the last request that was read from the same address.
- shares has free_places; teaseldyke_free_place_seconds_total counts them while an organisation below the level waits.

No decision is changed.

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -43,6 +43,7 @@
     work_for_resumption,
     work_of,
 )
+from .caller_organisations import CallerOrganisations
 from .errors import (
     NotConfigured,
     Overloaded,
@@ -132,6 +133,8 @@
         that would take longer are refused.
     accepts_streams : bool
         Whether new streams are accepted.
+    caller_organisations : CallerOrganisations
+        Which organisation each address sent its last request for.
     """
 
     def __init__(
@@ -144,6 +147,7 @@
         self._sender = sender
         self._wire = wire
         self._memory = memory
+        self.caller_organisations = CallerOrganisations()
         self._bodies = RequestBodies()
         self._buffers = AnswerBuffers()
         self._longest_timeout_s: dict[str, float] = {}
@@ -218,6 +222,8 @@
         context["version"] = table.version
         organisation = organisation_of(table, route, facts)
         context["organisation"] = organisation.name if organisation else None
+        if organisation is not None:
+            self.caller_organisations.record(request.caller, organisation.name)
         deadline_at_s = deadline_of(
             facts, route, min(arrived_at_s, request.unread_since_s)
         )
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -226,6 +226,9 @@
             "instance_late",
             longest_pass_s=round(longest_s, 3),
             refused_unread=refused,
+            refused_organisations=self.calls.caller_organisations.most(
+                self.admission.take_refused_by_caller()
+            ),
             callers=self.admission.recent.callers,
             running=self.calls.running,
             streams=self.calls.streams,
--- a/libs/gateway/src/teaseldyke/gateway/share_log.py
+++ b/libs/gateway/src/teaseldyke/gateway/share_log.py
@@ -24,6 +24,10 @@
 MISSES = counter(
     "teaseldyke_misses_total", "Looks at a request that found no place, by reason."
 )
+FREE_PLACE_TIME = counter(
+    "teaseldyke_free_place_seconds_total",
+    "Free places of engines while an organisation under its share waits here.",
+)
 
 
 @attrs.define
@@ -100,6 +104,16 @@
             return
         engines = list(states)
         fair_shares = self.fair_shares
+        free_places = sum(
+            max(0, state.server.slots - state.running)
+            for state in engines
+            if not state.is_ejected(now_s) and state.accepts_requests(now_s)
+        )
+        if any(
+            tokens > 0.0 and fair_shares.is_below_level(name, now_s)
+            for name, tokens in waiting.items()
+        ):
+            FREE_PLACE_TIME.bind().add(REPORT_INTERVAL_S * free_places)
         names = sorted(unserved, key=unserved.__getitem__, reverse=True)
         log_decision(
             "shares",
@@ -113,6 +127,7 @@
             engines_cold=sum(state.is_cold(now_s) for state in engines),
             places=sum(state.server.slots for state in engines),
             running=sum(state.running for state in engines),
+            free_places=free_places,
             misses=dict(misses),
             organisations=[
                 {
--- a/libs/gateway/tests/test_share_log.py
+++ b/libs/gateway/tests/test_share_log.py
@@ -6,7 +6,14 @@
 
 from teaseldyke.gateway import share_log as module
 from teaseldyke.gateway.share_log import ShareLog
-from teaseldyke.placement import FairShares, Work
+from teaseldyke.placement import (
+    ColdRateLimit,
+    FairShares,
+    Load,
+    ServerState,
+    Work,
+)
+from teaseldyke.types import AnnouncedServer
 
 
 def work(organisation: str, tokens: int = 100) -> Work:
@@ -78,3 +85,32 @@
     names = [organisation["name"] for organisation in lines[0]["organisations"]]
     assert len(names) == module.ORGANISATIONS_MAX
     assert names[0] == "o-99"
+
+
+@pytest.mark.parametrize(
+    ("usage", "waiting", "expected"),
+    [
+        ({"small": 10.0, "large": 900.0}, {"small": 100.0}, 12.0),
+        ({"small": 10.0, "large": 900.0}, {"large": 100.0}, 0.0),
+        ({"small": 10.0, "large": 900.0}, {}, 0.0),
+    ],
+    ids=["below-its-share", "above-its-share", "nobody-waits"],
+)
+def test_free_places_count_while_an_organisation_below_its_share_waits(
+    usage: dict[str, float],
+    waiting: dict[str, float],
+    expected: float,
+    lines: list[dict[str, Any]],
+) -> None:
+    fair_shares = FairShares(tokens_per_s=100.0)
+    fair_shares.peer_usage = usage
+    fair_shares.recompute({"small": 500.0, "large": 500.0}, 0.0)
+    server = AnnouncedServer("engine", 1, "model", "h", 1, "a", slots=16)
+    state = ServerState(server, 0.0, ColdRateLimit(1.0))
+    state.peer_load = Load(running=4)
+    before = module.FREE_PLACE_TIME.bind().value
+    log = ShareLog(fair_shares)
+    log.record_refusal(work("other"), 0.0)
+    log.report([state], waiting, 0.0)
+    assert lines[0]["free_places"] == 12
+    assert module.FREE_PLACE_TIME.bind().value - before == expected
--- a/libs/http/src/teaseldyke/http/admission.py
+++ b/libs/http/src/teaseldyke/http/admission.py
@@ -95,6 +95,7 @@
         self.refused_at_s = -math.inf
         self.recent = RecentRequests()
         self._refused = 0
+        self._refused_by_caller: Counter[str] = Counter()
         self._admission_window_s = admission_window_s
         self._wait_max_s = wait_max_s
         self._shedding_until_s = -math.inf
@@ -126,6 +127,7 @@
                 return Decision.DEFER
         self.refused_at_s = now_s
         self._refused += 1
+        self._refused_by_caller[caller] += 1
         return Decision.REFUSE
 
     def take_refused(self) -> int:
@@ -133,3 +135,9 @@
         refused = self._refused
         self._refused = 0
         return refused
+
+    def take_refused_by_caller(self) -> Counter[str]:
+        """Return the requests refused since the last call, by address."""
+        refused = self._refused_by_caller
+        self._refused_by_caller = Counter()
+        return refused
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -311,6 +311,7 @@
             self._limits,
             self._context.stopping,
             self._unread_since_s,
+            self._caller,
         )
 
     async def _wait_admission(self) -> None:
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -43,6 +43,8 @@
         Limits of body size and timeouts.
     stopping : trio.Event
         Once set, responses carry ``Connection: close``.
+    caller : str
+        Address of the peer.
 
     Attributes
     ----------
@@ -79,7 +81,9 @@
         limits: ServerLimits,
         stopping: trio.Event,
         unread_since_s: float = math.inf,
+        caller: str = "",
     ) -> None:
+        self.caller = caller
         self.id = secrets.token_hex(REQUEST_ID_BYTES)
         self.method = head.method.decode("ascii")
         self.headers: Headers = list(head.headers)
--- a/libs/http/tests/test_admission.py
+++ b/libs/http/tests/test_admission.py
@@ -60,6 +60,9 @@
     assert admission.decide(clock.now_s - unread_s, "a") is expected
     refused_at_s = clock.now_s if expected is Decision.REFUSE else -math.inf
     assert admission.refused_at_s == refused_at_s
+    by_caller = {"a": 1} if expected is Decision.REFUSE else {}
+    assert admission.take_refused_by_caller() == by_caller
+    assert admission.take_refused_by_caller() == {}
     assert admission.take_refused() == (expected is Decision.REFUSE)
     assert admission.take_refused() == 0
 
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -341,6 +341,10 @@
             return False
         return self.position(organisation, now_s) > self._mean_position
 
+    def is_below_level(self, organisation: str, now_s: float) -> bool:
+        """Return whether an organisation has used less than its fair share."""
+        return self.usage(organisation, now_s) < self._level
+
     def standing(self, organisation: str, now_s: float) -> Standing:
         """Return the standing; `OVER` only while others have queued requests."""
         if self._level == math.inf:
