Show that an organisation at one instance is crowded out in a large fleet

No processor time is modelled.

What the model had to learn for it: usage that is told in one of four exchanges (usage_rounds), lost engines that stay listed and refuse connections until each instance has found out (Loss.is_announced), two dozen small organisations, and the users' rule judged as for the service order (fairness_rule.py, moved). Totals are added up once for all instances, as 44 of them would take minutes.

--- a/libs/patterns/src/teaseldyke/patterns/__init__.py
+++ b/libs/patterns/src/teaseldyke/patterns/__init__.py
@@ -3,20 +3,30 @@
 from __future__ import annotations
 
 from .engine import EngineModel, EngineRequest, EngineSpec
+from .fairness_rule import Shortfall
 from .fleet import FleetSpec, ModelFleet
-from .load import KINDS, PATTERNS, Arrival, Kind, Loss, Pattern, generate_arrivals
+from .load import (
+    KINDS,
+    LARGE_FLEET_PATTERNS,
+    PATTERNS,
+    Arrival,
+    Kind,
+    Loss,
+    Pattern,
+    generate_arrivals,
+)
 from .outcome import Outcome, Result
 from .service_order import (
     Demand,
     OrderModel,
     Period,
     Scenario,
-    Shortfall,
     draw_scenario,
 )
 
 __all__ = [
     "KINDS",
+    "LARGE_FLEET_PATTERNS",
     "PATTERNS",
     "Arrival",
     "Demand",
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -30,7 +30,7 @@
 from teaseldyke.types import AnnouncedServer, ServiceDescription
 
 from .engine import EngineModel, EngineRequest, EngineSpec, StepResult
-from .instance import SERVICE, Call, Instance, Totals
+from .instance import SERVICE, Call, FleetSums, Instance, Totals
 from .limits import LimitedEngines
 from .load import Arrival, Loss, Pattern, generate_arrivals, produced_tokens_per_s
 from .outcome import Outcome, Result
@@ -40,7 +40,10 @@
 COLD_DURATION_S = 3.0  # duration of the cold phase after a start
 COLD_RATE_PER_S = 14.0
 RESTART_S = 3.0  # from an engine's crash to its next start
-SCAN_MISSES_MAX = 24  # failed placements after which a scan ends, as in the gateway
+# Failed placements after which a scan ends, and its pauses, as in the gateway.
+SCAN_MISSES_MAX = 24
+SCAN_TIME_SHARE = 0.25
+SCAN_PAUSE_MAX_S = 0.05
 
 
 @attrs.frozen
@@ -53,6 +56,11 @@
         Number of each.
     totals_delay_s : float
         Delay until the totals of an instance reach the other instances.
+    usage_rounds : int
+        Usage is told in one of so many exchanges, as in a large fleet.
+    attempt_s : float
+        Processor time of an instance for one attempt to place a queued request; 0 for
+        instances that are never busy.
     uses_fair_shares : bool
         Whether placement takes the fair shares of the organisations into account;
         false for a baseline without them.
@@ -66,6 +74,8 @@
     instances: int = 6
     engines: int = 6
     totals_delay_s: float = 0.1
+    usage_rounds: int = 1
+    attempt_s: float = 0.0
     uses_fair_shares: bool = True
     uses_crash_evidence: bool = True
     engine: EngineSpec = attrs.field(factory=EngineSpec)
@@ -101,6 +111,7 @@
         self._seed = seed
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
+        self._exchanges = 0
         self._seen_parts: set[str] = set()
         self._calls_by_request: dict[int, Call] = {}
         engine = spec.engine
@@ -171,7 +182,7 @@
 
         def fail() -> None:
             for name in names:
-                for call in self._stop(name):
+                for call in self._stop(name, is_announced=loss.is_announced):
                     self._fail(call)
 
         def return_cold() -> None:
@@ -181,10 +192,10 @@
         self._schedule(loss.at_s, fail)
         self._schedule(loss.back_at_s, return_cold)
 
-    def _stop(self, name: str) -> list[Call]:
+    def _stop(self, name: str, *, is_announced: bool = True) -> list[Call]:
         """Stop an engine and return the calls that it had."""
         aborted = self.engines[name].fail()
-        for instance in self._instances:
+        for instance in self._instances if is_announced else ():
             instance.states.pop(name, None)
         return [self._calls_by_request[id(request)] for request in aborted]
 
@@ -283,12 +294,12 @@
     def _end_unanswered(self, call: Call) -> None:
         """Refuse a request whose caller must not come back."""
         call.is_finished = True
-        call.result.refusals += 1
+        call.result.record_refusal(self.now_s)
 
     def _refuse(self, call: Call, retry_after_s: float) -> None:
         """Refuse a request; its caller retries once, if the deadline allows."""
         call.is_finished = True
-        call.result.refusals += 1
+        call.result.record_refusal(self.now_s)
         work = call.arrival.work
         back_at_s = self.now_s + retry_after_s
         if work.resubmitted or back_at_s >= work.deadline_at_s:
@@ -348,7 +359,7 @@
         request = call.request = EngineRequest(call.arrival.work)
         self._calls_by_request[id(request)] = call
         if engine.has_failed:
-            self._fail(call)
+            self._refuse_connection(call, name)
             return
         self.limits.record_arrival(name, self.now_s)
         engine.enqueue(request)
@@ -360,6 +371,16 @@
             self._schedule(due_s, lambda: self._disconnect_without_token(call, name))
         self._start_stepping(engine)
 
+    def _refuse_connection(self, call: Call, name: str) -> None:
+        """Send a call elsewhere if its engine refuses connections but is listed."""
+        state = call.instance.states.get(name)
+        self._fail(call)
+        if state is None:
+            return
+        state.record_outcome(True, self.now_s)
+        call.result.sends.pop()
+        self._arrive(call.arrival, call.result)
+
     def _start_stepping(self, engine: EngineModel) -> None:
         if engine.name not in self._stepping and engine.is_busy:
             self._stepping.add(engine.name)
@@ -445,9 +466,28 @@
             self._disconnect(call, name)
 
     def _scan_queue(self, instance: Instance) -> None:
+        """Scan a queue now, or once the instance has time for it."""
+        if self.now_s >= instance.scan_at_s:
+            attempts = self._scan(instance)
+            spent_s = attempts * self.spec.attempt_s
+            pause_s = 0.0
+            if spent_s > 0.0:
+                pause_s = min(SCAN_PAUSE_MAX_S, spent_s * (1.0 / SCAN_TIME_SHARE - 1.0))
+            instance.scan_at_s = self.now_s + spent_s + pause_s
+            return
+        if not instance.is_scan_due:
+            instance.is_scan_due = True
+            self._schedule(instance.scan_at_s, lambda: self._scan_late(instance))
+
+    def _scan_late(self, instance: Instance) -> None:
+        instance.is_scan_due = False
+        self._scan_queue(instance)
+
+    def _scan(self, instance: Instance) -> int:
+        """Place queued requests in order; return the number of attempts."""
         for state in instance.states.values():
             state.clear_backlog()
-        misses = 0
+        attempts = misses = 0
         available = set(instance.states.values())
         quotas: dict[str, CapacityQuota] = {}
         for queued in list(instance.queue.in_order(instance.fair_shares, self.now_s)):
@@ -465,16 +505,23 @@
                 quotas[name] = instance.fair_shares.quota(
                     name, tokens, requests, len(available), self.now_s
                 )
+            attempts += 1
             if self._try_send(queued.payload, quotas[name]):
                 instance.queue.remove(queued)
                 continue
             queued.awaited_server = queued.payload.awaited_server
             misses += 1
             if misses >= SCAN_MISSES_MAX:
-                return
+                break
+        return attempts
 
     def _exchange(self, last_s: float) -> None:
-        totals = [instance.totals(self.now_s) for instance in self._instances]
+        self._exchanges += 1
+        tells_usage = self._exchanges % self.spec.usage_rounds == 0
+        totals = [
+            instance.totals(self.now_s, tells_usage=tells_usage)
+            for instance in self._instances
+        ]
         self._schedule(
             self.now_s + self.spec.totals_delay_s, lambda: self._apply_totals(totals)
         )
@@ -488,8 +535,9 @@
             )
 
     def _apply_totals(self, totals: list[Totals]) -> None:
-        for number, instance in enumerate(self._instances):
-            others = [part for i, part in enumerate(totals) if i != number]
+        fleet = FleetSums.of(totals)
+        for own, instance in zip(totals, self._instances, strict=True):
+            others = fleet.without(own)
             instance.apply_totals(others, self.spec.totals_delay_s, self.now_s)
             self._start_send_round(instance)
             self._scan_queue(instance)
--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from random import Random
+from typing import TypeVar
 
 import attrs
 
@@ -27,6 +28,7 @@
 from .load import Arrival
 from .outcome import Result
 
+T = TypeVar("T")
 SERVICE = "model"  # that all engines belong to
 
 
@@ -40,7 +42,9 @@
         Of the instance.
     loads : dict of Load
         Its own load of each engine.
-    usage, queued_tokens : dict of float
+    usage : dict of float or None
+        By organisation; ``None`` if it isn't told this time.
+    queued_tokens : dict of float
         By organisation.
     reports : list of SuspectReport
         Parts of prompts and requests that crashes accuse.
@@ -52,7 +56,7 @@
 
     name: str
     loads: dict[str, Load]
-    usage: dict[str, float]
+    usage: dict[str, float] | None
     queued_tokens: dict[str, float]
     reports: list[SuspectReport]
     limits: dict[str, LimitReport]
@@ -87,13 +91,15 @@
     demand: ServiceDemand = attrs.field(factory=ServiceDemand)
     demand_of_others: dict[str, float] = attrs.field(factory=dict)
     round_at_s: float = 0.0
+    scan_at_s: float = 0.0
+    is_scan_due: bool = False
 
-    def totals(self, now_s: float) -> Totals:
+    def totals(self, now_s: float, *, tells_usage: bool = True) -> Totals:
         """Return what the others must know."""
         return Totals(
             self.name,
             {name: attrs.evolve(s.own_load) for name, s in self.states.items()},
-            self.fair_shares.own_usage(now_s),
+            self.fair_shares.own_usage(now_s) if tells_usage else None,
             self.queue.queued_tokens(),
             self.evidence.reports(now_s),
             {
@@ -124,7 +130,7 @@
         )
         self.fair_shares.recompute(self.queue.queued_tokens(), now_s)
 
-    def apply_totals(self, others: list[Totals], delay_s: float, now_s: float) -> None:
+    def apply_totals(self, others: FleetSums, delay_s: float, now_s: float) -> None:
         """Replace what is known of the other instances.
 
         Parameters
@@ -132,19 +138,17 @@
         delay_s : float
             Age of what they tell.
         """
-        self.demand_of_others = {totals.name: totals.demand for totals in others}
+        self.demand_of_others = others.demand
         for name, state in self.states.items():
-            loads = [totals.loads[name] for totals in others if name in totals.loads]
-            state.peer_load = Load(
-                sum(load.pending_tokens for load in loads),
-                sum(load.running for load in loads),
-                sum(load.memory_tokens for load in loads),
-            )
-        self.fair_shares.peer_usage = _sum(totals.usage for totals in others)
-        self.fair_shares.peer_queued = _sum(totals.queued_tokens for totals in others)
-        for totals in others:
-            self.evidence.merge(totals.reports, now_s)
-            for name, report in totals.limits.items():
+            state.peer_load = others.loads.get(name) or Load()
+        if others.usage is not None:
+            self.fair_shares.peer_usage = others.usage
+        self.fair_shares.peer_queued = others.queued_tokens
+        self.evidence.refresh(now_s)
+        for reports in others.reports.values():
+            self.evidence.merge(reports, now_s)
+        for limits in others.limits.values():
+            for name, report in limits.items():
                 if name not in self.states:
                     continue
                 aged = attrs.evolve(report, age_s=report.age_s + delay_s)
@@ -157,6 +161,74 @@
             state.round_sends = RoundSends(rounding=random.random())
 
 
+@attrs.frozen
+class FleetSums:
+    """Sums of what instances tell each other, in tokens and requests.
+
+    Adding up the totals once is much cheaper than once for each instance.
+    """
+
+    loads: dict[str, Load]
+    usage: dict[str, float] | None
+    queued_tokens: dict[str, float]
+    demand: dict[str, float]
+    reports: dict[str, list[SuspectReport]]
+    limits: dict[str, dict[str, LimitReport]]
+
+    @classmethod
+    def of(cls, totals: list[Totals]) -> FleetSums:
+        """Return the sums of the totals of all instances."""
+        told = [part.usage for part in totals if part.usage is not None]
+        usage = _sum(told) if told else None
+        loads: dict[str, Load] = {}
+        for part in totals:
+            for name, load in part.loads.items():
+                known = loads.setdefault(name, Load())
+                known.pending_tokens += load.pending_tokens
+                known.running += load.running
+                known.memory_tokens += load.memory_tokens
+        return cls(
+            loads,
+            usage,
+            _sum(part.queued_tokens for part in totals),
+            {part.name: part.demand for part in totals},
+            {part.name: part.reports for part in totals if part.reports},
+            {part.name: part.limits for part in totals if part.limits},
+        )
+
+    def without(self, own: Totals) -> FleetSums:
+        """Return the sums without those of one instance, rounded to whole tokens."""
+        loads = {}
+        for name, load in self.loads.items():
+            own_load = own.loads.get(name) or Load()
+            loads[name] = Load(
+                round(load.pending_tokens - own_load.pending_tokens),
+                load.running - own_load.running,
+                load.memory_tokens - own_load.memory_tokens,
+            )
+        return FleetSums(
+            loads,
+            _difference(self.usage, own.usage or {}) if self.usage else None,
+            _difference(self.queued_tokens, own.queued_tokens),
+            _without(self.demand, own.name),
+            _without(self.reports, own.name),
+            _without(self.limits, own.name),
+        )
+
+
+def _without(by_instance: dict[str, T], own: str) -> dict[str, T]:
+    return {name: value for name, value in by_instance.items() if name != own}
+
+
+def _difference(
+    minuends: dict[str, float], subtrahends: dict[str, float]
+) -> dict[str, float]:
+    return {
+        name: float(round(value - subtrahends.get(name, 0.0)))
+        for name, value in minuends.items()
+    }
+
+
 def _sum(summands: Iterable[dict[str, float]]) -> dict[str, float]:
     total: dict[str, float] = {}
     for summand in summands:
--- a/libs/patterns/src/teaseldyke/patterns/outcome.py
+++ b/libs/patterns/src/teaseldyke/patterns/outcome.py
@@ -10,13 +10,12 @@
 
 from teaseldyke.placement import Work
 
+from .fairness_rule import REQUESTS_NOT_COUNTED, WINDOW_S, Shortfall, shortfalls
 from .load import Arrival, worth_upper_bound
 
 if TYPE_CHECKING:
     from .fleet import FleetSpec
 
-WINDOW_S = 6  # window in which shares must be fair
-
 
 @attrs.define(eq=False)
 class Result:
@@ -30,6 +29,8 @@
         Number of refusals.
     sends : list of tuple
         Time and cost in tokens of each send to an engine.
+    refused_at_s : list of float
+        Times of the refusals.
     """
 
     arrival: Arrival
@@ -37,11 +38,30 @@
     ended_at_s: float | None = None
     refusals: int = 0
     sends: list[tuple[float, float]] = attrs.field(factory=list)
+    refused_at_s: list[float] = attrs.field(factory=list)
+
+    def record_refusal(self, now_s: float) -> None:
+        """Record a refusal."""
+        self.refusals += 1
+        self.refused_at_s.append(now_s)
 
     def record_send(self, now_s: float, work: Work) -> None:
         """Record a send to an engine."""
         self.sends.append((now_s, work.cost_tokens))
 
+    def unserved_seconds(self) -> set[int]:
+        """Return the seconds in which it was refused or waited past its target."""
+        seconds = {int(at_s) for at_s in self.refused_at_s}
+        work = self.arrival.work
+        answered_at_s = work.caller_timeout_at_s
+        if self.first_at_s is not None:
+            answered_at_s = self.first_at_s
+        elif self.refused_at_s:
+            answered_at_s = self.refused_at_s[0]
+        if answered_at_s > work.on_time_until_s:
+            seconds |= set(range(int(work.on_time_until_s), int(answered_at_s) + 1))
+        return seconds
+
     @property
     def earned(self) -> float:
         """Worth of a complete answer, ``late_worth`` if it began late; else 0."""
@@ -127,11 +147,16 @@
         fractions = self.worth_by(lambda r: f"{int(r.arrival.work.arrived_at_s):04d}")
         return list(fractions.values())
 
-    def least_share(self) -> float:
+    def least_share(self, organisation: str | None = None) -> float:
         """Return the smallest share that an organisation got in any six seconds.
 
         The share is what it got, divided by the lesser of what it requested and what
         the organisation with the largest throughput got in the same window.
+
+        Parameters
+        ----------
+        organisation : str or None
+            The one to look at; any if it is ``None``.
         """
         least = 1.0
         names = {result.arrival.organisation for result in self.results}
@@ -148,12 +173,35 @@
                     if start_s <= at_s < start_s + WINDOW_S:
                         sent[name] += tokens
             most = max(sent.values())
-            for name in names:
+            for name in names if organisation is None else [organisation]:
                 due = min(requested[name], most)
                 if due > 0.0:
                     least = min(least, sent[name] / due)
         return least
 
+    def unfair_windows(self) -> list[Shortfall]:
+        """Return the windows in which an organisation that always lacked got little.
+
+        Little is less than half of its due, which is the lesser of what it requested
+        and what the organisation with the largest throughput got, second by second,
+        less some of the largest requests.
+        """
+        names = {result.arrival.organisation for result in self.results}
+        seconds = 1 + int(max(r.arrival.work.arrived_at_s for r in self.results))
+        requested = {name: [0.0] * seconds for name in names}
+        sent = {name: [0.0] * seconds for name in names}
+        unserved: dict[str, set[int]] = {name: set() for name in names}
+        for result in self.results:
+            work, name = result.arrival.work, result.arrival.organisation
+            requested[name][int(work.arrived_at_s)] += work.cost_tokens
+            unserved[name] |= result.unserved_seconds()
+            for at_s, tokens in result.sends:
+                if at_s < seconds:
+                    sent[name][int(at_s)] += tokens
+        largest_tokens = max(r.arrival.work.cost_tokens for r in self.results)
+        not_counted = REQUESTS_NOT_COUNTED * largest_tokens
+        return shortfalls(requested, sent, unserved, not_counted)
+
     def table(self) -> str:
         """Return the figures of the outcome as text."""
         lines = [
--- a/libs/patterns/src/teaseldyke/patterns/service_order.py
+++ b/libs/patterns/src/teaseldyke/patterns/service_order.py
@@ -17,11 +17,10 @@
 
 from teaseldyke.placement import FairShares, water_level
 
+from .fairness_rule import REQUESTS_NOT_COUNTED, Shortfall, shortfalls
+
 STEP_S = 0.1  # between two exchanges of totals, as in the gateway
 DURATION_S = 24.0
-WINDOW_S = 6  # window in which shares must be fair
-FAIR_SHARE_MIN = 0.5  # of the lesser of demand and best service in a window
-REQUESTS_NOT_COUNTED = 3  # requests of the largest size by which a share may fall short
 CAPACITY_TOKENS_PER_S = 1e6
 REQUEST_TOKENS = 2e3
 QUEUE_TIME_MAX_S = 1.0  # of an organisation's demand; more is refused
@@ -93,17 +92,6 @@
         return CAPACITY_TOKENS_PER_S * min([1.0, *factors])
 
 
-@attrs.frozen
-class Shortfall:
-    """Window in which an organisation got less than half of its due, in tokens."""
-
-    organisation: str
-    starts_at_s: int
-    requested: float
-    due: float
-    got: float
-
-
 def draw_scenario(seed: int) -> Scenario:
     """Return the scenario of a seed."""
     random = Random(f"service-order-{seed}")
@@ -185,7 +173,8 @@
             for instance in self._instances:
                 instance.fair_shares.recompute(instance.queued, now_s)
             self._serve(step)
-        return self._shortfalls()
+        not_counted = REQUESTS_NOT_COUNTED * REQUEST_TOKENS
+        return shortfalls(self.requested, self.served, self.unserved, not_counted)
 
     def _arrive(self, now_s: float) -> None:
         second = int(now_s)
@@ -247,27 +236,3 @@
                 shares.charge(name, tokens, now_s)
                 self.served[name][int(now_s)] += tokens
         self._unused = left
-
-    def _shortfalls(self) -> list[Shortfall]:
-        """Return the windows in which an organisation always lacked service.
-
-        Its due is the lesser of what it requested and what the best served one got,
-        second by second.
-        """
-        shortfalls = []
-        for start in range(int(DURATION_S) - WINDOW_S + 1):
-            seconds = range(start, start + WINDOW_S)
-            got = {
-                name: sum(tokens[start : start + WINDOW_S])
-                for name, tokens in self.served.items()
-            }
-            best = self.served[max(got, key=got.__getitem__)]
-            for name, requested in self.requested.items():
-                if not self.unserved[name].issuperset(seconds):
-                    continue
-                due = sum(min(requested[second], best[second]) for second in seconds)
-                due -= REQUESTS_NOT_COUNTED * REQUEST_TOKENS
-                if got[name] < FAIR_SHARE_MIN * due:
-                    asked = sum(requested[start : start + WINDOW_S])
-                    shortfalls.append(Shortfall(name, start, asked, due, got[name]))
-        return shortfalls
--- a/libs/patterns/tests/test_patterns.py
+++ b/libs/patterns/tests/test_patterns.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from teaseldyke.patterns import PATTERNS, FleetSpec, ModelFleet, Outcome
+from teaseldyke.patterns import (
+    LARGE_FLEET_PATTERNS,
+    PATTERNS,
+    EngineSpec,
+    FleetSpec,
+    ModelFleet,
+    Outcome,
+)
 
 FREE_CRASHES_OF_A_REQUEST = 3
 KNOWN_S = 1.0  # after a crash, to all instances
@@ -32,6 +39,15 @@
     return ModelFleet(spec, PATTERNS[name], 1).play()
 
 
+LARGE_FLEET = FleetSpec(
+    instances=44,
+    engines=35,
+    totals_delay_s=0.4,
+    usage_rounds=4,
+    engine=EngineSpec(slots=12, prefill_tokens_per_s=81_900.0, step_s=0.00374),
+)
+
+
 class TestPatterns:
     @pytest.mark.parametrize("name", PATTERNS)
     def test_no_organisation_gets_less_than_half(self, name: str) -> None:
@@ -113,3 +129,15 @@
         outcome = play(name, seed)
         assert outcome.limit_excess <= 1.0
         assert outcome.limit_used >= LIMIT_USED_MIN
+
+
+class TestLargeFleet:
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_organisation_at_one_of_many_instances_is_not_crowded_out(
+        self, seed: int
+    ) -> None:
+        """Another floods from all instances, while lost engines are still listed."""
+        pattern = LARGE_FLEET_PATTERNS["narrow-entry-among-many"]
+        outcome = ModelFleet(LARGE_FLEET, pattern, seed).play()
+        assert not outcome.unfair_windows()
+        assert outcome.least_share("narrow") >= FAIR_SHARE_MIN
