Take nobody for over its share who is below the level

Callers of an organisation with two thirds of its fair share got less room at engines than the rest: 90 % of the slots, half of the prefill queue, no wait for the engine that has their prompt.

Cause: since an organisation was over its share if its position was above the mean of all that are backlogged. Most of these are small ones that wait for a moment; they draw the mean down, and every large one is above it, whatever it got.

Who is over its share is now a question of usage against the level, and position only excuses those whose usage stems from before others were backlogged.

test_organisation_below_its_level_is_not_over fails before.

--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -336,8 +336,11 @@
         return CapacityQuota(organisation, fraction)
 
     def is_over(self, organisation: str, now_s: float) -> bool:
-        """Return whether an organisation is ahead of the mean of those backlogged."""
-        if self._level == math.inf:
+        """Return whether an organisation is above its share and ahead of the others.
+
+        Its position alone doesn't tell: it is that relative to others backlogged now.
+        """
+        if self.usage(organisation, now_s) <= self._level:
             return False
         return self.position(organisation, now_s) > self._mean_position
 
--- a/libs/placement/tests/test_shares.py
+++ b/libs/placement/tests/test_shares.py
@@ -98,6 +98,16 @@
         fair_shares.recompute({"hot": 2000.0, "small": 200.0}, 0.0)
         assert fair_shares.standing("hot", 0.0) is Standing.OVER
 
+    def test_organisation_below_its_level_is_not_over(self) -> None:
+        """Many small ones that wait for a moment draw the mean position down."""
+        fair_shares = FairShares(tokens_per_s=1000.0)
+        small = {f"small-{number}": 20.0 for number in range(20)}
+        fair_shares.peer_usage = {"large": 3000.0, "lacking": 1200.0, **small}
+        queued = {"large": 5000.0, "lacking": 5000.0, **small}
+        fair_shares.recompute(queued, 0.0)
+        assert fair_shares.standing("large", 0.0) is Standing.OVER
+        assert fair_shares.standing("lacking", 0.0) is not Standing.OVER
+
     def test_organisation_that_is_backlogged_alone_is_not_over_after_a_send(
         self,
     ) -> None:
