Divide the room of all engines between instances, not only that of each

Cause: each instance had a quota of each engine's room, scaled by its requests per engine as if a request tried one engine in a round. A request tries another engine as soon as one completes something, so that with a few requests at each of many instances an organisation drew several times; one with all of its requests at one instance had tried every engine already. Class: a bound on a rate that is kept for each try, and not for what the tries add up to.

Now FleetRoom adds up what all engines of a service can take, and an instance sends in a round no more of an organisation's requests than its part of the claims on the whole. Over the instances these parts add up to the organisation's claim, however many there are and however often they try. The quotas of each engine stay.

Load pattern: narrow-entry-among-many.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -15,8 +15,10 @@
     Choice,
     CrashEvidence,
     FairShares,
+    FleetRoom,
     QueuedRequest,
     RequestQueue,
+    RoundSends,
     ServerState,
     Work,
     choose_engine,
@@ -47,6 +49,7 @@
 SCAN_PAUSE_MAX_S = 0.05  # a scan also looks long when the process was descheduled
 FULL_SERVER_BACKOFF_S = 0.05  # after a server refused a request as full
 LOADED_FIRST_EVENT_S = 0.2  # minimum time to first event at a loaded engine
+QUOTA_USED = "the organisation has used its part of the free capacity"
 
 QUEUE_TIME = histogram("teaseldyke_wait_seconds", "Time from arrival to the send.")
 
@@ -110,6 +113,7 @@
             view, fair_shares, self.limits.demand, self._share_log
         )
         self._queues: dict[str, RequestQueue[_PendingReservation]] = {}
+        self._rooms: dict[str, FleetRoom] = {}
         self._changed = trio.Event()
 
     async def run(self) -> None:
@@ -148,8 +152,22 @@
         if table is not None:
             self.fair_shares.tokens_per_s = self.limits.capacity_tokens_per_s(table)
         self.fair_shares.recompute(self.queued_tokens(), now_s)
+        for name, room in self._rooms.items():
+            room.measure(
+                self._view.states_of(name),
+                self._fleet.lag_s,
+                self.limits.demand.mean_prompt_tokens(name),
+                now_s,
+            )
         self.wake()
 
+    def start_send_round(self) -> None:
+        """Start a new round of sends, as the other instances know of the last one's."""
+        for state in self._view.all_states():
+            state.round_sends = RoundSends(rounding=random.random())
+        for room in self._rooms.values():
+            room.start_round(random.random())
+
     def report_shares(self) -> None:
         """Log what organisations requested and received; called at a fixed interval."""
         table = self._view.table
@@ -208,9 +226,10 @@
             quota = self.fair_shares.quota(
                 work.organisation, work.cost_tokens, 1, len(states), now_s
             )
-            choice = self._choose(service, work, avoid, quota, now_s)
-            if choice.state is not None:
-                return self._reserve(service, work, choice, now_s)
+            if self._allows_send(service, quota):
+                choice = self._choose(service, work, avoid, quota, now_s)
+                if choice.state is not None:
+                    return self._reserve(service, work, choice, now_s)
         self._admission.refuse_if_late(service, work, queue, now_s)
         latest_at_s = latest_send_at_s(work, now_s)
         pending = _PendingReservation(service, avoid, latest_at_s)
@@ -259,6 +278,7 @@
         instances = self._fleet.instances
         states = self._view.states_of(name)
         quotas: dict[tuple[str, str], CapacityQuota] = {}
+        exhausted: set[str] = set()
         pools: dict[str, tuple[Sequence[ServerState], float]] = {}
         available = {state for state in states if state.accepts_requests(now_s)}
         for state in states:
@@ -297,6 +317,12 @@
                 quota = quotas[organisation, version] = self.fair_shares.quota(
                     organisation, tokens, requests, len(servers), now_s
                 )
+            if not self._allows_send(pending.service, quota):
+                if organisation not in exhausted:
+                    exhausted.add(organisation)
+                    self._share_log.record_miss(QUOTA_USED)
+                pending.reason = QUOTA_USED
+                continue
             choice = self._choose(
                 pending.service, queued.work, pending.avoid, quota, now_s
             )
@@ -316,6 +342,12 @@
             )
             pending.ready.set()
 
+    def _allows_send(self, service: ServiceDescription, quota: CapacityQuota) -> bool:
+        """Return whether an organisation has capacity of the service's engines left."""
+        if not service.is_engine:
+            return True
+        return self._rooms.setdefault(service.name, FleetRoom()).allows_send(quota)
+
     def _choose(
         self,
         service: ServiceDescription,
@@ -387,6 +419,8 @@
         own.memory_tokens += work.memory_tokens
         if service.is_engine:
             state.round_sends.add(work.organisation, choice.uncached_tokens)
+            room = self._rooms.setdefault(service.name, FleetRoom())
+            room.sends.add(work.organisation, choice.uncached_tokens)
             state.record_prompt(work, now_s)
             self.fair_shares.charge(work.organisation, work.cost_tokens, now_s)
             self._share_log.record_send(work, now_s)
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-import random
 import socket
 from typing import Protocol
 
@@ -19,7 +18,6 @@
     CrashEvidence,
     FairShares,
     Load,
-    RoundSends,
     SuspectReport,
 )
 from teaseldyke.telemetry import log_decision
@@ -292,7 +290,7 @@
             self._oldest_age_s = self._totals.oldest_age_s(now_s)
             self._summed_at_s = now_s
             self._apply_totals(add_up([*neighbours, *others]), placer.fair_shares)
-        self._start_send_round(now_s)
+        self._start_send_round(placer, now_s)
         own = self._own_sums(placer, now_s)
         if self._may_skip_round([own, *neighbours], now_s):
             return
@@ -432,13 +430,12 @@
             except OSError as exc:
                 log_decision("totals_not_sent", peer=peer.name, error=str(exc))
 
-    def _start_send_round(self, now_s: float) -> None:
+    def _start_send_round(self, placer: Placer, now_s: float) -> None:
         """Start a new round of sends once the others know of the last round's."""
         if now_s - self._send_round_at_s < self.lag_s - EXCHANGE_INTERVAL_S / 2.0:
             return
         self._send_round_at_s = now_s
-        for server in self._view.all_states():
-            server.round_sends = RoundSends(rounding=random.random())
+        placer.start_send_round()
 
     def _apply_totals(self, peer_sums: Sums, fair_shares: FairShares) -> None:
         """Replace the other instances' load per server, usage and queued tokens."""
--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -137,6 +137,10 @@
             for number in range(spec.instances)
         ]
 
+    @property
+    def _lag_s(self) -> float:
+        return max(EXCHANGE_INTERVAL_S, self.spec.totals_delay_s)
+
     @property
     def _crashes(self) -> int:
         return sum(len(times_s) for times_s in self.crash_times_s.values())
@@ -265,7 +269,7 @@
             quota = instance.fair_shares.quota(
                 work.organisation, work.cost_tokens, 1, engines, self.now_s
             )
-            if self._try_send(call, quota):
+            if self._allows_send(instance, quota) and self._try_send(call, quota):
                 return
         states = list(instance.states.values())
         mean_tokens = instance.demand.mean_prompt_tokens(SERVICE)
@@ -314,6 +318,9 @@
         arrival = attrs.evolve(call.arrival, work=retry)
         self._schedule(back_at_s, lambda: self._arrive(arrival, call.result))
 
+    def _allows_send(self, instance: Instance, quota: CapacityQuota) -> bool:
+        return not self.spec.uses_fair_shares or instance.room.allows_send(quota)
+
     def _try_send(self, call: Call, quota: CapacityQuota) -> bool:
         """Send a request if an engine has capacity for it."""
         instance, work = call.instance, call.arrival.work
@@ -327,7 +334,7 @@
             self.now_s,
             standing=standing,
             quota=quota,
-            lag_s=max(EXCHANGE_INTERVAL_S, self.spec.totals_delay_s),
+            lag_s=self._lag_s,
             may_use_cold=lambda state: state.cold_rate_limit.allows_send(self.now_s),
             mean_cost_tokens=instance.demand.mean_cost_tokens(SERVICE),
         )
@@ -344,6 +351,7 @@
         call.state, call.uncached_tokens = state, choice.uncached_tokens
         call.is_prefilling = True
         state.round_sends.add(work.organisation, choice.uncached_tokens)
+        instance.room.sends.add(work.organisation, choice.uncached_tokens)
         state.own_load.running += 1
         state.own_load.pending_tokens += choice.uncached_tokens
         state.own_load.memory_tokens += work.memory_tokens
@@ -505,6 +513,8 @@
                 quotas[name] = instance.fair_shares.quota(
                     name, tokens, requests, len(available), self.now_s
                 )
+            if not self._allows_send(instance, quotas[name]):
+                continue
             attempts += 1
             if self._try_send(queued.payload, quotas[name]):
                 instance.queue.remove(queued)
@@ -527,7 +537,7 @@
         )
         for instance in self._instances:
             instance.divide_limits(self.spec.instances, self.now_s)
-            instance.recompute_shares(self._tokens_per_s, self.now_s)
+            instance.recompute_shares(self._tokens_per_s, self._lag_s, self.now_s)
             self._scan_queue(instance)
         if self.now_s < last_s:
             self._schedule(
@@ -544,7 +554,6 @@
 
     def _start_send_round(self, instance: Instance) -> None:
         """Start a new round once the other instances have the sends of the last one."""
-        round_s = max(EXCHANGE_INTERVAL_S, self.spec.totals_delay_s)
-        if self.now_s - instance.round_at_s < round_s - EXCHANGE_INTERVAL_S / 2.0:
+        if self.now_s - instance.round_at_s < self._lag_s - EXCHANGE_INTERVAL_S / 2.0:
             return
         instance.start_round(self.now_s, self._rounding_random)
--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -13,6 +13,7 @@
     CrashEvidence,
     FairShares,
     FleetDemand,
+    FleetRoom,
     LimitReport,
     Load,
     RequestQueue,
@@ -90,6 +91,7 @@
     evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     demand: ServiceDemand = attrs.field(factory=ServiceDemand)
     demand_of_others: dict[str, float] = attrs.field(factory=dict)
+    room: FleetRoom = attrs.field(factory=FleetRoom)
     round_at_s: float = 0.0
     scan_at_s: float = 0.0
     is_scan_due: bool = False
@@ -121,7 +123,7 @@
             share = limit_share(state.limit.per_s, engine, demand)
             state.limit.set_share(share, now_s)
 
-    def recompute_shares(self, tokens_per_s: float, now_s: float) -> None:
+    def recompute_shares(self, tokens_per_s: float, lag_s: float, now_s: float) -> None:
         """Recompute the fair shares in what all engines together produce."""
         self.fair_shares.tokens_per_s = capacity_within_limits(
             list(self.states.values()),
@@ -129,6 +131,8 @@
             self.demand.mean_cost_tokens(SERVICE),
         )
         self.fair_shares.recompute(self.queue.queued_tokens(), now_s)
+        mean_tokens = self.demand.mean_prompt_tokens(SERVICE)
+        self.room.measure(self.states.values(), lag_s, mean_tokens, now_s)
 
     def apply_totals(self, others: FleetSums, delay_s: float, now_s: float) -> None:
         """Replace what is known of the other instances.
@@ -157,6 +161,7 @@
     def start_round(self, now_s: float, random: Random) -> None:
         """Start a new round of sends that the others don't know of yet."""
         self.round_at_s = now_s
+        self.room.start_round(random.random())
         for state in self.states.values():
             state.round_sends = RoundSends(rounding=random.random())
 
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -11,9 +11,16 @@
     split_keys,
     stream_key,
 )
-from .choice import Choice, choose_engine, choose_plain, rendezvous_weight, shortlist
+from .choice import (
+    Choice,
+    choose_engine,
+    choose_plain,
+    rendezvous_weight,
+    shortlist,
+)
 from .crash_evidence import CrashEvidence
 from .demand import ServiceDemand
+from .fleet_room import FleetRoom
 from .limit_shares import FleetDemand, limit_senders, limit_share
 from .limited_service import capacity_within_limits, limits_allow_in_s
 from .recheck import CHOICE_TTL_S, lapse_reason
@@ -68,6 +75,7 @@
     "FactSource",
     "FairShares",
     "FleetDemand",
+    "FleetRoom",
     "LimitReport",
     "Load",
     "News",
--- a/libs/placement/src/teaseldyke/placement/choice.py
+++ b/libs/placement/src/teaseldyke/placement/choice.py
@@ -122,6 +122,48 @@
     return compared
 
 
+@attrs.frozen
+class EngineLimits:
+    """Limits up to which an engine gets requests of an organisation.
+
+    Parameters
+    ----------
+    slots_max : float
+        Largest number of requests in flight, as a multiple of the engine's slots.
+    memory_fraction_max : float
+        Of the engine's memory.
+    prefill_queue_max_s : float
+        Queued prefill.
+    """
+
+    slots_max: float
+    memory_fraction_max: float
+    prefill_queue_max_s: float
+
+    @classmethod
+    def of(cls, standing: Standing, lag_s: float) -> EngineLimits:
+        """Return the limits for an organisation of a standing.
+
+        They are raised by what an engine completes while others don't know of a send.
+        """
+        if standing is Standing.OVER:
+            return cls(
+                OVER_SHARE_SLOT_FRACTION_MAX + lag_s / SLOT_HOLD_S,
+                OVER_SHARE_MEMORY_FRACTION_MAX,
+                OVER_SHARE_PREFILL_QUEUE_MAX_S,
+            )
+        return cls(
+            SLOT_FRACTION_MAX + lag_s / SLOT_HOLD_S,
+            MEMORY_FRACTION_MAX,
+            PREFILL_QUEUE_MAX_S,
+        )
+
+    def has_slot(self, state: ServerState, quota: CapacityQuota, now_s: float) -> bool:
+        """Return whether an engine has a slot left."""
+        slots_max = self.slots_max * state.server.slots
+        return now_s >= state.full_until_s and state.has_free_slot(slots_max, quota)
+
+
 def choose_engine(
     states: Iterable[ServerState],
     service: ServiceDescription,
@@ -178,13 +220,7 @@
     ]
     affinity_engine = affinity_engines[0]
     over_share = standing is Standing.OVER
-    queue_max_s = OVER_SHARE_PREFILL_QUEUE_MAX_S if over_share else PREFILL_QUEUE_MAX_S
-    slot_fraction_max = (
-        OVER_SHARE_SLOT_FRACTION_MAX if over_share else SLOT_FRACTION_MAX
-    )
-    memory_fraction_max = (
-        OVER_SHARE_MEMORY_FRACTION_MAX if over_share else MEMORY_FRACTION_MAX
-    )
+    limits = EngineLimits.of(standing, lag_s)
     source = None
     if service.memory_link_bytes_per_s > 0.0 and not affinity_engine.is_ejected(now_s):
         source = affinity_engine
@@ -202,18 +238,12 @@
         if state.is_cold(now_s) and not may_use_cold(state):
             continue
         memory_tokens = state.memory_tokens + work_memory_tokens
-        is_full = (
-            now_s < state.full_until_s
-            or not state.has_free_slot(
-                (slot_fraction_max + lag_s / SLOT_HOLD_S) * state.server.slots, quota
-            )
-            or (
-                state.running > 0
-                and memory_tokens > memory_fraction_max * service.memory_tokens
-            )
+        is_full = not limits.has_slot(state, quota, now_s) or (
+            state.running > 0
+            and memory_tokens > limits.memory_fraction_max * service.memory_tokens
         )
         cached = state.cached_tokens(work, state is affinity_engine, now_s)
-        limit_s = queue_max_s
+        limit_s = limits.prefill_queue_max_s
         if cached >= shared_tokens > 0 and not over_share:
             limit_s = max(limit_s, AFFINITY_QUEUE_FRACTION * slack_s)
         copied = 0
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/fleet_room.py
@@ -0,0 +1,92 @@
+"""Free capacity of all engines of a service, divided between the instances.
+
+Load pattern: one organisation floods from many instances, another from one (`narrow
+entry`), beside many that ask for little. Replayed in ``tests/test_fleet_room.py`` and
+with the pattern ``narrow-entry-among-many``.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from .choice import EngineLimits
+from .servers import CapacityQuota, RoundSends, ServerState
+from .shares import Standing
+
+
+@attrs.define
+class FleetRoom:
+    """Requests that all engines can take, and what this instance sent of them.
+
+    The quota at each engine alone doesn't bound what an instance sends: its requests
+    try one engine after the other. With few requests at each of many instances, an
+    organisation would get several times its part.
+
+    Attributes
+    ----------
+    free_requests : float
+        Requests that the engines could take at the start of the round or since.
+    sends : RoundSends
+        Sends of this instance that are not known to the other instances yet.
+    """
+
+    free_requests: float = math.inf
+    sends: RoundSends = attrs.field(factory=RoundSends)
+
+    def start_round(self, rounding: float) -> None:
+        """Start a new round of sends.
+
+        Parameters
+        ----------
+        rounding : float
+            Random number from 0 to 1; see `RoundSends`.
+        """
+        self.sends = RoundSends(rounding=rounding)
+
+    def measure(
+        self,
+        states: Iterable[ServerState],
+        lag_s: float,
+        mean_prompt_tokens: float,
+        now_s: float,
+    ) -> None:
+        """Add up what the engines can take, with what was sent in this round.
+
+        Parameters
+        ----------
+        states : iterable of ServerState
+            Engines of the service.
+        lag_s : float
+            Time until the other instances know of a send.
+        mean_prompt_tokens : float
+            Of the requests for the service.
+        """
+        free = sum(
+            free_requests(state, lag_s, mean_prompt_tokens)
+            for state in states
+            if state.accepts_requests(now_s) and not state.is_ejected(now_s)
+        )
+        self.free_requests = free + self.sends.requests
+
+    def allows_send(self, quota: CapacityQuota) -> bool:
+        """Return whether an organisation has capacity left in this round."""
+        if quota.fleet_fraction >= 1.0:
+            return True
+        name = quota.organisation
+        requests, _ = self.sends.of(name)
+        quota_requests = self.free_requests * quota.fleet_fraction
+        return requests + 1 <= quota_requests + self.sends.rounding_of(name)
+
+
+def free_requests(state: ServerState, lag_s: float, mean_prompt_tokens: float) -> float:
+    """Return the requests that an engine can take, by its slots and its prefill."""
+    limits = EngineLimits.of(Standing.FAIR, lag_s)
+    free_slots = max(0.0, limits.slots_max * state.server.slots - state.running)
+    rate = max(state.rate_tokens_per_s, 1.0)
+    free_tokens = (limits.prefill_queue_max_s + lag_s) * rate - state.pending_tokens
+    if free_tokens < 0.0:
+        return 0.0
+    return min(free_slots, 1.0 + free_tokens / max(mean_prompt_tokens, 1.0))
--- a/libs/placement/src/teaseldyke/placement/servers.py
+++ b/libs/placement/src/teaseldyke/placement/servers.py
@@ -109,10 +109,13 @@
         Organisation with queued requests.
     fraction : float
         Of the capacity in a round, from 0 to 1; 1 if no other requests compete.
+    fleet_fraction : float
+        Fraction that it may use here of the free capacity of all engines together.
     """
 
     organisation: str = ""
     fraction: float = 1.0
+    fleet_fraction: float = 1.0
 
 
 FULL_QUOTA = CapacityQuota()
--- a/libs/placement/src/teaseldyke/placement/shares.py
+++ b/libs/placement/src/teaseldyke/placement/shares.py
@@ -329,11 +329,11 @@
             * own_tokens
             / total_tokens
         )
-        competing = max(0.0, self._total_claims - own) * min(
-            1.0, requests / max(1, engines)
+        others = max(0.0, self._total_claims - own)
+        competing = others * min(1.0, requests / max(1, engines))
+        return CapacityQuota(
+            organisation, _fraction(own, competing), _fraction(own, others)
         )
-        fraction = own / (own + competing) if competing > 0.0 else 1.0
-        return CapacityQuota(organisation, fraction)
 
     def is_over(self, organisation: str, now_s: float) -> bool:
         """Return whether an organisation is above its share and ahead of the others.
@@ -372,3 +372,7 @@
     def scheduling_key(self, organisation: str, now_s: float) -> float:
         """Return the sort key of an organisation; the smallest is served first."""
         return self.position(organisation, now_s)
+
+
+def _fraction(own: float, others: float) -> float:
+    return own / (own + others) if others > 0.0 else 1.0
