--- a/libs/placement/src/teaseldyke/placement/fleet_room.py
+++ b/libs/placement/src/teaseldyke/placement/fleet_room.py
@@ -1,7 +1,8 @@
 """Free capacity of all engines of a service, divided between the instances.
 
-Load pattern: one organisation floods from many instances, another from one, beside many
-that request little (``narrow-entry-among-many``). Replayed in the tests of ``patterns``.
+Load pattern: one organisation floods from many instances, another from one, beside
+many that request little (``narrow-entry-among-many``). Replayed in the tests of
+``patterns``.
 """
 
 from __future__ import annotations
