--- a/libs/patterns/src/teaseldyke/patterns/fleet.py
+++ b/libs/patterns/src/teaseldyke/patterns/fleet.py
@@ -40,10 +40,7 @@
 COLD_DURATION_S = 3.0  # duration of the cold phase after a start
 COLD_RATE_PER_S = 14.0
 RESTART_S = 3.0  # from an engine's crash to its next start
-# Failed placements after which a scan ends, and its pauses, as in the gateway.
-SCAN_MISSES_MAX = 24
-SCAN_TIME_SHARE = 0.25
-SCAN_PAUSE_MAX_S = 0.05
+SCAN_MISSES_MAX = 24  # failed placements after which a scan ends, as in the gateway
 
 
 @attrs.frozen
@@ -58,9 +55,6 @@
         Delay until the totals of an instance reach the other instances.
     usage_rounds : int
         Usage is told in one of so many exchanges, as in a large fleet.
-    attempt_s : float
-        Processor time of an instance for one attempt to place a queued request; 0 for
-        instances that are never busy.
     uses_fair_shares : bool
         Whether placement takes the fair shares of the organisations into account;
         false for a baseline without them.
@@ -75,7 +69,6 @@
     engines: int = 6
     totals_delay_s: float = 0.1
     usage_rounds: int = 1
-    attempt_s: float = 0.0
     uses_fair_shares: bool = True
     uses_crash_evidence: bool = True
     engine: EngineSpec = attrs.field(factory=EngineSpec)
@@ -476,28 +469,9 @@
             self._disconnect(call, name)
 
     def _scan_queue(self, instance: Instance) -> None:
-        """Scan a queue now, or once the instance has time for it."""
-        if self.now_s >= instance.scan_at_s:
-            attempts = self._scan(instance)
-            spent_s = attempts * self.spec.attempt_s
-            pause_s = 0.0
-            if spent_s > 0.0:
-                pause_s = min(SCAN_PAUSE_MAX_S, spent_s * (1.0 / SCAN_TIME_SHARE - 1.0))
-            instance.scan_at_s = self.now_s + spent_s + pause_s
-            return
-        if not instance.is_scan_due:
-            instance.is_scan_due = True
-            self._schedule(instance.scan_at_s, lambda: self._scan_late(instance))
-
-    def _scan_late(self, instance: Instance) -> None:
-        instance.is_scan_due = False
-        self._scan_queue(instance)
-
-    def _scan(self, instance: Instance) -> int:
-        """Place queued requests in order; return the number of attempts."""
         for state in instance.states.values():
             state.clear_backlog()
-        attempts = misses = 0
+        misses = 0
         available = set(instance.states.values())
         quotas: dict[str, CapacityQuota] = {}
         for queued in list(instance.queue.in_order(instance.fair_shares, self.now_s)):
@@ -517,15 +491,13 @@
                 )
             if not self._allows_send(queued.payload, quotas[name]):
                 continue
-            attempts += 1
             if self._try_send(queued.payload, quotas[name]):
                 instance.queue.remove(queued)
                 continue
             queued.awaited_server = queued.payload.awaited_server
             misses += 1
             if misses >= SCAN_MISSES_MAX:
-                break
-        return attempts
+                return
 
     def _exchange(self, last_s: float) -> None:
         self._exchanges += 1
--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -93,8 +93,6 @@
     demand_of_others: dict[str, float] = attrs.field(factory=dict)
     room: FleetRoom = attrs.field(factory=FleetRoom)
     round_at_s: float = 0.0
-    scan_at_s: float = 0.0
-    is_scan_due: bool = False
 
     def totals(self, now_s: float, *, tells_usage: bool = True) -> Totals:
         """Return what the others must know."""
