--- a/libs/patterns/src/teaseldyke/patterns/instance.py
+++ b/libs/patterns/src/teaseldyke/patterns/instance.py
@@ -93,8 +93,6 @@
     demand_of_others: dict[str, float] = attrs.field(factory=dict)
     room: FleetRoom = attrs.field(factory=FleetRoom)
     round_at_s: float = 0.0
-    scan_at_s: float = 0.0
-    is_scan_due: bool = False
 
     def totals(self, now_s: float, *, tells_usage: bool = True) -> Totals:
         """Return what the others must know."""
@@ -131,8 +129,13 @@
             self.demand.mean_cost_tokens(SERVICE),
         )
         self.fair_shares.recompute(self.queue.queued_tokens(), now_s)
-        mean_tokens = self.demand.mean_prompt_tokens(SERVICE)
-        self.room.measure(self.states.values(), lag_s, mean_tokens, now_s)
+        self.room.measure(
+            self.states.values(),
+            lag_s,
+            self.demand.mean_prompt_tokens(SERVICE),
+            self.demand.mean_cost_tokens(SERVICE),
+            now_s,
+        )
 
     def apply_totals(self, others: FleetSums, delay_s: float, now_s: float) -> None:
         """Replace what is known of the other instances.
