Create no room for each look at a queued request

setdefault built a FleetRoom and its RoundSends for every queued request of every scan, which is most where an instance has least time: with a long queue. Found by reading; the time was not measured.

--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import defaultdict
 from collections.abc import Sequence
 
 import attrs
@@ -113,7 +114,7 @@
             view, fair_shares, self.limits.demand, self._share_log
         )
         self._queues: dict[str, RequestQueue[_PendingReservation]] = {}
-        self._rooms: dict[str, FleetRoom] = {}
+        self._rooms: defaultdict[str, FleetRoom] = defaultdict(FleetRoom)
         self._changed = trio.Event()
 
     async def run(self) -> None:
@@ -349,8 +350,7 @@
         """Return whether an organisation has capacity of the service's engines left."""
         if not service.is_engine:
             return True
-        room = self._rooms.setdefault(service.name, FleetRoom())
-        return room.allows_send(quota, work.cost_tokens)
+        return self._rooms[service.name].allows_send(quota, work.cost_tokens)
 
     def _choose(
         self,
@@ -423,8 +423,8 @@
         own.memory_tokens += work.memory_tokens
         if service.is_engine:
             state.round_sends.add(work.organisation, choice.uncached_tokens)
-            room = self._rooms.setdefault(service.name, FleetRoom())
-            room.sends.add(work.organisation, work.cost_tokens)
+            room_sends = self._rooms[service.name].sends
+            room_sends.add(work.organisation, work.cost_tokens)
             state.record_prompt(work, now_s)
             self.fair_shares.charge(work.organisation, work.cost_tokens, now_s)
             self._share_log.record_send(work, now_s)
