Accuse the parts of prompts at engines that die without a header

Cause: a crash accused the parts of a prompt only if the header of the answer had come and no event. A process that dies sends nothing, a part of the first event, or that event. Then only the request was accused, whose body differs each time, so the part was never held.

Change: each request that was at a crashed engine without an answer has its parts accused, marked as unbegun unless it was about to begin. A part that only such crashes accuse is held after one cause more (three; four if it was sound lately). A request at one such crash may still be sent to a second engine. The mark travels with the totals in the crash's key; messages keep their form.

It works because sound parts are cleared by each answer, so that a part that three crashes 0.3 s apart accuse without an answer between has no other cause.

--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -241,8 +241,8 @@
     ) -> bool:
         """Return whether a broken request may crash other servers.
 
-        If its server crashed before it had answered, the request is accused. So are the
-        parts of its prompt, if it broke between the header and the first event.
+        If its server crashed before it had answered, the request and the parts of its
+        prompt are accused.
         """
         if result.outcome is not Outcome.BROKEN or attempt.is_proven:
             return False
@@ -260,14 +260,21 @@
             return False
         now_s = boot_time_s()
         crash = f"{server.id}:{server.started}"
-        parts = call.work.parts if was_about_to_begin else ()
-        identity = call.work.identity
+        parts, identity = call.work.parts, call.work.identity
         self._evidence.accuse(
-            crash, parts, broken_at_s, now_s, identity, is_sequel=call.crashes > 0
+            crash,
+            parts,
+            broken_at_s,
+            now_s,
+            identity,
+            has_begun=was_about_to_begin,
+            is_sequel=call.crashes > 0,
         )
         call.crashes += 1
         self.abandon_held()
-        may_repeat = self._evidence.may_repeat(parts, now_s, identity)
+        may_repeat = self._evidence.may_repeat(
+            parts, now_s, identity, has_begun=was_about_to_begin
+        )
         log_suspect(call, attempt, crash, result, may_repeat)
         return not may_repeat
 
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -19,6 +19,9 @@
 DEMAND_UNITS = 100  # in a request; datagrams hold whole numbers
 NumberedLimit = tuple[int, float, float]
 AccusedPart = tuple[str, int, float, dict[str, float]]
+# In a message, before the key of a crash at which no request with the part was known
+# to be about to begin.
+UNBEGUN_MARK = "?"
 AccusedRequest = tuple[str, float, dict[str, float], int, float, int]
 
 
@@ -131,7 +134,7 @@
 
     def suspects(self) -> list[SuspectReport]:
         """Return the accused parts and requests."""
-        reports = [SuspectReport(*fields) for fields in self.accused_parts]
+        reports = [_part_report(*fields) for fields in self.accused_parts]
         for request in self.accused_requests:
             key, cleared_age_s, crash_ages_s, trials, tried_age_s, sequels = request
             reports.append(
@@ -313,12 +316,35 @@
 def accused_parts(reports: Iterable[SuspectReport]) -> list[AccusedPart]:
     """Return the parts among the suspects, as messages hold them."""
     return [
-        (report.key, report.depth, report.cleared_age_s, report.crash_ages_s)
+        (report.key, report.depth, report.cleared_age_s, _marked_ages(report))
         for report in reports
         if not report.is_request
     ]
 
 
+def _marked_ages(report: SuspectReport) -> dict[str, float]:
+    """Return the time since each crash, by its key as messages hold it."""
+    return {
+        UNBEGUN_MARK + crash if crash in report.unbegun else crash: age_s
+        for crash, age_s in report.crash_ages_s.items()
+    }
+
+
+def _part_report(
+    key: str, depth: int, cleared_age_s: float, marked_ages_s: dict[str, float]
+) -> SuspectReport:
+    ages_s = {
+        crash.removeprefix(UNBEGUN_MARK): age_s
+        for crash, age_s in marked_ages_s.items()
+    }
+    unbegun = frozenset(
+        crash.removeprefix(UNBEGUN_MARK)
+        for crash in marked_ages_s
+        if crash.startswith(UNBEGUN_MARK)
+    )
+    return SuspectReport(key, depth, cleared_age_s, ages_s, unbegun=unbegun)
+
+
 def accused_requests(reports: Iterable[SuspectReport]) -> list[AccusedRequest]:
     """Return the requests among the suspects, as messages hold them."""
     return [
--- a/libs/placement/src/teaseldyke/placement/crash_evidence.py
+++ b/libs/placement/src/teaseldyke/placement/crash_evidence.py
@@ -6,11 +6,11 @@
 in ``tests/test_crash_evidence.py`` and ``tests/test_crashing_requests.py``.
 
 A crash accuses each request that was at the engine without an answer, and the parts of
-those that were about to begin there. A request that is answered clears itself and its
-parts of all accusations before it. A suspect is held once several crashes that can't
-have a common cause accuse it, unless another one explains them. Accusations and
-clearances are exchanged between instances; they may arrive in any order, late and
-repeatedly.
+its prompt; those of a request that was about to begin there more than others. A request
+that is answered clears itself and its parts of all accusations before it. A suspect is
+held once several crashes that can't have a common cause accuse it, unless another one
+explains them. Accusations and clearances are exchanged between instances; they may
+arrive in any order, late and repeatedly.
 """
 
 from __future__ import annotations
@@ -39,7 +39,7 @@
 # counts as this much older, since one that seems newer would clear later crashes.
 TRANSIT_MAX_S = 0.5
 NEWS_S = 1.0  # for which a change is told; datagrams may be lost
-ACCUSED_MAX = 32  # parts; each crash accuses a few
+ACCUSED_MAX = 64  # parts; a crash accuses up to some 30
 REQUESTS_MAX = 256  # accused; a crash accuses up to some 30
 REFRESH_INTERVAL_S = 1.0  # without news, only the ends of holds are awaited
 CRASHES_MAX = 8  # for each suspect
@@ -86,6 +86,7 @@
         now_s: float,
         request: RequestIdentity | None = None,
         *,
+        has_begun: bool = True,
         is_sequel: bool = False,
     ) -> None:
         """Accuse a request that was at a crashed engine, and parts of its prompt.
@@ -97,16 +98,19 @@
         crash : str
             Key of the crash, the same at all instances that noticed it.
         parts : sequence of (str, int)
-            Parts of the prompt if it was about to begin; otherwise empty.
+            Parts of the prompt.
         at_s, now_s : float
             Time of the crash, and now, on the clock of `boot_time_s`.
         request : RequestIdentity, optional
             The request.
+        has_begun : bool
+            Whether the request was about to begin, by what the engine had sent.
         is_sequel : bool
             Whether it was sent again after a crash that accused it.
         """
+        unbegun = frozenset() if has_begun else frozenset((crash,))
         for depth, part in enumerate(shared_keys(parts)):
-            self._add(part, depth, {crash: at_s}, now_s)
+            self._add(part, depth, {crash: at_s}, now_s, unbegun)
         if request is not None:
             suspect = self._add(request.key, REQUEST_DEPTH, {crash: at_s}, now_s)
             suspect.sequels += is_sequel
@@ -178,16 +182,22 @@
         return True
 
     def may_repeat(
-        self, parts: Parts, now_s: float, request: RequestIdentity | None = None
+        self,
+        parts: Parts,
+        now_s: float,
+        request: RequestIdentity | None = None,
+        *,
+        has_begun: bool = True,
     ) -> bool:
         """Return whether a request that was at a crashed engine may be repeated.
 
-        It may if only this crash accuses it since it was last answered, and each of the
-        parts that it was about to begin with was sound a short time ago and is accused
-        by this crash only, too.
+        It may if only this crash accuses it and each part of its prompt since they were
+        last answered. If it was about to begin, each part must have been sound a short
+        time ago, too.
         """
         for part in shared_keys(parts):
-            if now_s - self._cleared.get(part, -math.inf) > CLEARED_TTL_S:
+            sound_age_s = now_s - self._cleared.get(part, -math.inf)
+            if has_begun and sound_age_s > CLEARED_TTL_S:
                 return False
             if len(self.crashes_of(part)) > 1:
                 return False
@@ -229,7 +239,9 @@
                 crash: now_s - max(0.0, age_s)
                 for crash, age_s in report.crash_ages_s.items()
             }
-            suspect = self._add(report.key, report.depth, crashes, now_s, heard=True)
+            suspect = self._add(
+                report.key, report.depth, crashes, now_s, report.unbegun, heard=True
+            )
             if report.trials > suspect.trials:
                 suspect.trials = report.trials
                 self._record_change(suspect, now_s, heard=True)
@@ -286,6 +298,7 @@
             suspect.trials,
             now_s - suspect.tried_at_s,
             suspect.sequels,
+            frozenset(suspect.unbegun),
         )
 
     def _add(
@@ -294,6 +307,7 @@
         depth: int,
         crashes: dict[str, float],
         now_s: float,
+        unbegun: Set[str] = frozenset(),
         *,
         heard: bool = False,
     ) -> Accused:
@@ -305,12 +319,18 @@
                 suspect.told_until_s = now_s + CLEARANCE_TOLD_S
                 continue
             known_s = suspect.crashes.get(crash, math.inf)
-            if known_s == math.inf:
+            has_begun = crash not in unbegun
+            if known_s == math.inf or (has_begun and crash in suspect.unbegun):
                 self._record_change(suspect, now_s, heard=heard)
+            if has_begun:
+                suspect.unbegun.discard(crash)
+            elif known_s == math.inf:
+                suspect.unbegun.add(crash)
             suspect.crashes[crash] = min(known_s, at_s)
         while len(suspect.crashes) > CRASHES_MAX:
             oldest = min(suspect.crashes, key=lambda key: suspect.crashes[key])
             del suspect.crashes[oldest]
+        suspect.unbegun.intersection_update(suspect.crashes)
         return suspect
 
     def _record_change(self, suspect: Accused, now_s: float, *, heard: bool) -> None:
@@ -339,6 +359,7 @@
         if len(kept) == len(suspect.crashes):
             return
         suspect.crashes = kept
+        suspect.unbegun.intersection_update(kept)
         suspect.trials = suspect.sequels = 0
         suspect.told_until_s = now_s + CLEARANCE_TOLD_S
         self._record_change(suspect, now_s, heard=at_s < now_s)
--- a/libs/placement/src/teaseldyke/placement/suspects.py
+++ b/libs/placement/src/teaseldyke/placement/suspects.py
@@ -19,6 +19,9 @@
 CAUSES_TO_HOLD = 2
 # Of a suspect that was sound a short time ago; many requests are likely to have it.
 CAUSES_TO_HOLD_SOUND = 3
+# More, if no request was known to be about to begin at some of the crashes: an engine
+# that dies without a word has had many requests, of which one may be the cause.
+CAUSES_MORE_UNBEGUN = 1
 # Engines that crash within this time may have a common cause, such as the power of a
 # failure domain; ages that instances tell each other are off by up to as much.
 COMMON_CAUSE_S = 0.3
@@ -63,6 +66,8 @@
         Time since the last of them.
     sequels : int
         Crashes under a send that began after the crash under the send before.
+    unbegun : frozenset of str
+        Crashes at which no request with the part was known to be about to begin.
     """
 
     key: str
@@ -72,6 +77,7 @@
     trials: int = 0
     tried_age_s: float = math.inf
     sequels: int = 0
+    unbegun: frozenset[str] = frozenset()
 
     @property
     def is_request(self) -> bool:
@@ -89,10 +95,13 @@
         Last change that this instance found itself, and that it heard of.
     told_until_s : float
         Until when it is kept so that others hear of its clearance.
+    unbegun : set of str
+        Crashes at which no request with the part was known to be about to begin.
     """
 
     depth: int = 0
     crashes: dict[str, float] = attrs.field(factory=dict)
+    unbegun: set[str] = attrs.field(factory=set)
     trials: int = 0
     tried_at_s: float = -math.inf
     sequels: int = 0
@@ -158,9 +167,16 @@
 
     def importance(key: str) -> tuple[int, int, int, str]:
         crashes = unexplained[key]
-        causes = _causes(key, crashes, accused[key].sequels)
+        suspect = accused[key]
         needed = CAUSES_TO_HOLD_SOUND if was_sound_lately(key) else CAUSES_TO_HOLD
-        return causes - needed, accused[key].depth, len(crashes), key
+        surplus = _causes(key, crashes, suspect.sequels) - needed
+        if suspect.unbegun:
+            begun = {k: at_s for k, at_s in crashes.items() if k not in suspect.unbegun}
+            surplus = max(
+                surplus - CAUSES_MORE_UNBEGUN,
+                _causes(key, begun, suspect.sequels) - needed,
+            )
+        return surplus, suspect.depth, len(crashes), key
 
     found: list[str] = []
     while unexplained:
--- a/libs/placement/tests/test_crash_evidence.py
+++ b/libs/placement/tests/test_crash_evidence.py
@@ -38,6 +38,13 @@
     return lambda evidence: evidence.accuse(key, prompt(*parts), at_s, at_s)
 
 
+def early_crash(key: str, at_s: float, *parts: str) -> Step:
+    """Crash an engine that had sent nothing of the answer."""
+    return lambda evidence: evidence.accuse(
+        key, prompt(*parts), at_s, at_s, has_begun=False
+    )
+
+
 def sound(at_s: float, *parts: str) -> Step:
     return lambda evidence: evidence.clear(prompt(*parts), at_s)
 
@@ -124,6 +131,24 @@
                 ],
                 {CRASHING, OTHER},
             ),
+            # Engines that die before they send a header, with many requests each.
+            (
+                [
+                    early_crash(f"e{i}", 5.0 + i, *parts)
+                    for i in range(3)
+                    for parts in ((SHARED, f"s{i}"), (SHARED, CRASHING))
+                ]
+                + [sound(6.5, SHARED)],
+                {CRASHING},
+            ),
+            # Two such crashes may meet requests of one rare session.
+            ([early_crash(f"e{i}", 5.0 + i, OTHER) for i in range(2)], set()),
+            # The request that was about to begin explains both of them better.
+            (
+                [early_crash(f"e{i}", 5.0 + i, COMPANION) for i in range(3)]
+                + [crash(f"e{i}", 5.0 + i, CRASHING) for i in range(3)],
+                {CRASHING},
+            ),
         ],
         ids=[
             "one-crash",
@@ -137,6 +162,9 @@
             "turned-crashing",
             "sound-in-between",
             "two-parts",
+            "early-crashes",
+            "two-early-crashes",
+            "early-and-begun",
         ],
     )
     def test_part_that_crashes_engines_is_quarantined(
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -73,6 +73,15 @@
     async def run(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled or crashed."""
         listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
+        await self.serve_on(listeners, task_status=task_status)
+
+    async def serve_on(
+        self,
+        listeners: list[trio.SocketListener],
+        *,
+        task_status: Any = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve on open listeners until cancelled or crashed."""
         self.port = listeners[0].socket.getsockname()[1]
         self.starts += 1
         with trio.CancelScope() as self._running:
