Take a later start of a server for the crash of the one before

Cause: a crash was told only by a refused connection. A supervisor that holds the listening socket, or starts the engine again at once, accepts it, so that nothing was ever accused. A probe that times out on a busy machine ends the same way.

Change: a broken answer whose server still accepts connections is remembered for 10 s. A later start of that server in the listing, or another server of its service at its address, accuses its request at the time at which the answer broke. A server that states that it leaves is exempt.

Evidence: the rows port-open of test_crashing_processes.py. It works because a listing of a later start is proof that the earlier one ended, however soon its port was open again.

--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -20,6 +21,10 @@
 PROBE_REPEAT_S = 0.03
 PROBE_TTL_S = 0.5  # of a refusal; a crashed server needs longer to start again
 PROBES_MAX = 1000  # remembered; more servers than a fleet has
+# From a broken answer until the listing no longer tells whether its server crashed;
+# covers a restart and a slow store.
+RESTART_TOLD_S = 10.0
+BROKEN_SENDS_MAX = 1000  # remembered, the oldest are forgotten first
 
 CRASHES = counter(
     "teaseldyke_server_crashes_total",
@@ -51,6 +56,60 @@
     refused: bool = False
 
 
+@attrs.frozen
+class BrokenSend:
+    """A request whose answer broke, at a server that still accepted connections.
+
+    Parameters
+    ----------
+    server : AnnouncedServer
+        The start of the server that had the request.
+    at_s : float
+        When its answer broke, on the clock of `boot_time_s`.
+    accuse : callable
+        Accuses the request of having crashed the server.
+    """
+
+    server: AnnouncedServer
+    at_s: float
+    accuse: Callable[[], None]
+
+
+class BrokenSends:
+    """Broken answers whose servers may prove to have crashed.
+
+    The port of a crashed server stays open if its supervisor holds it, or if the
+    server is started again at once. Then only the listing tells of the crash: by a
+    later start of the same server, or another server at its address.
+    """
+
+    def __init__(self) -> None:
+        self._sends: deque[BrokenSend] = deque(maxlen=BROKEN_SENDS_MAX)
+
+    def add(self, send: BrokenSend) -> None:
+        """Remember a broken send for as long as the listing may explain it."""
+        self._sends.append(send)
+
+    def accuse_restarted(
+        self, has_restarted: Callable[[AnnouncedServer], bool], now_s: float
+    ) -> bool:
+        """Accuse the requests whose servers have restarted since; return if any.
+
+        Called at intervals.
+        """
+        sends = list(self._sends)
+        self._sends.clear()
+        is_any = False
+        for send in sends:
+            if has_restarted(send.server):
+                is_any = True
+                send.accuse()
+                continue
+            if now_s - send.at_s < RESTART_TOLD_S:
+                self._sends.append(send)
+        return is_any
+
+
 def ensure_not_held(evidence: CrashEvidence, work: Work) -> None:
     """Raise an error if a request, or a part of its prompt, has crashed servers.
 
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -210,6 +210,7 @@
 
     async def _exchange(self) -> None:
         self.totals.read()
+        self.sender.accuse_restarted()
         if self.quarantine_log.refresh():
             self.sender.abandon_held()
         self.view.refresh()
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -25,7 +25,7 @@
 
 from .attempts import Attempt, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
-from .crashes import CrashProbe, ensure_not_held
+from .crashes import BrokenSend, BrokenSends, CrashProbe, ensure_not_held
 from .errors import ChoiceLapsed, NoServer, Overloaded, ServerBroke
 from .interfaces import Fleet, Wire
 from .placing import FULL_SERVER_BACKOFF_S, Placer
@@ -92,6 +92,7 @@
         self._attempts: set[Attempt] = set()
         self._budgets: dict[str, RetryBudget] = {}
         self._probe = CrashProbe()
+        self._broken = BrokenSends()
         self._second_sends = SecondSends(
             placer, fleet, self._probe, self._send_to, lambda call: self.may_begin(call)
         )
@@ -254,29 +255,44 @@
             return False
         broken_at_s = boot_time_s()
         server = reservation.state.server
+        crash = f"{server.id}:{server.started}"
+        parts, identity = call.work.parts, call.work.identity
+        is_sequel = call.crashes > 0
+
+        def may_repeat() -> bool:
+            return self._evidence.may_repeat(
+                parts, boot_time_s(), identity, has_begun=was_about_to_begin
+            )
+
+        def accuse() -> None:
+            self._evidence.accuse(
+                crash,
+                parts,
+                broken_at_s,
+                boot_time_s(),
+                identity,
+                has_begun=was_about_to_begin,
+                is_sequel=is_sequel,
+            )
+            call.crashes += 1
+            log_suspect(call, attempt, crash, result, may_repeat())
+
         with trio.CancelScope(shield=True):  # bounded by the probe's time-out
             crashed = await self._probe.has_crashed(server)
-        if not crashed:
+        if not crashed and not self._view.has_restarted(server):
+            self._broken.add(BrokenSend(server, broken_at_s, accuse))
             return False
-        now_s = boot_time_s()
-        crash = f"{server.id}:{server.started}"
-        parts, identity = call.work.parts, call.work.identity
-        self._evidence.accuse(
-            crash,
-            parts,
-            broken_at_s,
-            now_s,
-            identity,
-            has_begun=was_about_to_begin,
-            is_sequel=call.crashes > 0,
-        )
-        call.crashes += 1
+        accuse()
         self.abandon_held()
-        may_repeat = self._evidence.may_repeat(
-            parts, now_s, identity, has_begun=was_about_to_begin
-        )
-        log_suspect(call, attempt, crash, result, may_repeat)
-        return not may_repeat
+        return not may_repeat()
+
+    def accuse_restarted(self) -> None:
+        """Accuse requests of crashes that only the listing tells of.
+
+        Called at intervals.
+        """
+        if self._broken.accuse_restarted(self._view.has_restarted, boot_time_s()):
+            self.abandon_held()
 
     def _ensure_choice_holds(self, reservation: Reservation) -> None:
         """Raise `ChoiceLapsed` if the chosen server must not get requests any more."""
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -283,6 +283,26 @@
         """Return a backend server by its id, if it is known."""
         return self._states.get(server_id)
 
+    def has_restarted(self, server: AnnouncedServer) -> bool:
+        """Return whether a start of a server ended without the server leaving.
+
+        The listing then has a later start of the server, or another server of its
+        service at its address.
+        """
+        state = self._states.get(server.id)
+        if state is not None and state.server.started != server.started:
+            return state.server.started > server.started
+        if state is not None and (state.server.leaving or state.said_leaving):
+            return False
+        address = server.host, server.port
+        for other in self._states.values():
+            found = other.server
+            if found.id == server.id or (found.host, found.port) != address:
+                continue
+            if found.service == server.service and found.started > server.started:
+                return True
+        return False
+
     def limits_to_report(self) -> list[NumberedLimit]:
         """Return what servers told this instance of their limits."""
         now_s = boot_time_s()
--- a/tests/platform/test_crashing_processes.py
+++ b/tests/platform/test_crashing_processes.py
@@ -166,7 +166,7 @@
 
 
 @pytest.mark.processes
-@pytest.mark.parametrize("down_s", [0.6], ids=["port-closed"])
+@pytest.mark.parametrize("down_s", [0.6, 0.0], ids=["port-closed", "port-open"])
 @pytest.mark.parametrize("death", DEATHS)
 async def test_crashing_part_stops_reaching_engines(
     death: str, down_s: float, tmp_path: Path
