Hold a part at the third unbegun crash if two of them were apart

Of crashes at which nothing was known to be about to begin, three accuse enough if two of them were apart. Those that fall together count nothing more, since each request of every engine is accused: a failure domain without power would put away the parts that its requests share. A part that was sound lately needs four crashes apart.

Evidence: the row early-common-cause failed before (20 engines that die within 0.2 s put a part away). The row early-crashes-at-once held before, too, and guards the bound.

--- a/libs/placement/src/teaseldyke/placement/suspects.py
+++ b/libs/placement/src/teaseldyke/placement/suspects.py
@@ -19,9 +19,11 @@
 CAUSES_TO_HOLD = 2
 # Of a suspect that was sound a short time ago; many requests are likely to have it.
 CAUSES_TO_HOLD_SOUND = 3
-# More, if no request was known to be about to begin at some of the crashes: an engine
-# that dies without a word has had many requests, of which one may be the cause.
-CAUSES_MORE_UNBEGUN = 1
+# Of crashes at which no request with a part was known to be about to begin. An engine
+# that dies without a word had many requests, so those that fall together say little.
+CRASHES_TO_HOLD_UNBEGUN = 3
+CAUSES_TO_HOLD_UNBEGUN = 2
+CAUSES_TO_HOLD_UNBEGUN_SOUND = 4  # of a part that was sound a short time ago
 # Engines that crash within this time may have a common cause, such as the power of a
 # failure domain; ages that instances tell each other are off by up to as much.
 COMMON_CAUSE_S = 0.3
@@ -168,14 +170,12 @@
     def importance(key: str) -> tuple[int, int, int, str]:
         crashes = unexplained[key]
         suspect = accused[key]
-        needed = CAUSES_TO_HOLD_SOUND if was_sound_lately(key) else CAUSES_TO_HOLD
-        surplus = _causes(key, crashes, suspect.sequels) - needed
+        was_sound = was_sound_lately(key)
+        begun = {k: at_s for k, at_s in crashes.items() if k not in suspect.unbegun}
+        needed = CAUSES_TO_HOLD_SOUND if was_sound else CAUSES_TO_HOLD
+        surplus = _causes(key, begun, suspect.sequels) - needed
         if suspect.unbegun:
-            begun = {k: at_s for k, at_s in crashes.items() if k not in suspect.unbegun}
-            surplus = max(
-                surplus - CAUSES_MORE_UNBEGUN,
-                _causes(key, begun, suspect.sequels) - needed,
-            )
+            surplus = max(surplus, _unbegun_surplus(crashes, was_sound))
         return surplus, suspect.depth, len(crashes), key
 
     found: list[str] = []
@@ -231,6 +231,12 @@
     >>> causes_by_time([5.0, 5.1, 5.1, 5.2])
     2
     """
+    causes, together = _count_apart(times_s)
+    return causes + together // TOGETHER_PER_CAUSE
+
+
+def _count_apart(times_s: Iterable[float]) -> tuple[int, int]:
+    """Return how many crashes were apart from others, and how many fell with them."""
     causes = together = 0
     counted_s = -math.inf
     for time_s in sorted(times_s):
@@ -239,7 +245,16 @@
             continue
         counted_s = time_s
         causes += 1
-    return causes + together // TOGETHER_PER_CAUSE
+    return causes, together
+
+
+def _unbegun_surplus(crashes: Mapping[str, float], was_sound: bool) -> int:
+    """Return by how many causes a part exceeds what holds it, whoever was begun."""
+    if len(crashes) < CRASHES_TO_HOLD_UNBEGUN:
+        return -1
+    needed = CAUSES_TO_HOLD_UNBEGUN_SOUND if was_sound else CAUSES_TO_HOLD_UNBEGUN
+    causes, _ = _count_apart(crashes.values())
+    return causes - needed
 
 
 def _causes(key: str, crashes: Mapping[str, float], sequels: int) -> int:
--- a/libs/placement/tests/test_crash_evidence.py
+++ b/libs/placement/tests/test_crash_evidence.py
@@ -143,6 +143,22 @@
             ),
             # Two such crashes may meet requests of one rare session.
             ([early_crash(f"e{i}", 5.0 + i, OTHER) for i in range(2)], set()),
+            # A failure domain of many engines without power, at each the same parts.
+            (
+                [sound(4.0, SHARED)]
+                + [
+                    early_crash(f"e{i}", 5.0 + i / 100, *parts)
+                    for i in range(20)
+                    for parts in ((SHARED,), (OTHER,))
+                ],
+                set(),
+            ),
+            # A part at five engines that die at once, and at another one later.
+            (
+                [early_crash(f"e{i}", 5.0 + i / 50, CRASHING) for i in range(5)]
+                + [early_crash("e0b", 7.0, CRASHING)],
+                {CRASHING},
+            ),
             # The request that was about to begin explains both of them better.
             (
                 [early_crash(f"e{i}", 5.0 + i, COMPANION) for i in range(3)]
@@ -164,6 +180,8 @@
             "two-parts",
             "early-crashes",
             "two-early-crashes",
+            "early-common-cause",
+            "early-crashes-at-once",
             "early-and-begun",
         ],
     )
