--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -28,7 +28,7 @@
 
 CRASHES = counter(
     "teaseldyke_server_crashes_total",
-    "Backend servers found refusing connections after an answer broke, by service.",
+    "Backend servers found to have crashed after an answer broke, by service.",
 )
 
 QUARANTINED = counter(
@@ -99,15 +99,26 @@
         """
         sends = list(self._sends)
         self._sends.clear()
-        is_any = False
+        crashed: dict[tuple[str, int], AnnouncedServer] = {}
         for send in sends:
-            if has_restarted(send.server):
-                is_any = True
+            server = send.server
+            if has_restarted(server):
+                crashed[server.id, server.started] = server
                 send.accuse()
                 continue
             if now_s - send.at_s < RESTART_TOLD_S:
                 self._sends.append(send)
-        return is_any
+        for server in crashed.values():
+            record_crash(server, "listing")
+        return bool(crashed)
+
+
+def record_crash(server: AnnouncedServer, found_by: str) -> None:
+    """Count and log a crash of a server."""
+    CRASHES.bind(service=server.service).add()
+    log_decision(
+        "server_crashed", server=server.id, service=server.service, found_by=found_by
+    )
 
 
 def ensure_not_held(evidence: CrashEvidence, work: Work) -> None:
@@ -197,8 +208,7 @@
         finally:
             probe.done.set()
         if probe.refused:
-            CRASHES.bind(service=server.service).add()
-            log_decision("server_crashed", server=server.id, service=server.service)
+            record_crash(server, "probe")
         return probe.refused
 
     async def _refuses(self, server: AnnouncedServer) -> bool:
