Decide on roll-outs of a software version

Each instance sends at most half of the exposure share of its own requests to the new version, so the fleet keeps the share without messages. A sequential test (Page's cumulative sum of log likelihood ratios) compares bad answers of both versions by route over the sums of all instances; after half of the time, traffic is moved in steps.

--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -28,6 +28,15 @@
 )
 from .request_identity import RequestIdentity
 from .resumption import EventSizes, work_left
+from .rollout import (
+    Rollout,
+    RolloutOrder,
+    RouteAnswers,
+    Stage,
+    Verdict,
+    VersionSide,
+    trial_servers,
+)
 from .servers import (
     FAILURE_RATE_MAX,
     CapacityQuota,
@@ -77,6 +86,13 @@
     "QueuedRequest",
     "Refusal",
     "RequestIdentity",
+    "Rollout",
+    "RolloutOrder",
+    "RouteAnswers",
+    "Stage",
+    "Verdict",
+    "VersionSide",
+    "trial_servers",
     "RequestQueue",
     "RetryBudget",
     "RoundSends",
--- /dev/null
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -0,0 +1,422 @@
+"""Roll-out of a software version of a service: share of the sends, and verdict.
+
+Load patterns: a version whose answers fail or are slow, at once, later, under load or
+on one route only (`rollout_bad`), and a sound one among crashes and bursts.
+Replayed in ``tests/test_rollout.py``.
+
+Each instance keeps the share among its own sends, so that the fleet keeps it without
+any message. The verdict follows from the sums of all instances.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from enum import IntEnum
+
+import attrs
+
+from teaseldyke.types import AnnouncedServer
+
+TRIAL_SHARE_FACTOR = 0.5  # of the share that a bad version may get; the rest is moved
+TRIAL_FRACTION = 0.5  # of the time allowed; some versions are bad only later
+# Shares after the trial, by the time since its end as a fraction of that allowed. The
+# first step loads the new servers while a bad version can still be stopped within its
+# share.
+MOVING_STEPS = ((0.0, 0.2), (0.06, 0.5), (0.12, 1.0))
+# Answers of the new version before traffic is moved, falling from the first number at
+# the end of the trial to the second at the last moment for moving: a service with few
+# requests is moved on less evidence rather than never.
+TRIAL_ANSWERS = (30, 5)
+MOVING_LATEST_FRACTION = 0.8
+SLACK_FACTOR = 0.5  # of the slack, sent in the trial beside the share
+TRIAL_SERVERS_SHARE = 2.0  # new servers in the trial, in multiples of the share
+END_MARGIN_S = 1.0  # before the deadline: to write the state, also if a call is lost
+MOVED_MIN_S = 1.0  # without a new send to the old version before it may end
+# A bad version has this much more bad answers than the other one.
+BAD_SHARE_MORE = 0.3
+# Weight of the old version's answers on all routes in the bad share of one route.
+PRIOR_ANSWERS = 20.0
+BAD_SHARE_MIN = 0.02  # of any version; a few bad answers must not decide
+# In which the weight of the old version's answers falls to 1/e. The larger share of
+# both counts, as trouble of all servers begins and ends at once.
+OLD_MEMORIES_S = (1.0, 4.0)
+# Of the cumulative sum of log likelihood ratios. A sound version exceeds it in one of
+# a million answers at most (Lorden's bound), a bad one after some 20.
+BAD_LOG_RATIO = math.log(1e6)
+
+ALL_ROUTES = ""
+
+
+class Stage(IntEnum):
+    """Stage of a roll-out; a later one is never left for an earlier one."""
+
+    UNKNOWN = 0  # after a restart, until word of the others or the store has come
+    TRIAL = 1
+    MOVING = 2
+    MOVED = 3
+    ROLLED_BACK = 4
+    COMPLETED = 5  # only once it is written, as the old servers end then
+
+
+@attrs.frozen
+class RolloutOrder:
+    """An operator's order to move a service to servers of a software version.
+
+    Parameters
+    ----------
+    service, version : str
+        Service, and the version that its traffic is to be moved to.
+    duration_s : float
+        Time from the order to its deadline.
+    """
+
+    service: str
+    version: str
+    duration_s: float
+
+
+@attrs.define
+class RouteAnswers:
+    """Answers of one route by version: good and bad ones of the new and the old."""
+
+    new_good: int = 0
+    new_bad: int = 0
+    old_good: int = 0
+    old_bad: int = 0
+
+    def add(self, other: RouteAnswers) -> None:
+        """Add the answers of another instance."""
+        self.new_good += other.new_good
+        self.new_bad += other.new_bad
+        self.old_good += other.old_good
+        self.old_bad += other.old_bad
+
+    def since(self, last: RouteAnswers) -> RouteAnswers:
+        """Return what was added; nothing of sums that fell as an instance was lost."""
+        return RouteAnswers(
+            max(0, self.new_good - last.new_good),
+            max(0, self.new_bad - last.new_bad),
+            max(0, self.old_good - last.old_good),
+            max(0, self.old_bad - last.old_bad),
+        )
+
+
+@attrs.define
+class _OldAnswers:
+    """Recent answers of the old version, with weights that fall over time."""
+
+    memory_s: float
+    answers: float = 0.0
+    bad: float = 0.0
+
+    def add(self, added: RouteAnswers, elapsed_s: float) -> None:
+        """Add answers that came within a time."""
+        decay = math.exp(-elapsed_s / self.memory_s)
+        self.answers = self.answers * decay + added.old_good + added.old_bad
+        self.bad = self.bad * decay + added.old_bad
+
+    def bad_share(self, prior: float) -> float:
+        """Return the share of bad ones, and one standard error; ``prior`` without any.
+
+        With too low a share, a sound version would look bad after enough answers.
+        """
+        weight = self.answers + PRIOR_ANSWERS
+        share = (self.bad + PRIOR_ANSWERS * prior) / weight
+        return share + math.sqrt(share * (1.0 - share) / weight)
+
+
+@attrs.define
+class _Comparison:
+    """Sequential test of whether the new version has more bad answers on a route.
+
+    Page's cumulative sum: evidence for the sound version is not kept, since a version
+    may turn bad late.
+    """
+
+    log_ratio: float = 0.0
+    _old: tuple[_OldAnswers, ...] = attrs.field(
+        factory=lambda: tuple(_OldAnswers(memory_s) for memory_s in OLD_MEMORIES_S)
+    )
+
+    def update(
+        self, added: RouteAnswers, elapsed_s: float, prior: float = BAD_SHARE_MIN
+    ) -> float:
+        """Add answers; return the share of bad ones that a sound version would have.
+
+        Parameters
+        ----------
+        prior : float
+            Share without answers of the old version on the route.
+        """
+        for old in self._old:
+            old.add(added, elapsed_s)
+        sound = max(BAD_SHARE_MIN, *(old.bad_share(prior) for old in self._old))
+        bad = sound + BAD_SHARE_MORE * (1.0 - sound)
+        self.log_ratio += added.new_bad * math.log(bad / sound)
+        self.log_ratio += added.new_good * math.log((1.0 - bad) / (1.0 - sound))
+        self.log_ratio = max(0.0, self.log_ratio)
+        return sound
+
+
+class Verdict:
+    """Compares the answers of two versions, by route and over all routes.
+
+    Attributes
+    ----------
+    bad_route : str or None
+        Route whose answers show that the new version is bad; `ALL_ROUTES` if only all
+        together do.
+    new_answers : int
+        Answers of the new version.
+    """
+
+    def __init__(self) -> None:
+        self.bad_route: str | None = None
+        self.new_answers = 0
+        self._comparisons: dict[str, _Comparison] = {}
+        self._last: dict[str, RouteAnswers] = {}
+        self._updated_at_s = -math.inf
+
+    def log_ratios(self) -> dict[str, float]:
+        """Return the evidence against the new version by route, for logs."""
+        return {
+            route: round(comparison.log_ratio, 2)
+            for route, comparison in self._comparisons.items()
+        }
+
+    def update(self, sums: Mapping[str, RouteAnswers], now_s: float) -> None:
+        """Add the fleet's answers since the last call; ``sums`` are those so far."""
+        elapsed_s = max(0.0, min(1.0, now_s - self._updated_at_s))
+        self._updated_at_s = now_s
+        total = RouteAnswers()
+        added_by_route = {}
+        for route, answers in sums.items():
+            added = answers.since(self._last.get(route, RouteAnswers()))
+            self._last[route] = attrs.evolve(answers)
+            added_by_route[route] = added
+            total.add(added)
+        prior = self._compare(ALL_ROUTES, total, elapsed_s, BAD_SHARE_MIN)
+        for route, added in added_by_route.items():
+            self._compare(route, added, elapsed_s, prior)
+        self.new_answers += total.new_good + total.new_bad
+
+    def _compare(
+        self, route: str, added: RouteAnswers, elapsed_s: float, prior: float
+    ) -> float:
+        comparison = self._comparisons.setdefault(route, _Comparison())
+        sound = comparison.update(added, elapsed_s, prior)
+        if self.bad_route is None and comparison.log_ratio >= BAD_LOG_RATIO:
+            self.bad_route = route
+        return sound
+
+
+@attrs.define(eq=False)
+class VersionSide:
+    """Servers that a request of a service in a roll-out may go to.
+
+    Parameters
+    ----------
+    version : str
+        The new version.
+    is_new : bool
+        Whether it goes to the new version rather than to the others.
+    trial_ids : frozenset of str
+        Ids of the only new servers in use; empty for all.
+    """
+
+    version: str
+    is_new: bool
+    trial_ids: frozenset[str] = frozenset()
+
+    def allows(self, server: AnnouncedServer) -> bool:
+        """Return whether a server is on this side now."""
+        if (server.version == self.version) is not self.is_new:
+            return False
+        return not self.trial_ids or server.id in self.trial_ids
+
+
+@attrs.define(eq=False)
+class Rollout:
+    """One roll-out as an instance sees it.
+
+    Parameters
+    ----------
+    order : RolloutOrder
+        The operator's order.
+    begun_at_s : float
+        When it was given, on the clock of `boot_time_s`.
+    exposure_share : float
+        Of the requests that reach the service, which a bad version may get.
+    slack : float
+        This instance's part of the requests that a bad version may get in addition.
+    draw : float
+        From 0 to 1, of this instance: spreads the first sends of all instances.
+
+    Attributes
+    ----------
+    new_side, old_side : VersionSide
+        Live filters, which queued requests hold: a change applies to these, too.
+    """
+
+    order: RolloutOrder
+    begun_at_s: float
+    exposure_share: float
+    slack: float = 0.0
+    draw: float = 0.0
+    stage: Stage = Stage.TRIAL
+    verdict: Verdict = attrs.field(factory=Verdict)
+    reason: str = ""
+    changed_at_s: float = -math.inf
+    new_side: VersionSide = attrs.field(init=False)
+    old_side: VersionSide = attrs.field(init=False)
+    _credit: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.new_side = VersionSide(self.order.version, is_new=True)
+        self.old_side = VersionSide(self.order.version, is_new=False)
+        self._credit = self.draw + SLACK_FACTOR * self.slack
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the roll-out has ended."""
+        return self.stage in (Stage.ROLLED_BACK, Stage.COMPLETED)
+
+    def share(self, now_s: float) -> float:
+        """Return the share of the sends that goes to the new version."""
+        if self.stage is Stage.TRIAL:
+            return TRIAL_SHARE_FACTOR * self.exposure_share
+        if self.stage is Stage.MOVING:
+            elapsed_s = now_s - self.changed_at_s
+            shares = [
+                share
+                for fraction, share in MOVING_STEPS
+                if elapsed_s >= fraction * self.order.duration_s
+            ]
+            return max(shares, default=TRIAL_SHARE_FACTOR * self.exposure_share)
+        return 1.0 if self.stage in (Stage.MOVED, Stage.COMPLETED) else 0.0
+
+    def side_of_next(self, now_s: float, *, may_use_new: bool) -> VersionSide:
+        """Return the side of the next send, and count it.
+
+        Parameters
+        ----------
+        may_use_new : bool
+            Whether a new server accepts a request now; in the trial and while traffic
+            is moved, requests don't wait for one.
+        """
+        share = self.share(now_s)
+        if share >= 1.0:
+            return self.new_side
+        # What was not sent to the new version isn't made up for later.
+        self._credit = max(self._credit, min(1.0, self._credit + share))
+        if self._credit < 1.0 or not may_use_new or share <= 0.0:
+            return self.old_side
+        self._credit -= 1.0
+        return self.new_side
+
+    def advance(self, sums: Mapping[str, RouteAnswers], now_s: float) -> None:
+        """Move to the next stage if the evidence and the time call for it.
+
+        Parameters
+        ----------
+        sums : mapping of RouteAnswers
+            Answers of the whole fleet since the order, by route.
+        """
+        if self.is_final or self.stage is Stage.UNKNOWN:
+            return
+        self.verdict.update(sums, now_s)
+        if self.verdict.bad_route is not None:
+            route = self.verdict.bad_route or "all routes"
+            self.end(Stage.ROLLED_BACK, f"bad answers on {route}", now_s)
+            return
+        elapsed_s = now_s - self.begun_at_s
+        duration_s = self.order.duration_s
+        is_over = elapsed_s >= duration_s - min(END_MARGIN_S, 0.1 * duration_s)
+        if self.stage is Stage.TRIAL:
+            if is_over:
+                self.end(Stage.ROLLED_BACK, "too few answers", now_s)
+                return
+            if self.verdict.new_answers >= answers_needed(elapsed_s / duration_s):
+                self._enter(Stage.MOVING, now_s)
+            return
+        if self.stage is Stage.MOVING and (self.share(now_s) >= 1.0 or is_over):
+            self._enter(Stage.MOVED, now_s)
+
+    def may_complete(self, old_running: int, now_s: float) -> bool:
+        """Return whether the old servers may end, or must as the deadline comes.
+
+        Parameters
+        ----------
+        old_running : int
+            Requests of the fleet at servers of the old version.
+        """
+        if self.stage is not Stage.MOVED:
+            return False
+        left_s = self.begun_at_s + self.order.duration_s - now_s
+        if left_s <= min(END_MARGIN_S, 0.1 * self.order.duration_s):
+            return True
+        return old_running == 0 and now_s - self.changed_at_s >= MOVED_MIN_S
+
+    def hear(self, stage: Stage, age_s: float, now_s: float) -> None:
+        """Adopt what another instance knows: a later stage, and an earlier begin."""
+        self.begun_at_s = min(self.begun_at_s, now_s - age_s)
+        if stage <= self.stage:
+            return
+        if stage in (Stage.ROLLED_BACK, Stage.COMPLETED):
+            self.end(stage, "told by another instance", now_s)
+            return
+        self._enter(stage, now_s)
+
+    def end(self, stage: Stage, reason: str, now_s: float) -> None:
+        """End the roll-out; queued requests go to the side that remains."""
+        self.reason = reason
+        self._enter(stage, now_s)
+
+    def _enter(self, stage: Stage, now_s: float) -> None:
+        self.stage = stage
+        self.changed_at_s = now_s
+        if stage is Stage.ROLLED_BACK:
+            self.new_side.is_new = self.old_side.is_new = False
+        if stage in (Stage.MOVED, Stage.COMPLETED):
+            self.new_side.is_new = self.old_side.is_new = True
+        if stage is not Stage.TRIAL:
+            self.new_side.trial_ids = frozenset()
+
+
+def answers_needed(elapsed_fraction: float) -> float:
+    """Return the answers of the new version that end the trial.
+
+    Parameters
+    ----------
+    elapsed_fraction : float
+        Time since the order, as a fraction of that allowed.
+
+    Examples
+    --------
+    >>> answers_needed(0.4), answers_needed(0.5), answers_needed(0.8)
+    (inf, 30.0, 5.0)
+    """
+    if elapsed_fraction < TRIAL_FRACTION:
+        return math.inf
+    most, least = TRIAL_ANSWERS
+    late = (elapsed_fraction - TRIAL_FRACTION) / (
+        MOVING_LATEST_FRACTION - TRIAL_FRACTION
+    )
+    return max(float(least), most - (most - least) * late)
+
+
+def trial_servers(share: float, new_servers: int) -> int:
+    """Return how many new servers get the requests of the trial.
+
+    Few, so that each bears about what a server bears when all traffic is moved; a
+    version that is bad under load shows it then.
+
+    Examples
+    --------
+    >>> trial_servers(0.05, 30), trial_servers(0.05, 3)
+    (3, 1)
+    """
+    return max(
+        1, min(new_servers, math.ceil(TRIAL_SERVERS_SHARE * share * new_servers))
+    )
--- a/libs/placement/src/teaseldyke/placement/stream_version.py
+++ b/libs/placement/src/teaseldyke/placement/stream_version.py
@@ -21,16 +21,18 @@
     """Return the servers that may serve a request.
 
     What servers of two versions generate does not fit together, so a stream continues
-    at the version that began it.
+    at the version that began it, whatever a roll-out does.
 
     Parameters
     ----------
     states : sequence of ServerState
         Servers of the service.
     """
-    if not work.version:
-        return states
-    return [state for state in states if state.server.version == work.version]
+    if work.version:
+        return [state for state in states if state.server.version == work.version]
+    if work.side is not None:
+        return [state for state in states if work.side.allows(state.server)]
+    return states
 
 
 def services_to_resume_at(
--- a/libs/placement/src/teaseldyke/placement/work.py
+++ b/libs/placement/src/teaseldyke/placement/work.py
@@ -5,6 +5,7 @@
 import attrs
 
 from .request_identity import RequestIdentity
+from .rollout import VersionSide
 
 OUTPUT_TOKEN_WEIGHT = 2.0  # in prompt tokens; defined by the operator
 
@@ -42,6 +43,8 @@
     begun : bool
         Whether it is a stream that a server has begun, so that its caller has a part
         of the answer.
+    side : VersionSide or None
+        Which servers it may go to in a roll-out; ``None`` for all.
     """
 
     organisation: str
@@ -57,6 +60,7 @@
     identity: RequestIdentity | None = None
     version: str = ""
     begun: bool = False
+    side: VersionSide | None = None
 
     @property
     def cost_tokens(self) -> float:
