Roll out a new software version on an operator's order

Change: the adapter reads the order and writes the state. Rollouts assigns each send to a side, which queued requests hold as a live filter, counts answers by route and version, and tells them with the totals. One of the first instances by rank writes the state by a conditional write. An instance that starts in the middle sends nothing to the new version until others or the store have told it the stage.

--- a/libs/gateway/src/teaseldyke/gateway/__init__.py
+++ b/libs/gateway/src/teaseldyke/gateway/__init__.py
@@ -14,6 +14,7 @@
     KnownVersions,
     LostCalls,
     Peer,
+    RolloutState,
     Wire,
 )
 from .process import Gateway
@@ -34,5 +35,6 @@
     "KnownVersions",
     "LostCalls",
     "Peer",
+    "RolloutState",
     "Wire",
 ]
--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -133,6 +133,8 @@
         Whether the server has run the request, at least for a moment, and lives.
     is_trial : bool
         Whether the request is sent to find out if it still crashes servers.
+    on_first_event : callable
+        Called when the first event of a stream has come.
     connection : ConnectionUse or None
         How its connection was used; ``None`` until one is open.
     """
@@ -155,6 +157,7 @@
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
+    on_first_event: Callable[[], None] = attrs.field(default=lambda: None, init=False)
     is_superseded: bool = attrs.field(default=False, init=False)
     connection: ConnectionUse | None = attrs.field(default=None, init=False)
     _silence: Silence | None = attrs.field(default=None, init=False)
@@ -462,6 +465,7 @@
                 is_first_chunk = False
                 sound_at_s = now_s + SOUND_AFTER_S
                 self.reservation.record_first_event()
+                self.on_first_event()
             block = events.add(data)
             self._has_part_of_event = not block
             if not block:
--- a/libs/gateway/src/teaseldyke/gateway/crashes.py
+++ b/libs/gateway/src/teaseldyke/gateway/crashes.py
@@ -181,6 +181,11 @@
     def __init__(self) -> None:
         self._probes: OrderedDict[tuple[str, int], _Probe] = OrderedDict()
 
+    def is_crashed(self, server: AnnouncedServer) -> bool:
+        """Return whether the last probe of a server has found it crashed."""
+        probe = self._probes.get((server.id, server.started))
+        return probe is not None and probe.refused
+
     async def has_crashed(self, server: AnnouncedServer) -> bool:
         """Return whether a server whose answer broke off refuses connections."""
         key = (server.id, server.started)
--- a/libs/gateway/src/teaseldyke/gateway/endpoints.py
+++ b/libs/gateway/src/teaseldyke/gateway/endpoints.py
@@ -1,4 +1,4 @@
-"""Internal endpoints: readiness, metrics, held requests and the listing."""
+"""Internal endpoints: readiness, metrics, held requests, roll-outs, the listing."""
 
 from __future__ import annotations
 
@@ -10,9 +10,11 @@
 from teaseldyke.timers import boot_time_s
 
 from .interfaces import Directory
+from .rollouts import Rollouts
 
 LISTING_TARGET = "/listing"
 HELD_TARGET = "/held"
+ROLLOUTS_TARGET = "/rollouts"
 METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 
 
@@ -27,6 +29,8 @@
         Source of the listing.
     evidence : CrashEvidence
         What is held because it has crashed servers.
+    rollouts : Rollouts
+        Ordered roll-outs.
     """
 
     def __init__(
@@ -34,20 +38,25 @@
         is_ready: Callable[[], bool],
         directory: Directory,
         evidence: CrashEvidence,
+        rollouts: Rollouts,
     ) -> None:
         self._is_ready = is_ready
         self._directory = directory
         self._evidence = evidence
+        self._rollouts = rollouts
 
     async def readiness(self, request: Request) -> None:
         """Answer whether this instance is ready for new connections."""
         await request.respond(200 if self._is_ready() else 503)
 
     async def metrics(self, request: Request) -> None:
-        """Answer with all metrics in text format, or with what is held."""
+        """Answer with all metrics in text format, with what is held, or roll-outs."""
         if request.path == HELD_TARGET:
             await self._held(request)
             return
+        if request.path == ROLLOUTS_TARGET:
+            await request.respond_json(200, self._rollouts.describe())
+            return
         await request.respond(200, render_metrics(), [METRICS_TYPE])
 
     async def exchange(self, request: Request) -> None:
--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -10,6 +10,7 @@
 import trio
 
 from teaseldyke.http import OutgoingRequest
+from teaseldyke.placement import RolloutOrder
 from teaseldyke.settings import Address
 from teaseldyke.types import (
     AnnouncedServer,
@@ -252,6 +253,10 @@
         """Replace the failure domains that the operator lists as evacuated."""
         ...
 
+    def apply_rollouts(self, orders: Sequence[RolloutOrder]) -> None:
+        """Replace the roll-outs that operators have ordered."""
+        ...
+
     def record_servers_current(self, as_of_s: float) -> None:
         """Record that all changes of the servers' entries up to a moment are known."""
         ...
@@ -341,7 +346,45 @@
         ...
 
 
-class Directory(StreamRows, Protocol):
+class RolloutState(Enum):
+    """State of a roll-out, as operators read it."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+class RolloutRows(Protocol):
+    """Rows of the store with the states of roll-outs."""
+
+    async def rollout_states(self) -> dict[str, tuple[int, str, RolloutState]]:
+        """Return row version, target version and state, by service.
+
+        Raises `PlatformUnavailable`.
+        """
+        ...
+
+    async def write_rollout_state(
+        self, service: str, version: str, state: RolloutState, known: int
+    ) -> bool:
+        """Write a state if its row still has a version; return whether it had.
+
+        Parameters
+        ----------
+        version : str
+            Target version of the roll-out.
+        known : int
+            Version that the row must have, 0 if there must be none.
+
+        Raises
+        ------
+        PlatformUnavailable, AnswerLost
+            If the store fails; after `AnswerLost`, the row may have been written.
+        """
+        ...
+
+
+class Directory(StreamRows, RolloutRows, Protocol):
     """Follows the entries of the operator and of the backend servers in the store.
 
     Attributes
--- a/libs/gateway/src/teaseldyke/gateway/placing.py
+++ b/libs/gateway/src/teaseldyke/gateway/placing.py
@@ -21,6 +21,7 @@
     RequestQueue,
     RoundSends,
     ServerState,
+    VersionSide,
     Work,
     choose_engine,
     choose_plain,
@@ -281,7 +282,9 @@
         states = self._view.states_of(name)
         quotas: dict[tuple[str, str], CapacityQuota] = {}
         exhausted: set[str] = set()
-        pools: dict[str, tuple[Sequence[ServerState], float]] = {}
+        pools: dict[
+            tuple[str, VersionSide | None], tuple[Sequence[ServerState], float]
+        ] = {}
         available = {state for state in states if state.accepts_requests(now_s)}
         for state in states:
             state.clear_backlog()
@@ -292,10 +295,11 @@
                 pending.ready.set()
                 continue
             version = queued.work.version
-            if version not in pools:
+            pool = version, queued.work.side
+            if pool not in pools:
                 servers = servers_for(states, queued.work)
-                pools[version] = servers, next_accepting_in_s(servers, now_s)
-            servers, pause_s = pools[version]
+                pools[pool] = servers, next_accepting_in_s(servers, now_s)
+            servers, pause_s = pools[pool]
             if version and not servers and self._view.servers_known:
                 pending.is_version_gone = True
                 queue.remove(queued)
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -30,6 +30,7 @@
 from .endpoints import LISTING_TARGET, Endpoints
 from .interfaces import Directory, DirectoryListener, KnownVersions, Peer, Wire
 from .placing import Placer
+from .rollouts import Rollouts
 from .sending import Sender
 from .settings import GatewaySettings
 from .share_log import REPORT_INTERVAL_S
@@ -107,6 +108,7 @@
     directory: Directory = attrs.field(init=False)
     totals: TotalsExchange = attrs.field(init=False)
     memory: StreamMemory = attrs.field(init=False)
+    rollouts: Rollouts = attrs.field(init=False)
     pool: BackendPool = attrs.field(init=False)
     sender: Sender = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
@@ -129,6 +131,15 @@
         self.directory.relay = self.totals.relay
         self.memory = StreamMemory(self.directory, self.totals)
         self.totals.streams = self.view.version_gate = self.memory
+        self.rollouts = Rollouts(
+            self.view,
+            self.totals,
+            self.directory,
+            settings.bounds.exposure_share,
+            settings.bounds.exposure_slack,
+        )
+        self.view.on_rollouts = self.rollouts.apply_orders
+        self.totals.rollouts = self.rollouts
         self.placer = Placer(
             self.view,
             FairShares(),
@@ -146,6 +157,7 @@
             settings.bounds,
             self.totals,
             self.evidence,
+            self.rollouts,
         )
         self.calls = CallHandler(self.view, self.sender, self.wire, self.memory)
 
@@ -166,7 +178,9 @@
 
     async def _serve(self, callers: trio.SocketListener) -> None:
         settings = self.settings
-        endpoints = Endpoints(lambda: self.is_ready, self.directory, self.evidence)
+        endpoints = Endpoints(
+            lambda: self.is_ready, self.directory, self.evidence, self.rollouts
+        )
         async with trio.open_nursery() as nursery:
             for address, handler in (
                 (settings.readiness, endpoints.readiness),
@@ -182,6 +196,7 @@
                 self.placer.run,
                 self.sender.run,
                 self.memory.run,
+                self.rollouts.run,
                 self._announce,
                 self._catch_up,
             ):
@@ -215,6 +230,7 @@
             self.sender.abandon_held()
         self.view.refresh()
         self.totals.send(self.placer)
+        self.rollouts.advance()
         self.placer.recompute()
 
     async def _report_lateness(self) -> None:
--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -8,7 +8,7 @@
 import trio
 
 from teaseldyke.http import CallerGone
-from teaseldyke.placement import RetryBudget
+from teaseldyke.placement import RetryBudget, Work
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import RouteKind, TeaseldykeError
@@ -132,6 +132,8 @@
         Sends a call to a reserved server.
     may_begin : callable
         Whether an answer that is begun now would be complete in time.
+    assign : callable
+        Returns the work of the next send of a service, with its side in a roll-out.
     """
 
     def __init__(
@@ -141,12 +143,14 @@
         probe: CrashProbe,
         send_to: Callable[[Call, CallRace, Reservation], Awaitable[SendResult]],
         may_begin: Callable[[Call], bool],
+        assign: Callable[[str, Work], Work] = lambda service, work: work,
     ) -> None:
         self._placer = placer
         self._fleet = fleet
         self._probe = probe
         self._send_to = send_to
         self._may_begin = may_begin
+        self._assign = assign
         self._races: set[CallRace] = set()
 
     async def run(self) -> None:
@@ -285,6 +289,7 @@
             silent.give_up("the server crashed without closing its connection")
             return None
         work = work_for_resend(call.work, call.route, boot_time_s())
+        work = self._assign(call.service.name, work)
         reservation = await self._placer.place(
             call.service, work, frozenset(call.avoid), beside_another=True
         )
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -31,6 +31,7 @@
 from .placing import FULL_SERVER_BACKOFF_S, Placer
 from .racing import SENDS_MAX, CallRace, SecondSends
 from .reservation import Reservation
+from .rollouts import Rollouts
 from .send_log import log_send_cancelled, log_send_ended, log_suspect
 from .settings import FleetBounds
 from .view import FleetView
@@ -68,6 +69,8 @@
         Instances that share these limits.
     evidence : CrashEvidence
         What crashed servers say of requests.
+    rollouts : Rollouts
+        Assigns requests to software versions, and counts their answers.
     """
 
     def __init__(
@@ -79,7 +82,9 @@
         bounds: FleetBounds,
         fleet: Fleet,
         evidence: CrashEvidence,
+        rollouts: Rollouts,
     ) -> None:
+        self._rollouts = rollouts
         self._view = view
         self._placer = placer
         self._pool = pool
@@ -94,7 +99,12 @@
         self._probe = CrashProbe()
         self._broken = BrokenSends()
         self._second_sends = SecondSends(
-            placer, fleet, self._probe, self._send_to, lambda call: self.may_begin(call)
+            placer,
+            fleet,
+            self._probe,
+            self._send_to,
+            lambda call: self.may_begin(call),
+            rollouts.assign,
         )
 
     async def run(self) -> None:
@@ -141,6 +151,7 @@
         """Send a call to a server, and to others beside it while that one is silent."""
         _ensure_wanted(call)
         call.bind_to_version()
+        call.work = self._rollouts.assign(call.service.name, call.work)
         reservation = await self._placer.place(
             call.service, call.work, frozenset(call.avoid)
         )
@@ -199,6 +210,8 @@
             (server.host, server.port) in call.addresses,
             call.silent_since_s,
         )
+        if self._rollouts.is_active(call.service.name):
+            attempt.on_first_event = lambda: self._count_first_event(call, reservation)
         call.addresses.add((server.host, server.port))
         call.avoid.add(server.id)
         call.possible_runs += 1  # until ruled out
@@ -208,6 +221,7 @@
             result = await attempt.run(prepare_request, resumed_after)
         except trio.Cancelled:
             log_send_cancelled(call, attempt)
+            self._count_unanswered(call, attempt)
             raise
         finally:
             self._attempts.discard(attempt)
@@ -222,12 +236,58 @@
         if result.outcome is Outcome.OTHER_SERVER:
             reservation.state.mark_replaced(boot_time_s())
         must_not_repeat = await self._must_not_repeat(call, attempt, result)
+        self._count_answer(call, attempt, result)
         if result.outcome is not Outcome.DONE:
             log_send_ended(call, attempt, result)
         if must_not_repeat:
             raise ServerBroke(f"the server crashed under it: {result.detail}")
         return result
 
+    def _count_first_event(self, call: Call, reservation: Reservation) -> None:
+        """Count the first event of a stream in a roll-out; it may be slow."""
+        state = reservation.state
+        is_slow = self._rollouts.is_slow(
+            state, reservation.measured_first_s, reservation.expected_first_s
+        )
+        self._rollouts.record(state.server, call.route.name, is_bad=is_slow)
+
+    def _count_answer(self, call: Call, attempt: Attempt, result: SendResult) -> None:
+        """Count the end of an attempt in a roll-out."""
+        if not self._rollouts.is_active(call.service.name):
+            return
+        reservation = attempt.reservation
+        state = reservation.state
+        is_bad = result.outcome in (Outcome.FAILED, Outcome.BROKEN) or (
+            result.outcome is Outcome.DONE and result.status >= 500
+        )
+        is_stream = call.route.kind is RouteKind.STREAMING
+        if result.outcome is Outcome.DONE and not is_stream and not is_bad:
+            elapsed_s = boot_time_s() - reservation.sent_at_s
+            is_bad = self._rollouts.is_slow(
+                state, elapsed_s, reservation.expected_first_s
+            )
+        elif not is_bad:
+            return
+        crashed = result.outcome is Outcome.BROKEN and self._probe.is_crashed(
+            state.server
+        )
+        self._rollouts.record(
+            state.server, call.route.name, is_bad=is_bad, crashed=crashed
+        )
+
+    def _count_unanswered(self, call: Call, attempt: Attempt) -> None:
+        """Count an attempt that its caller's or the route's time-out has ended."""
+        reservation = attempt.reservation
+        if not attempt.sent or attempt.has_begun:
+            return
+        waited_s = boot_time_s() - reservation.sent_at_s
+        if self._rollouts.is_slow(
+            reservation.state, waited_s, reservation.expected_first_s
+        ):
+            self._rollouts.record(
+                reservation.state.server, call.route.name, is_bad=True
+            )
+
     def abandon_held(self) -> None:
         """Take back held requests that no server has begun to answer."""
         for attempt in self._attempts:
--- a/libs/gateway/src/teaseldyke/gateway/settings.py
+++ b/libs/gateway/src/teaseldyke/gateway/settings.py
@@ -24,6 +24,11 @@
         second, plus this number of requests.
     stop_s : float
         Time from SIGTERM to the end of the process.
+    exposure_share : float
+        Of the requests that reach a service during a roll-out, which a bad version may
+        get; 0 if the deployment has no roll-outs.
+    exposure_slack : float
+        Requests that a bad version may get in addition.
     """
 
     retry_ratio: float
@@ -32,6 +37,8 @@
     cold_factor: float
     cold_slack: float
     stop_s: float
+    exposure_share: float = 0.0
+    exposure_slack: float = 0.0
 
 
 @attrs.frozen
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -15,6 +15,7 @@
 
 from .interfaces import KnownVersions, Peer
 from .membership import Membership
+from .rollout_sums import RolloutSums, add_up_rollouts
 
 DEMAND_UNITS = 100  # in a request; datagrams hold whole numbers
 NumberedLimit = tuple[int, float, float]
@@ -39,12 +40,15 @@
         By organisation: recent usage in tokens; None in most rounds of a large fleet.
     demand : dict
         By service: recent requests of callers, in hundredths.
+    rollouts : dict or None
+        By service in a roll-out: stage, age and answers, as in `Rollouts.sums`.
     """
 
     loads: dict[int, tuple[int, int, int]] = {}
     waiting: dict[str, int] = {}
     usage: dict[str, int] | None = None
     demand: dict[str, int] = {}
+    rollouts: dict[str, RolloutSums] | None = None
 
 
 class TotalsMessage(msgspec.Struct, array_like=True, frozen=True, tag="totals"):
@@ -377,6 +381,8 @@
     usage: dict[str, int] = {}
     waiting: dict[str, int] = {}
     demand: dict[str, int] = {}
+    parts = list(parts)
+    rollouts = add_up_rollouts(part.rollouts for part in parts if part.rollouts)
     for part in parts:
         for number, (pending, running, memory) in part.loads.items():
             known = loads.get(number, (0, 0, 0))
@@ -387,4 +393,4 @@
             waiting[name] = waiting.get(name, 0) + tokens
         for name, requests in part.demand.items():
             demand[name] = demand.get(name, 0) + requests
-    return Sums(loads, waiting, usage, demand)
+    return Sums(loads, waiting, usage, demand, rollouts or None)
--- a/libs/gateway/src/teaseldyke/gateway/totals.py
+++ b/libs/gateway/src/teaseldyke/gateway/totals.py
@@ -26,6 +26,7 @@
 from .interfaces import Directory, KnownVersions, LostCalls, Peer
 from .membership import ALIVE_TIMEOUT_S, Membership
 from .placing import Placer
+from .rollouts import Rollouts
 from .sums import (
     DEMAND_UNITS,
     FleetTotals,
@@ -103,6 +104,8 @@
         Peer that knows newer entries than this instance, with its versions.
     streams : SharedStreams or None
         What instances tell each other of streams.
+    rollouts : Rollouts or None
+        What instances tell each other of roll-outs.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         self.own = own
         self.peer_ahead: tuple[Peer, KnownVersions] | None = None
         self.streams: SharedStreams | None = None
+        self.rollouts: Rollouts | None = None
         self._view = view
         self._directory = directory
         self._evidence = evidence
@@ -316,7 +320,7 @@
             return False
         # Usage is not compared: it changes all the time, and fair shares tolerate old
         # values.
-        loads = [(part.loads, part.waiting) for part in sums]
+        loads = [(part.loads, part.waiting, part.rollouts) for part in sums]
         content = (
             self._directory.versions,
             self._membership.instances,
@@ -356,6 +360,7 @@
                 name: int(DEMAND_UNITS * value)
                 for name, value in placer.limits.demand.own(now_s).items()
             },
+            self.rollouts.sums() or None if self.rollouts is not None else None,
         )
 
     async def relay(self, data: bytes) -> None:
@@ -371,7 +376,7 @@
         members: list[Peer],
     ) -> None:
         if self._number % USAGE_ROUNDS and self._membership.neighbourhoods > 1:
-            sums = Sums(sums.loads, sums.waiting, None, sums.demand)
+            sums = Sums(sums.loads, sums.waiting, None, sums.demand, sums.rollouts)
         known = self._directory.versions
         versions, era = encoded_versions(known)
         suspects = self._evidence_to_send(is_far=bool(members))
@@ -439,6 +444,8 @@
 
     def _apply_totals(self, peer_sums: Sums, fair_shares: FairShares) -> None:
         """Replace the other instances' load per server, usage and queued tokens."""
+        if peer_sums.rollouts and self.rollouts is not None:
+            self.rollouts.hear(peer_sums.rollouts)
         for server in self._view.all_states():
             totals = peer_sums.loads.get(server_number(server.server.id), (0, 0, 0))
             pending, running, memory = totals
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -9,7 +9,12 @@
 
 import attrs
 
-from teaseldyke.placement import ColdRateLimit, LimitReport, ServerState
+from teaseldyke.placement import (
+    ColdRateLimit,
+    LimitReport,
+    RolloutOrder,
+    ServerState,
+)
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer, RoutingTable
@@ -95,6 +100,8 @@
         When the current configuration was applied, on the same clock.
     version_gate : VersionGate or None
         Decides which software versions may get requests; all may without one.
+    on_rollouts : callable
+        Called with the roll-outs that operators have ordered.
     """
 
     def __init__(
@@ -109,6 +116,7 @@
         self.servers_known = False
         self.servers_as_of_s = -math.inf
         self.version_gate: VersionGate | None = None
+        self.on_rollouts: Callable[[Sequence[RolloutOrder]], None] = lambda orders: None
         self._store_back_at_s = 0.0
         self._states: dict[str, ServerState] = {}
         self._vanished: dict[str, _Vanished] = {}
@@ -257,6 +265,10 @@
             self._vanished.pop(server.id, None)
         self._held.clear()
 
+    def apply_rollouts(self, orders: Sequence[RolloutOrder]) -> None:
+        """Replace the roll-outs that operators have ordered."""
+        self.on_rollouts(orders)
+
     def set_store_available(self, available: bool, reason: str) -> None:
         """Record whether the platform's store answers, and log changes."""
         if available == self.store_available:
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -248,14 +248,14 @@
 
 
 @asynccontextmanager
-async def running_fleet(engines: int = 2) -> AsyncIterator[Fleet]:
+async def running_fleet(engines: int = 2, **fields: Any) -> AsyncIterator[Fleet]:
     async with trio.open_nursery() as nursery:
         fleet = Fleet(nursery, StoreStandin())
         await nursery.start(fleet.store.run)
         fleet.store.put("op", "config", configuration())
         for i in range(engines):
             await fleet.add_engine(f"e-{i}")
-        gateway = await fleet.add_gateway()
+        gateway = await fleet.add_gateway(**fields)
         await wait_until(lambda: gateway.is_ready)
         await wait_until(lambda: len(gateway.view.states_of("app")) == engines)
         yield fleet
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -12,6 +12,7 @@
 from teaseldyke.adapter.store import Page, StoredRow
 from teaseldyke.gateway import FeedRole, KnownVersions
 from teaseldyke.http import Response
+from teaseldyke.placement import RolloutOrder
 from teaseldyke.settings import Address
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
@@ -37,6 +38,8 @@
         self, failure_domains: frozenset[str], *, restored: bool = False
     ) -> None: ...
 
+    def apply_rollouts(self, orders: Sequence[RolloutOrder]) -> None: ...
+
     def record_servers_current(self, as_of_s: float) -> None: ...
 
     def set_store_available(self, available: bool, reason: str) -> None: ...
