Count what a server holds for its callers, and close connections above a limit

Callers saw: their connections broke when a process exceeded the memory of its machine and was ended.

Cause: only bodies were counted, and a read allowed 64 KiB whatever was expected.

Change: an account of each connection's fixed cost, its request and its response until the caller has read it. Above its limit, connections that only discard are closed, then idle ones, then the slowest senders; none whose request may have been forwarded. A refused request frees what it held before the rest of it is discarded. Reads use one shared buffer, allow 16 KiB while no length is known, and never more than a stated length, so that little is buffered of a pipelined request. A long response isn't copied. Bodies in chunks of a few bytes are parsed within 5 ms of a scheduler pass.

--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -4,6 +4,7 @@
 
 from .admission import Admission
 from .backend import BackendPool
+from .caller_memory import CallerMemory, Holding, HoldingState
 from .client import HttpClient, Response
 from .errors import (
     AnswerBroken,
@@ -37,12 +38,15 @@
     "BackendPool",
     "BodyTooLarge",
     "CallerGone",
+    "CallerMemory",
     "CallerTooSlow",
     "ConnectFailed",
     "CrossedAnswer",
     "Exchange",
     "ExchangeBroken",
     "HeaderTooLarge",
+    "Holding",
+    "HoldingState",
     "HttpClient",
     "MalformedRequest",
     "OutgoingRequest",
--- a/libs/http/src/teaseldyke/http/body.py
+++ b/libs/http/src/teaseldyke/http/body.py
@@ -8,9 +8,26 @@
 import h11
 import trio
 
-from .errors import BodyTooLarge, CallerGone, MalformedRequest, RequestTimedOut
+from teaseldyke.timers import scheduler_passes
+
+from .caller_memory import Holding, HoldingState
+from .errors import (
+    BodyTooLarge,
+    CallerGone,
+    MalformedRequest,
+    RequestTimedOut,
+    memory_full_error,
+)
 from .limits import ServerLimits
-from .stream import Stream
+from .stream import RECEIVE_BYTES, UNFRAMED_RECEIVE_BYTES, Stream
+
+# Parsing a chunk takes 5 us whatever its size, so that many bodies in
+# chunks of a byte would take all of the process's time.
+SMALL_CHUNK_BYTES = 64  # mean of a read
+SMALL_CHUNKS_RECEIVE_BYTES = 4096
+FIRST_CHUNKS_RECEIVE_BYTES = 1024  # the size of chunks isn't known yet
+# Time in a pass of the scheduler in which bodies in small chunks are parsed.
+SMALL_CHUNKS_WINDOW_S = 0.005
 
 
 class IncomingBody:
@@ -28,6 +45,8 @@
         Size and time limits.
     write : callable
         Sends bytes to the caller; used for ``100 Continue``.
+    holding : Holding
+        What is held for the connection; has counted what the parser has received.
 
     Attributes
     ----------
@@ -47,6 +66,7 @@
         length: bytes | None,
         limits: ServerLimits,
         write: Callable[[bytes], Awaitable[None]],
+        holding: Holding,
     ) -> None:
         self.complete = trio.Event()
         self._connection = connection
@@ -54,8 +74,13 @@
         self._length_bytes = None if length is None else int(length)
         self._limits = limits
         self._write = write
-        self._pending: list[bytes] = []
+        self._holding = holding
+        # One buffer: an object for each of many small chunks takes far more memory.
+        self._buffer = bytearray()
         self._received_bytes = 0
+        self._has_small_chunks = False
+        self._chunked_receive_bytes = FIRST_CHUNKS_RECEIVE_BYTES
+        self._passes = scheduler_passes()
         self._deadline_s = trio.current_time() + limits.body_timeout_s
         self._parse_buffered()
 
@@ -69,16 +94,25 @@
         self._deadline_s = min(self._deadline_s, trio.current_time() + timeout_s)
         limit_bytes = min(limit_bytes, self._limits.body_bytes)
         self._check_length(limit_bytes)
-        body = bytearray()  # many small chunks would take far more memory
-        async for chunk in self.chunks():
-            body += chunk
-            on_data(len(chunk))
-            if len(body) > limit_bytes:
-                raise BodyTooLarge(f"request body exceeds {limit_bytes} bytes")
-        return bytes(body)
+        counted_bytes = 0
+        try:
+            while True:
+                size_bytes = len(self._buffer)
+                if size_bytes > counted_bytes:
+                    on_data(size_bytes - counted_bytes)
+                    counted_bytes = size_bytes
+                if size_bytes > limit_bytes:
+                    raise BodyTooLarge(f"request body exceeds {limit_bytes} bytes")
+                if self.complete.is_set():
+                    break
+                await self._receive()
+            self._start_forwarding()
+            return bytes(self._buffer)
+        finally:
+            self._buffer = bytearray()
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives.
+        """Yield the body as it arrives; its parts may be forwarded.
 
         Raises
         ------
@@ -92,27 +126,41 @@
             If the caller closes its connection before the end of the body.
         """
         self._check_length(self._limits.body_bytes)
+        self._start_forwarding()
         while True:
-            while self._pending:
-                yield self._pending.pop(0)
+            if self._buffer:
+                data = bytes(self._buffer)
+                self._buffer.clear()
+                yield data
             if self.complete.is_set():
                 return
             await self._receive()
 
     def _parse_buffered(self) -> None:
-        """Move the body bytes buffered in the parser into ``_pending``."""
+        """Move the body bytes buffered in the parser into ``_buffer``."""
+        received_bytes = self._received_bytes
+        parts = 0
         while not self.complete.is_set():
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as exc:
                 raise MalformedRequest(f"request body is malformed: {exc}") from exc
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                break
             if isinstance(event, h11.Data):
+                parts += 1
                 self._received_bytes += len(event.data)
-                self._pending.append(bytes(event.data))
+                self._buffer += event.data
                 continue
             self.complete.set()
+        mean_bytes = (self._received_bytes - received_bytes) / max(1, parts)
+        self._has_small_chunks = parts > 1 and mean_bytes < SMALL_CHUNK_BYTES
+        if parts:
+            self._chunked_receive_bytes = (
+                SMALL_CHUNKS_RECEIVE_BYTES
+                if self._has_small_chunks
+                else UNFRAMED_RECEIVE_BYTES
+            )
 
     async def _receive(self) -> None:
         if self._connection.they_are_waiting_for_100_continue:
@@ -121,8 +169,14 @@
         data = await self._receive_within_limits()
         if not data:
             raise CallerGone("caller closed its connection within the request body")
+        counted_bytes = self._received_bytes
         self._connection.receive_data(data)
         self._parse_buffered()
+        held_bytes = self._received_bytes - counted_bytes
+        if self.complete.is_set():
+            held_bytes += len(self._connection.trailing_data[0])
+        if not self._holding.receive(held_bytes) and self._is_rejectable:
+            raise memory_full_error()
         if self._received_bytes > self._limits.body_bytes:
             raise BodyTooLarge(f"request body exceeds {self._limits.body_bytes} bytes")
 
@@ -130,15 +184,38 @@
         idle_deadline_s = trio.current_time() + self._limits.body_idle_timeout_s
         with trio.CancelScope(deadline=min(idle_deadline_s, self._deadline_s)):
             try:
-                return await self._stream.receive_some()
+                data = await self._stream.receive_some(self._read_bytes())
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                if self._holding.is_closed:
+                    raise memory_full_error() from exc
                 raise CallerGone(
                     "caller closed its connection within the request body"
                 ) from exc
+            while self._has_small_chunks and (
+                self._passes.elapsed_s > SMALL_CHUNKS_WINDOW_S
+            ):
+                await trio.lowlevel.checkpoint()
+            return data
         raise RequestTimedOut(
             f"request body timed out after {self._received_bytes} bytes"
         )
 
+    @property
+    def _is_rejectable(self) -> bool:
+        return self._holding.state is not HoldingState.FORWARDED
+
+    def _start_forwarding(self) -> None:
+        """Protect the connection from a close; raises if it has been closed."""
+        if self._holding.is_closed:
+            raise memory_full_error()
+        self._holding.enter(HoldingState.FORWARDED)
+
+    def _read_bytes(self) -> int:
+        if self._length_bytes is None:
+            return self._chunked_receive_bytes
+        # Not more than the body: what follows is read once the response is sent.
+        return min(RECEIVE_BYTES, self._length_bytes - self._received_bytes)
+
     def _check_length(self, limit_bytes: int) -> None:
         if self._length_bytes is None or self._length_bytes <= limit_bytes:
             return
--- a/libs/http/src/teaseldyke/http/closures.py
+++ b/libs/http/src/teaseldyke/http/closures.py
@@ -33,6 +33,7 @@
     IDLE_TIMEOUT = ("idle_timeout", Side.INSTANCE)
     FIRST_REQUEST_GRACE = ("first_request_grace", Side.INSTANCE)
     STOPPING = ("stopping", Side.INSTANCE)
+    MEMORY = ("memory", Side.INSTANCE)
     CALLER = ("caller", Side.CALLER)
     CALLER_IN_HEADER = ("caller_in_header", Side.CALLER)
 
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -17,6 +17,7 @@
 from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission, Decision
+from .caller_memory import CallerMemory, Holding, HoldingState
 from .closures import Cause, IdleClose, RequestState, record_closure, record_idle_close
 from .errors import (
     Busy,
@@ -26,12 +27,14 @@
     MalformedRequest,
     RequestTimedOut,
     TransferCodingUnsupported,
+    memory_full_error,
 )
 from .headers import Headers, first_header
 from .limits import ServerLimits
 from .problem import problem_response
 from .request import Request
 from .stream import (
+    UNFRAMED_RECEIVE_BYTES,
     Stream,
     TcpStream,
     close_gracefully,
@@ -79,6 +82,8 @@
         Decides which requests are admitted.
     record_refusal : callable
         Called with the error of each refusal before a request reaches the handler.
+    memory : CallerMemory
+        Counts what is held for the connections.
 
     Attributes
     ----------
@@ -94,17 +99,28 @@
     render_error: ErrorRenderer = problem_response
     admission: Admission = attrs.field(factory=Admission)
     record_refusal: RefusalRecorder = lambda error: None
+    memory: CallerMemory = attrs.field(factory=CallerMemory)
     idle: set[CallerConnection] = attrs.field(factory=set)
     idle_closed: bool = False
     _busy_responses: list[bytes] = attrs.field(factory=list, init=False)
+    _memory_full_responses: list[bytes] = attrs.field(factory=list, init=False)
 
     def busy_response(self) -> bytes:
         """Return the encoded response to a request that an overload refuses."""
-        while len(self._busy_responses) < BUSY_RESPONSES:
-            status, headers, body = self.render_error(busy_error())
+        return self._response(self._busy_responses, busy_error)
+
+    def memory_full_response(self) -> bytes:
+        """Return the encoded response to a request that there is no memory for."""
+        return self._response(self._memory_full_responses, memory_full_error)
+
+    def _response(
+        self, responses: list[bytes], make_error: Callable[[], TeaseldykeError]
+    ) -> bytes:
+        while len(responses) < BUSY_RESPONSES:
+            status, headers, body = self.render_error(make_error())
             parser = h11.Connection(h11.SERVER)
-            self._busy_responses.append(_encode_error(parser, status, headers, body))
-        return random.choice(self._busy_responses)
+            responses.append(_encode_error(parser, status, headers, body))
+        return random.choice(responses)
 
     def close_idle(self) -> None:
         """Close every idle connection on which no request has started to arrive.
@@ -150,6 +166,7 @@
         caller: str = "",
     ) -> None:
         self._context = context
+        self._holding: Holding | None = None
         self._limits = context.limits
         self.stream = stream
         self._watch = Watch(stream, self._close_idle)
@@ -157,6 +174,7 @@
         self._unread_since_s = unread_since_s
         self._caller = caller
         self.is_used = False
+        self._has_handler = False
         self._is_idle_closed = False
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=context.limits.header_bytes
@@ -172,40 +190,83 @@
         """Close the connection unless the next request starts in time."""
         self._watch.deadline_s = trio.current_time() + seconds
 
-    async def run(self) -> None:
-        """Serve requests until one side closes the connection."""
+    async def run(self) -> bool:
+        """Serve requests until one side closes the connection.
+
+        Returns
+        -------
+        bool
+            False if there is no memory for the connection; it is still open.
+        """
+        self._holding = self._context.memory.open(self._close_for_memory)
+        if self._holding is None:
+            return False
         self._watch.start()
         try:
-            await self._serve_requests()
+            discard_timeout_s = await self._serve_requests(self._holding)
+            if discard_timeout_s is not None:
+                await self._close_after_response(discard_timeout_s)
         finally:
             self._watch.stop()
+            self._holding.release()
+        return True
+
+    def _close_for_memory(self, state: HoldingState) -> bool:
+        """Close the connection to free memory, unless a request has just arrived."""
+        if state is HoldingState.IDLE:
+            if not is_idle(self.stream):
+                return False
+            self.close_idle(IdleClose.MEMORY)
+            return True
+        if state is HoldingState.RECEIVING and isinstance(self.stream, TcpStream):
+            if not self._has_handler:
+                self._context.record_refusal(memory_full_error())
+            with suppress(trio.BrokenResourceError):
+                self.stream.try_send(self._context.memory_full_response())
+        close_now(self.stream)
+        return True
 
-    async def _serve_requests(self) -> None:
+    async def _serve_requests(self, holding: Holding) -> float | None:
+        """Serve requests.
+
+        Returns
+        -------
+        float or None
+            How long to discard what still arrives before the connection is closed;
+            ``None`` if it has ended. Until then, errors and requests that hold what
+            was received are freed.
+        """
         while True:
             try:
-                request = await self._next_request()
+                request = await self._next_request(holding)
             except Busy as error:
-                if not self._refuse_whole_request(error):
-                    await self.refuse(error)
-                return
+                if holding.is_closed or self._refuse_whole_request(error):
+                    return None
+                return await self._send_refusal(error, math.inf)
             except TeaseldykeError as error:
-                await self.refuse(error)
-                return
+                return await self._send_refusal(error, math.inf)
             if request is None:
-                return
+                return None
+            self._has_handler = True
             try:
-                keep_open = await self._handle(request)
+                discard_timeout_s = await self._handle(request)
             except BaseException:
                 if not request.finished:
                     self._record_closure(Cause.PROCESS_ENDED, request)
                     # Reset, so that a truncated response doesn't look complete.
                     close_with_reset(self.stream)
                 raise
-            if not keep_open:
-                return
+            finally:
+                self._has_handler = False
+            if discard_timeout_s is None or discard_timeout_s > 0.0:
+                return discard_timeout_s
             self.is_used = True
             self._unread_since_s = math.inf
             self._parser.start_next_cycle()
+            del request  # with its body
+            buffered = self._parser.trailing_data[0]
+            holding.keep(len(buffered))
+            holding.enter(HoldingState.RECEIVING if buffered else HoldingState.IDLE)
 
     async def refuse(
         self, error: TeaseldykeError, discard_timeout_s: float = math.inf
@@ -218,17 +279,31 @@
             Longest time in which what the caller still sends is read and dropped, if
             shorter than that of a body.
         """
+        timeout_s = await self._send_refusal(error, discard_timeout_s)
+        if timeout_s is not None:
+            await self._close_after_response(timeout_s)
+
+    async def _send_refusal(
+        self, error: TeaseldykeError, discard_timeout_s: float
+    ) -> float | None:
+        """Send an error response; return how long to discard, or none if it ended."""
+        if self._holding is not None:
+            self._holding.reject()
+            if self._holding.is_closed:
+                return None
         self._context.record_refusal(error)
         status, headers, body = self._context.render_error(error)
         try:
             data = _encode_error(self._parser, status, headers, body)
             with trio.move_on_after(CLOSE_TIMEOUT_S):
                 await self.stream.send_all(data)
-        except (trio.BrokenResourceError, h11.LocalProtocolError):
-            return
-        await self._close_after_response(
-            min(discard_timeout_s, self._limits.body_timeout_s)
-        )
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.LocalProtocolError,
+        ):
+            return None
+        return min(discard_timeout_s, self._limits.body_timeout_s)
 
     def _refuse_whole_request(self, error: Busy) -> bool:
         """Refuse a request that has arrived whole; return false if it hasn't.
@@ -261,6 +336,10 @@
 
     async def _close_after_response(self, timeout_s: float) -> None:
         """Close the connection, after the rest of a body that wasn't read."""
+        self._parser = h11.Connection(h11.SERVER)  # frees what the last one buffered
+        if self._holding is not None:
+            self._holding.keep(0)
+            self._holding.enter(HoldingState.DISCARDING)
         async with trio.open_nursery() as nursery:
             if timeout_s > CLOSE_TIMEOUT_S:
                 nursery.start_soon(self._end_discard_at_stop, nursery.cancel_scope)
@@ -294,15 +373,17 @@
         )
         record_closure(cause, state, self._caller)
 
-    async def _next_request(self) -> Request | None:
+    async def _next_request(self, holding: Holding) -> Request | None:
         """Return the next request, or ``None`` once the connection has ended."""
-        if not self._parser.trailing_data[0] and not await self._wait_first_byte():
+        if not self._parser.trailing_data[0] and not await self._wait_first_byte(
+            holding
+        ):
             return None
         await self._wait_admission()
         head = self._parse_head()
         if head is None:
-            head = await self._receive_rest_of_head()
-        if head is None:
+            head = await self._receive_rest_of_head(holding)
+        if head is None or holding.is_closed:
             return None
         return Request(
             self._parser,
@@ -312,6 +393,7 @@
             self._context.stopping,
             self._unread_since_s,
             self._caller,
+            holding,
         )
 
     async def _wait_admission(self) -> None:
@@ -325,11 +407,13 @@
                 raise busy_error()
             await trio.lowlevel.checkpoint()
 
-    async def _receive_rest_of_head(self) -> h11.Request | None:
+    async def _receive_rest_of_head(self, holding: Holding) -> h11.Request | None:
         head = None
         with trio.move_on_after(self._limits.header_timeout_s) as scope:
             while head is None:
-                if not await self._receive():
+                if not await self._receive(holding):
+                    if holding.is_closed:
+                        return None
                     record_idle_close(IdleClose.CALLER_IN_HEADER)
                     return None
                 head = self._parse_head()
@@ -339,7 +423,7 @@
             )
         return head
 
-    async def _wait_first_byte(self) -> bool:
+    async def _wait_first_byte(self, holding: Holding) -> bool:
         try:
             idle_timeout_s = self._limits.idle_timeout_s
             if self._context.idle_closed:
@@ -349,7 +433,7 @@
                 idle_timeout_s = FIRST_REQUEST_GRACE_S
             self._context.idle.add(self)
             self.limit_idle_time(idle_timeout_s)
-            received = await self._receive()
+            received = await self._receive(holding)
             if not received and not self._is_idle_closed:
                 record_idle_close(IdleClose.CALLER)
             # On a new connection the request may have arrived before it was accepted.
@@ -361,15 +445,19 @@
             self._watch.deadline_s = math.inf
             self._context.idle.discard(self)
 
-    async def _receive(self) -> bool:
+    async def _receive(self, holding: Holding) -> bool:
         """Feed received bytes to the parser; return false if the connection ended."""
         try:
-            data = await self.stream.receive_some()
+            data = await self.stream.receive_some(UNFRAMED_RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
         if not data:
             return False
         self._parser.receive_data(data)
+        if holding.state is HoldingState.IDLE:
+            holding.enter(HoldingState.RECEIVING)
+        if not holding.receive(len(data)):
+            raise memory_full_error()
         return True
 
     def _parse_head(self) -> h11.Request | None:
@@ -407,18 +495,25 @@
             return TransferCodingUnsupported(f"{exc}")
         return MalformedRequest(f"malformed request: {exc}")
 
-    async def _handle(self, request: Request) -> bool:
-        """Run the handler; return whether the connection can be reused."""
+    async def _handle(self, request: Request) -> float | None:
+        """Run the handler.
+
+        Returns
+        -------
+        float or None
+            0 if the connection can be reused, ``None`` if it has ended, else for how
+            long to discard what still arrives before it is closed.
+        """
         try:
             await self._context.handler(request)
         except CallerGone as exc:
             if isinstance(exc, CallerTooSlow):
                 self._record_closure(Cause.SEND_TIMEOUT, request)
             close_with_reset(self.stream)
-            return False
+            return None
         except Exception as exc:
             if not await self._send_problem(request, exc):
-                return False
+                return None
         except BaseExceptionGroup as group:
             # The task was cancelled: propagate the cancellation alone, since an error
             # raised at the same time would reach the nursery of the server.
@@ -431,14 +526,12 @@
             if not request.has_caller_disconnected():
                 self._record_closure(Cause.ANSWER_FAILED, request)
             close_with_reset(self.stream)
-            return False
+            return None
         if not request.body_complete:
-            await self._close_after_response(self._limits.body_timeout_s)
-            return False
+            return self._limits.body_timeout_s
         if self._parser.our_state is not h11.DONE:
-            await self._close_after_response(CLOSE_TIMEOUT_S)
-            return False
-        return True
+            return CLOSE_TIMEOUT_S
+        return 0.0
 
     async def _send_problem(self, request: Request, exc: Exception) -> bool:
         """Send an error response; return whether it was sent completely."""
--- a/libs/http/src/teaseldyke/http/errors.py
+++ b/libs/http/src/teaseldyke/http/errors.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 from teaseldyke.types import TeaseldykeError
 
+# Range of the jitter; memory is freed as slow requests are closed or end.
+MEMORY_RETRY_AFTER_S = (0.5, 1.5)
+
 
 class MalformedRequest(TeaseldykeError):
     """The request is not valid or not supported HTTP/1.1."""
@@ -53,6 +58,22 @@
     executed = "no"
 
 
+class CallerMemoryFull(TeaseldykeError):
+    """What is held for callers leaves no memory for the request or connection."""
+
+    code = "caller_memory_full"
+    status = 503
+    executed = "no"
+
+
+def memory_full_error() -> CallerMemoryFull:
+    """Return the error of a request or connection that there is no memory for."""
+    return CallerMemoryFull(
+        "requests of other callers leave no memory for this one",
+        retry_after_s=random.uniform(*MEMORY_RETRY_AFTER_S),
+    )
+
+
 class TooManyConnections(TeaseldykeError):
     """The server has reached its limit of open connections."""
 
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -12,6 +12,7 @@
 import trio
 
 from .body import IncomingBody
+from .caller_memory import CallerMemory, Holding, HoldingState
 from .errors import CallerGone, CallerTooSlow
 from .headers import Headers, MixedHeaders, encode_headers, first_header
 from .limits import ServerLimits
@@ -26,6 +27,9 @@
 from .watchdog import DisconnectWatch
 
 REQUEST_ID_BYTES = 8
+# A longer body is sent without a copy that joins it to the header. The copy would be
+# held until a slow caller has read it.
+JOINED_BODY_BYTES = 64 * 1024
 
 
 class Request:
@@ -45,6 +49,8 @@
         Once set, responses carry ``Connection: close``.
     caller : str
         Address of the peer.
+    holding : Holding, optional
+        What is held for the connection; by default it isn't limited.
 
     Attributes
     ----------
@@ -82,8 +88,10 @@
         stopping: trio.Event,
         unread_since_s: float = math.inf,
         caller: str = "",
+        holding: Holding | None = None,
     ) -> None:
         self.caller = caller
+        self._holding = holding or CallerMemory().hold_unlimited()
         self.id = secrets.token_hex(REQUEST_ID_BYTES)
         self.method = head.method.decode("ascii")
         self.headers: Headers = list(head.headers)
@@ -99,7 +107,11 @@
         self._unsent_head: h11.Response | None = None
         self._finished = False
         length = first_header(self.headers, b"content-length")
-        self._body = IncomingBody(connection, stream, length, limits, self._write)
+        self._body = IncomingBody(
+            connection, stream, length, limits, self._write, self._holding
+        )
+        if self.body_complete:
+            self._holding.enter(HoldingState.FORWARDED)
 
     @property
     def query(self) -> dict[str, str]:
@@ -165,10 +177,16 @@
             fields.pop()
         await self.start_response(status, fields, flush=False)
         data = self._take_head()
-        if body and self.method != "HEAD" and status not in (204, 304):
-            data += self._connection.send(h11.Data(data=body)) or b""
+        has_body = bool(body) and self.method != "HEAD" and status not in (204, 304)
+        if has_body:
+            self._connection.send_with_data_passthrough(h11.Data(data=body))
         data += self._connection.send(h11.EndOfMessage()) or b""
+        if has_body and len(body) <= JOINED_BODY_BYTES:
+            data += body
+            has_body = False
         await self._write(data, is_last=True)
+        if has_body:
+            await self._write(body, is_last=True)
         self._finished = True
 
     async def respond_json(
@@ -194,6 +212,8 @@
         ``flush=False`` the header is sent together with the first data; until then
         another response may replace it.
         """
+        if not self._body.complete.is_set():
+            self._holding.reject()
         fields = encode_headers(headers)
         if self._stopping.is_set() or not self._body.complete.is_set():
             fields.append((b"connection", b"close"))
@@ -215,7 +235,7 @@
             return
         head = self._take_head()
         parts = self._connection.send_with_data_passthrough(h11.Data(data=data)) or []
-        await self._write(b"".join([head, *parts]))
+        await self._write(b"".join([head, *parts]), is_held=True)
 
     async def finish(self) -> None:
         """End a streamed response.
@@ -256,6 +276,17 @@
             self._connection.receive_data(data)
         await trio.sleep_forever()
 
+    def hold(self, size_bytes: int) -> bool:
+        """Count bytes held for the response; return false if there is no room.
+
+        They are counted until `unhold`, or the end of the request.
+        """
+        return self._holding.add(size_bytes)
+
+    def unhold(self, size_bytes: int) -> None:
+        """Count bytes held for the response as freed."""
+        self._holding.free(size_bytes)
+
     def has_caller_disconnected(self) -> bool:
         """Return whether the caller has closed its connection, without waiting."""
         return has_peer_closed(self._stream)
@@ -275,20 +306,31 @@
         self.response_started = True
         return b"" if head is None else self._connection.send(head) or b""
 
-    async def _write(self, data: bytes, *, is_last: bool = False) -> None:
+    async def _write(
+        self, data: bytes, *, is_last: bool = False, is_held: bool = False
+    ) -> None:
+        """Send data; count it if it is held only here until the caller has read it."""
+        rest: bytes | memoryview = data
         try:
             if isinstance(self._stream, TcpStream):
-                data = self._stream.try_send(data)
-                if not data:
+                rest = self._stream.try_send(data)
+                if not rest:
                     # A cancellation there would discard a response sent completely.
                     if not is_last:
                         await self._stream.checkpoint_between_sends()
                     return
-            await self._write_within_timeout(data)
+            if not is_held:
+                await self._write_within_timeout(rest)
+                return
+            self.hold(len(data))
+            try:
+                await self._write_within_timeout(rest)
+            finally:
+                self.unhold(len(data))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise CallerGone("caller closed its connection") from exc
 
-    async def _write_within_timeout(self, data: bytes) -> None:
+    async def _write_within_timeout(self, data: bytes | memoryview) -> None:
         with trio.move_on_after(self._limits.send_timeout_s) as scope:
             await self._stream.send_all(data)
         if scope.cancelled_caught:
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -8,8 +8,10 @@
 from absl import logging
 
 from teaseldyke.timers import scheduler_passes
+from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission
+from .caller_memory import CallerMemory
 from .closures import Cause, RequestState, record_closure
 from .connection import (
     CLOSE_TIMEOUT_S,
@@ -19,13 +21,15 @@
     RefusalRecorder,
     ServerContext,
 )
-from .errors import TooManyConnections
+from .errors import TooManyConnections, memory_full_error
 from .limits import ServerLimits
 from .problem import problem_response
 from .stream import Stream, accept_pending, close_now
 
 ACCEPT_RETRY_S = 0.1
 ACCEPT_BATCH_MAX = 256  # connections per scheduler pass
+# The same above the limit of connections: each is a descriptor until it is closed.
+EXCESS_ACCEPT_BATCH_MAX = 32
 REFUSALS_MAX = 64  # concurrent error responses to connections above the limit
 REFUSED_RETRY_AFTER_S = 1.0
 
@@ -41,6 +45,7 @@
     admission: Admission | None = None,
     record_refusal: RefusalRecorder = lambda error: None,
     wrap: Callable[[Stream], Stream] | None = None,
+    memory: CallerMemory | None = None,
 ) -> None:
     """Serve requests until ``stopping`` is set and running requests have finished.
 
@@ -70,6 +75,9 @@
         handler. The response to an overload is rendered only a few times.
     wrap : callable, optional
         Returns the stream to use in place of an accepted connection.
+    memory : CallerMemory, optional
+        Counts what is held for the connections, and closes some of them above its
+        limit; without a limit by default.
     """
     stopping = trio.Event() if stopping is None else stopping
     context = ServerContext(
@@ -79,6 +87,7 @@
         render_error,
         admission or Admission(),
         record_refusal,
+        memory or CallerMemory(),
     )
     server = _Server(context, wrap)
     async with trio.open_nursery() as connections:
@@ -103,6 +112,7 @@
         self._wrap = wrap
         self._limits = context.limits
         self._open_connections = 0
+        self._refusals = 0
 
     async def accept(
         self, listener: trio.SocketListener, connections: trio.Nursery
@@ -111,7 +121,9 @@
             await trio.lowlevel.wait_readable(listener.socket)
             # trio's accept takes one connection per scheduler pass. Passes are long
             # while the process is busy, and the accept queue would overflow.
-            if not self.serve_pending(listener, connections, ACCEPT_BATCH_MAX):
+            room = self._limits.connections + REFUSALS_MAX - self._open_connections
+            batch = min(ACCEPT_BATCH_MAX, max(EXCESS_ACCEPT_BATCH_MAX, room))
+            if not self.serve_pending(listener, connections, batch):
                 await trio.sleep(ACCEPT_RETRY_S)
 
     def serve_pending(
@@ -126,34 +138,41 @@
         unread_since_s = scheduler_passes().unread_since_s
         for accepted, caller in streams:
             stream = accepted if self._wrap is None else self._wrap(accepted)
+            self._open_connections += 1
             connections.start_soon(self.run_connection, stream, unread_since_s, caller)
         return True
 
     async def run_connection(
         self, stream: Stream, unread_since_s: float, caller: str
     ) -> None:
-        self._open_connections += 1
         try:
             if self._open_connections > self._limits.connections:
-                await self._refuse_connection(stream, caller)
+                error: TeaseldykeError = TooManyConnections(
+                    f"server is at its limit of {self._limits.connections} connections",
+                    retry_after_s=REFUSED_RETRY_AFTER_S,
+                )
+                await self._refuse_connection(stream, caller, error)
                 return
             connection = CallerConnection(self._context, stream, unread_since_s, caller)
-            await connection.run()
+            if not await connection.run():
+                await self._refuse_connection(stream, caller, memory_full_error())
         except Exception as exc:
             logging.error("event=connection_failed error=%r", exc)
         finally:
             self._open_connections -= 1
             close_now(stream)
 
-    async def _refuse_connection(self, stream: Stream, caller: str) -> None:
-        error = TooManyConnections(
-            f"server is at its limit of {self._limits.connections} connections",
-            retry_after_s=REFUSED_RETRY_AFTER_S,
-        )
+    async def _refuse_connection(
+        self, stream: Stream, caller: str, error: TeaseldykeError
+    ) -> None:
         connection = CallerConnection(self._context, stream)
-        if self._open_connections > self._limits.connections + REFUSALS_MAX:
+        if self._refusals >= REFUSALS_MAX:
             record_closure(Cause.CONNECTION_LIMIT, RequestState.UNREAD, caller)
             connection.refuse_pending(error)
             return
         # It counts as open, and must not keep others out for long.
-        await connection.refuse(error, CLOSE_TIMEOUT_S)
+        self._refusals += 1
+        try:
+            await connection.refuse(error, CLOSE_TIMEOUT_S)
+        finally:
+            self._refusals -= 1
--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -12,6 +12,9 @@
 import trio
 
 RECEIVE_BYTES = 65536  # per read
+# While nothing is known of a request's length. It bounds what is buffered of requests
+# behind one that is running, and how many small chunks are parsed at once.
+UNFRAMED_RECEIVE_BYTES = 16384
 DISCONNECT_READ_BYTES = 4096  # per read while only a disconnect is expected
 SENDS_PER_CHECKPOINT = 16  # then other tasks may run
 KEEP_ALIVE_INTERVAL_S = 1  # between probes; many round-trip times of any link
@@ -21,6 +24,11 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, 0 s
 
 
+# A read into a new object of the size allowed fragments the heap. All connections are
+# read by one thread.
+_RECEIVED = memoryview(bytearray(RECEIVE_BYTES))
+
+
 class Stream(Protocol):
     """Interface of a connection, implemented by `TcpStream` and trio's streams."""
 
@@ -33,7 +41,7 @@
         """Return received bytes, or ``b""`` at EOF."""
         ...
 
-    async def send_all(self, data: bytes) -> None:
+    async def send_all(self, data: bytes | memoryview) -> None:
         """Send all bytes."""
         ...
 
@@ -84,7 +92,10 @@
                 raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(self.socket)
             try:
-                return self.socket.recv(max_bytes or RECEIVE_BYTES)
+                size_bytes = self.socket.recv_into(
+                    _RECEIVED, min(max_bytes or RECEIVE_BYTES, RECEIVE_BYTES)
+                )
+                return bytes(_RECEIVED[:size_bytes])
             except BlockingIOError:
                 continue
             except OSError as exc:
@@ -99,15 +110,18 @@
             If the connection is broken.
         """
         try:
-            return len(self.socket.recv(RECEIVE_BYTES))
+            return self.socket.recv_into(_RECEIVED)
         except BlockingIOError:
             return 0
         except OSError as exc:
             raise trio.BrokenResourceError from exc
 
-    def try_send(self, data: bytes) -> bytes:
+    def try_send(self, data: bytes | memoryview) -> bytes | memoryview:
         """Send what fits into the socket's send buffer and return the rest.
 
+        The rest is a view of the data, since a copy of a long response that its
+        caller doesn't read would be held beside it.
+
         Raises
         ------
         trio.BrokenResourceError
@@ -119,9 +133,9 @@
             return data
         except OSError as exc:
             raise trio.BrokenResourceError from exc
-        return b"" if sent_bytes == len(data) else data[sent_bytes:]
+        return b"" if sent_bytes == len(data) else memoryview(data)[sent_bytes:]
 
-    async def send_all(self, data: bytes) -> None:
+    async def send_all(self, data: bytes | memoryview) -> None:
         """Send all bytes; raises as `receive_some` does."""
         rest = memoryview(self.try_send(data))
         if not rest:
