Derive the limits for callers from the machine's memory and descriptors

Cause: an instance didn't know its machine, and bounded connections at 2,000 whatever it had. An answer that its caller didn't read was counted until it was read from the backend server only.

Change: settings memory_mb and descriptors, filled in by the platform; 0 leaves the limits as they were. Answers count until their caller has read them. Metrics, and a log line when the limit is reached and when it is relieved.

--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -409,12 +409,13 @@
                     f"server answered {status} to a resumed stream",
                     status,
                 )
-            body = await self.relay.buffers.read(
-                exchange, lambda: self._wait_for(self.patience.next_wait)
-            )
-            await self._ensure_not_cut(exchange)
-            self._take_lead()
-            await self.relay.request.respond(status, body, headers)
+            request = self.relay.request
+            async with self.relay.buffers.read(
+                exchange, request, lambda: self._wait_for(self.patience.next_wait)
+            ) as body:
+                await self._ensure_not_cut(exchange)
+                self._take_lead()
+                await request.respond(status, body, headers)
             if status < 400:
                 self._record_sound(boot_time_s())
             else:
--- a/libs/gateway/src/teaseldyke/gateway/bodies.py
+++ b/libs/gateway/src/teaseldyke/gateway/bodies.py
@@ -26,9 +26,12 @@
     ----------
     held_bytes : int
         Bytes of all of them.
+    limit_bytes : int
+        Limit of their sum.
     """
 
     held_bytes: int = 0
+    limit_bytes: int = BODIES_MAX_BYTES
 
 
 @attrs.define(eq=False)
@@ -73,12 +76,12 @@
         self.bodies.held_bytes += size_bytes
         if self.held_bytes <= BODY_GUARANTEED_BYTES:
             return
-        if self.bodies.held_bytes <= BODIES_MAX_BYTES:
+        if self.bodies.held_bytes <= self.bodies.limit_bytes:
             return
         raise BodiesFull(
             f"bodies of {self.bodies.held_bytes} bytes are held, "
             f"{self.held_bytes} of them for this request; "
-            f"the limit is {BODIES_MAX_BYTES}",
+            f"the limit is {self.bodies.limit_bytes}",
             retry_after_s=random.uniform(*BODIES_FULL_RETRY_S),
         )
 
--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -43,6 +43,7 @@
     work_for_resumption,
     work_of,
 )
+from .caller_limits import CallerLimits
 from .caller_organisations import CallerOrganisations
 from .errors import (
     NotConfigured,
@@ -123,6 +124,8 @@
         Formats of requests and answers.
     memory : StreamMemory
         Knows at which software version streams go on.
+    limits : CallerLimits
+        Limits on what is held for callers.
 
     Attributes
     ----------
@@ -138,7 +141,12 @@
     """
 
     def __init__(
-        self, view: FleetView, sender: Sender, wire: Wire, memory: StreamMemory
+        self,
+        view: FleetView,
+        sender: Sender,
+        wire: Wire,
+        memory: StreamMemory,
+        limits: CallerLimits,
     ) -> None:
         self.streams = 0
         self.ends_at_s = math.inf
@@ -148,8 +156,11 @@
         self._wire = wire
         self._memory = memory
         self.caller_organisations = CallerOrganisations()
-        self._bodies = RequestBodies()
-        self._buffers = AnswerBuffers()
+        self._bodies = RequestBodies(limit_bytes=limits.bodies_bytes)
+        self._buffers = AnswerBuffers(
+            limit_bytes=limits.answers_bytes,
+            guaranteed_bytes=limits.answer_guaranteed_bytes,
+        )
         self._longest_timeout_s: dict[str, float] = {}
         self._event_sizes = EventSizes()
         self._running: set[_Running] = set()
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,8 @@
 from teaseldyke.http import (
     Admission,
     BackendPool,
+    CallerMemory,
+    HoldingState,
     HttpClient,
     Request,
     ServerLimits,
@@ -25,6 +28,7 @@
 from teaseldyke.timers import Timers, boot_time_s, scheduler_passes
 from teaseldyke.types import PlatformUnavailable, SettingsError, TeaseldykeError
 
+from .caller_limits import CallerLimits, derive_caller_limits
 from .calls import CallHandler
 from .crashes import QuarantineLog
 from .endpoints import LISTING_TARGET, Endpoints
@@ -67,6 +71,19 @@
     "Longest time between two polls of the sockets in the last second.",
 ).bind()
 
+CALLER_MEMORY = gauge(
+    "teaseldyke_caller_memory_bytes", "Bytes held for callers."
+).bind()
+CALLER_MEMORY_LIMIT = gauge(
+    "teaseldyke_caller_memory_limit_bytes",
+    "Limit of the bytes held for callers; 0 without a limit.",
+).bind()
+CALLER_MEMORY_CLOSED = counter(
+    "teaseldyke_caller_memory_closed_total",
+    "Connections closed or rejected as the memory for callers was full, by what they"
+    " were doing.",
+)
+
 PART_RESTART_S = 0.5  # from a part's failure to its next start
 ERROR_MAX = 200  # characters in a log line
 
@@ -107,6 +124,8 @@
     directory: Directory = attrs.field(init=False)
     totals: TotalsExchange = attrs.field(init=False)
     memory: StreamMemory = attrs.field(init=False)
+    caller_limits: CallerLimits = attrs.field(init=False)
+    caller_memory: CallerMemory = attrs.field(init=False)
     pool: BackendPool = attrs.field(init=False)
     sender: Sender = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
@@ -147,7 +166,14 @@
             self.totals,
             self.evidence,
         )
-        self.calls = CallHandler(self.view, self.sender, self.wire, self.memory)
+        limits = self.caller_limits = derive_caller_limits(settings)
+        self.caller_memory = CallerMemory(
+            limits.memory_bytes, self._log_caller_memory, _count_closed
+        )
+        CALLER_MEMORY_LIMIT.set(
+            0.0 if limits.memory_bytes == math.inf else limits.memory_bytes
+        )
+        self.calls = CallHandler(self.view, self.sender, self.wire, self.memory, limits)
 
     @property
     def is_ready(self) -> bool:
@@ -195,7 +221,7 @@
             ):
                 timers.every(interval_s, partial(run_logged, callback))
             log_decision("started", callers=str(settings.callers))
-            limits = ServerLimits(connections=settings.connections_max)
+            limits = ServerLimits(connections=self.caller_limits.connections)
             await serve(
                 callers,
                 self.calls.handle,
@@ -205,6 +231,7 @@
                 render_error=self.calls.describe,
                 admission=self.admission,
                 record_refusal=self.calls.record_unread,
+                memory=self.caller_memory,
             )
             nursery.cancel_scope.cancel()
 
@@ -218,6 +245,7 @@
         self.placer.recompute()
 
     async def _report_lateness(self) -> None:
+        CALLER_MEMORY.set(self.caller_memory.held_bytes)
         longest_s = scheduler_passes().take_longest_s()
         LONGEST_PASS.set(longest_s)
         refused = self.admission.take_refused()
@@ -236,6 +264,14 @@
             waiting=self.placer.waiting,
         )
 
+    def _log_caller_memory(self, is_full: bool) -> None:
+        log_decision(
+            "caller_memory_full" if is_full else "caller_memory_relieved",
+            held_bytes=self.caller_memory.held_bytes,
+            limit_bytes=int(self.caller_memory.limit_bytes),
+            connections=self.caller_memory.connections,
+        )
+
     async def _report_shares(self) -> None:
         self.placer.report_shares()
 
@@ -392,6 +428,11 @@
     return True
 
 
+def _count_closed(state: HoldingState | None) -> None:
+    reason = "connection" if state is None else state.value
+    CALLER_MEMORY_CLOSED.bind(reason=reason).add()
+
+
 def _loggable(known: KnownVersions) -> list[str]:
     """Return versions of operator's and servers' entries and configuration."""
     return [str(known.operator), str(known.servers), str(known.configuration)]
--- a/libs/gateway/src/teaseldyke/gateway/relay.py
+++ b/libs/gateway/src/teaseldyke/gateway/relay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import attrs
 
@@ -34,24 +35,37 @@
     ----------
     buffered_bytes : int
         Bytes buffered of all answers.
+    limit_bytes : int
+        Limit of their sum.
+    guaranteed_bytes : int
+        For each answer, also while the limit is exceeded.
     """
 
     buffered_bytes: int = 0
+    limit_bytes: int = BUFFERED_MAX_BYTES
+    guaranteed_bytes: int = BUFFER_GUARANTEED_BYTES
 
+    @asynccontextmanager
     async def read(
-        self, exchange: Exchange, on_data: Callable[[], None] = lambda: None
-    ) -> bytes:
-        """Read and return a complete body.
+        self,
+        exchange: Exchange,
+        request: Request,
+        on_data: Callable[[], None] = lambda: None,
+    ) -> AsyncIterator[bytes]:
+        """Read a complete body, which is held until the end of the context.
 
         Parameters
         ----------
+        request : Request
+            The caller's request, in whose holding the body is counted.
         on_data : callable
             Called for each part of it.
 
         Raises
         ------
         AnswerTooLarge
-            If the buffers of all answers exceed their limit and this one its guarantee.
+            If the buffers of all answers exceed their limit, or the memory for callers
+            is full, and this one exceeds its guarantee.
         ExchangeBroken
             As `Exchange.chunks` does.
         """
@@ -63,17 +77,21 @@
                 parts.append(chunk)
                 own_bytes += len(chunk)
                 self.buffered_bytes += len(chunk)
-                if own_bytes <= BUFFER_GUARANTEED_BYTES:
+                has_room = request.hold(len(chunk))
+                if own_bytes <= self.guaranteed_bytes:
                     continue
-                if self.buffered_bytes > BUFFERED_MAX_BYTES:
+                if not has_room or self.buffered_bytes > self.limit_bytes:
                     raise AnswerTooLarge(
                         f"{self.buffered_bytes} bytes of answers are buffered, "
                         f"{own_bytes} of them for this one; "
-                        f"the limit is {BUFFERED_MAX_BYTES}"
+                        f"the limit is {self.limit_bytes}"
                     )
+            body = b"".join(parts)
+            parts.clear()
+            yield body
         finally:
             self.buffered_bytes -= own_bytes
-        return b"".join(parts)
+            request.unhold(own_bytes)
 
 
 @attrs.define(eq=False)
--- a/libs/gateway/src/teaseldyke/gateway/settings.py
+++ b/libs/gateway/src/teaseldyke/gateway/settings.py
@@ -60,6 +60,10 @@
         Maximum number of callers' connections.
     log_lines_per_s : float
         Maximum rate of decision log lines; lines above it are counted and dropped.
+    memory_mb : float
+        Memory of the machine in units of 1,000,000 bytes; 0 if unknown.
+    descriptors : int
+        File descriptors that the process may open; 0 if unknown.
     """
 
     name: str
@@ -73,3 +77,5 @@
     heartbeat_ms: float = 1200.0
     connections_max: int = 2000
     log_lines_per_s: float = 200.0
+    memory_mb: float = 0.0
+    descriptors: int = 0
