--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -429,7 +429,7 @@
 
 
 def _count_closed(state: HoldingState | None) -> None:
-    reason = "connection" if state is None else state.value
+    reason = "connection" if state is None else state.label
     CALLER_MEMORY_CLOSED.bind(reason=reason).add()
 
 
--- a/libs/http/src/teaseldyke/http/caller_memory.py
+++ b/libs/http/src/teaseldyke/http/caller_memory.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Callable, Iterator
-from enum import Enum
+from enum import IntEnum
 
 import attrs
 
@@ -22,13 +22,18 @@
 MIN_ELAPSED_S = 1e-6  # a request that has just begun counts as fast
 
 
-class HoldingState(Enum):
+class HoldingState(IntEnum):
     """What a connection is doing; see `CallerMemory` for the order of closing."""
 
-    DISCARDING = "discarding"
-    IDLE = "idle"
-    RECEIVING = "receiving"
-    FORWARDED = "forwarded"
+    DISCARDING = 0
+    IDLE = 1
+    RECEIVING = 2
+    FORWARDED = 3
+
+    @property
+    def label(self) -> str:
+        """Name in logs and metrics."""
+        return self.name.lower()
 
 
 @attrs.define(eq=False)
@@ -163,14 +168,15 @@
     held_bytes: int = 0
     is_full: bool = False
     # Insertion order is the order in which the connections entered the state.
-    _holdings: dict[HoldingState, dict[Holding, None]] = attrs.field(
-        factory=lambda: {state: {} for state in HoldingState}, init=False
+    # A list, since the hash of a member is computed in Python.
+    _holdings: list[dict[Holding, None]] = attrs.field(
+        factory=lambda: [{} for _ in HoldingState], init=False
     )
 
     @property
     def connections(self) -> dict[str, int]:
         """Number of connections by state."""
-        return {state.value: len(them) for state, them in self._holdings.items()}
+        return {state.label: len(self._holdings[state]) for state in HoldingState}
 
     def open(self, close: Callable[[HoldingState], bool]) -> Holding | None:
         """Return the holding of a new connection, or none if there is no room for it.
