Keep the sums of two roll-out orders apart

Callers saw: after an order was replaced, an instance that had not seen the next order yet told the stage of the previous one; others adopted it for the next one. After a completed order, all traffic went to the next version at once, without a trial.

Cause: sums were keyed by service.

Change: sums are keyed by service, version and duration of the order.

Evidence: libs/gateway/tests/test_rollouts.py, both rows failed before (COMPLETED and ROLLED_BACK instead of TRIAL).

--- a/libs/gateway/src/teaseldyke/gateway/rollout_sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollout_sums.py
@@ -4,19 +4,35 @@
 
 from collections.abc import Iterable
 
+from teaseldyke.placement import RolloutOrder
+
 # Stage, age of the order in ms, whether the stage is written, and answers by route:
 # good and bad ones of the new and of the old version.
 RolloutSums = tuple[int, int, bool, dict[str, tuple[int, int, int, int]]]
 
 
+def order_key(order: RolloutOrder) -> str:
+    """Return the key of an order in sums.
+
+    Instances learn of a new order at different times, so the service alone would mix
+    the sums of two orders.
+
+    Examples
+    --------
+    >>> order_key(RolloutOrder("app", "v2", 16.0))
+    'app/v2/16'
+    """
+    return f"{order.service}/{order.version}/{order.duration_s:g}"
+
+
 def add_up_rollouts(parts: Iterable[dict[str, RolloutSums]]) -> dict[str, RolloutSums]:
     """Return the sums of several instances: answers added, the latest stage kept."""
     total: dict[str, RolloutSums] = {}
     for part in parts:
-        for service, (stage, age_ms, is_written, answers) in part.items():
-            known = total.get(service)
+        for key, (stage, age_ms, is_written, answers) in part.items():
+            known = total.get(key)
             if known is None:
-                total[service] = stage, age_ms, is_written, dict(answers)
+                total[key] = stage, age_ms, is_written, dict(answers)
                 continue
             merged = known[3]
             for route, counts in answers.items():
@@ -31,5 +47,5 @@
             written = (known[2] and known[0] == latest) or (
                 is_written and stage == latest
             )
-            total[service] = latest, max(known[1], age_ms), written, merged
+            total[key] = latest, max(known[1], age_ms), written, merged
     return total
--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -27,7 +27,7 @@
 from teaseldyke.types import AnnouncedServer, PlatformUnavailable, TeaseldykeError
 
 from .interfaces import RolloutRows, RolloutState
-from .rollout_sums import RolloutSums
+from .rollout_sums import RolloutSums, order_key
 from .view import FleetView
 
 # A first event is slow if it comes this many times later than expected of the other
@@ -270,10 +270,10 @@
         return totals
 
     def sums(self) -> dict[str, RolloutSums]:
-        """Return what this instance tells others; empty without a roll-out."""
+        """Return what this instance tells others, by order; empty without one."""
         now_s = boot_time_s()
         return {
-            service: (
+            order_key(running.rollout.order): (
                 int(running.rollout.stage),
                 int(1e3 * (now_s - running.rollout.begun_at_s)),
                 running.is_written,
@@ -282,15 +282,18 @@
                     for route, answers in running.own.items()
                 },
             )
-            for service, running in self._running.items()
+            for running in self._running.values()
         }
 
     def hear(self, sums: Mapping[str, RolloutSums]) -> None:
         """Adopt the sums of the other instances."""
         now_s = boot_time_s()
-        for service, (stage, age_ms, is_written, answers) in sums.items():
-            running = self._running.get(service)
-            if running is None or not 0 <= stage <= Stage.COMPLETED:
+        for running in self._running.values():
+            told = sums.get(order_key(running.rollout.order))
+            if told is None:
+                continue
+            stage, age_ms, is_written, answers = told
+            if not 0 <= stage <= Stage.COMPLETED:
                 continue
             running.fleet = {
                 route: RouteAnswers(*counts) for route, counts in answers.items()
--- a/libs/gateway/src/teaseldyke/gateway/sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/sums.py
@@ -41,7 +41,7 @@
     demand : dict
         By service: recent requests of callers, in hundredths.
     rollouts : dict or None
-        By service in a roll-out: stage, age and answers, as in `Rollouts.sums`.
+        By order of a roll-out: stage, age and answers, as in `Rollouts.sums`.
     """
 
     loads: dict[int, tuple[int, int, int]] = {}
--- /dev/null
+++ b/libs/gateway/tests/test_rollouts.py
@@ -0,0 +1,125 @@
+"""Roll-outs at one instance, with what others and the store tell of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from teaseldyke.gateway import RolloutState
+from teaseldyke.gateway import rollouts as module
+from teaseldyke.gateway.rollouts import Rollouts
+from teaseldyke.gateway.view import FleetView
+from teaseldyke.placement import RolloutOrder, Stage, Work
+from teaseldyke.types import AnnouncedServer
+
+ORDER = RolloutOrder("app", "v2", 16.0)
+NEXT_ORDER = RolloutOrder("app", "v3", 16.0)
+WORK = Work("o", 1, 0.0, 1.0, 10.0, 10.0)
+
+
+@attrs.define
+class FleetStandin:
+    instances: int = 5
+    alive: int = 5
+    own_rank: int = 0
+
+    def rank(self, key: str) -> int:
+        return self.own_rank
+
+
+@attrs.define
+class RowsStandin:
+    """Rows of states and orders; counts the reads."""
+
+    states: dict[str, tuple[int, str, RolloutState]] = attrs.field(factory=dict)
+    written: list[tuple[str, str]] = attrs.field(factory=list)
+    reads: int = 0
+    orders: list[RolloutOrder] = attrs.field(factory=list)
+
+    async def rollout_states(self) -> dict[str, tuple[int, str, RolloutState]]:
+        self.reads += 1
+        return dict(self.states)
+
+    async def rollout_orders(self) -> list[RolloutOrder]:
+        return list(self.orders)
+
+    async def write_rollout_state(
+        self, service: str, version: str, state: RolloutState, known: int
+    ) -> bool:
+        if self.states.get(service, (0,))[0] != known:
+            return False
+        self.states[service] = known + 1, version, state
+        self.written.append((version, state.value))
+        return True
+
+
+@attrs.define
+class Instance:
+    rollouts: Rollouts
+    fleet: FleetStandin
+    rows: RowsStandin
+    view: FleetView
+    now_s: float = 1000.0
+
+    def order(self, *orders: RolloutOrder) -> None:
+        self.rows.orders = list(orders)
+        self.rollouts.apply_orders(orders)
+
+    async def write(self) -> None:
+        for service, running in list(self.rollouts._running.items()):
+            await self.rollouts._write_if_due(service, running)
+
+    @property
+    def stage(self) -> Stage:
+        return self.rollouts._running["app"].rollout.stage
+
+    def move_to(self, stage: Stage) -> None:
+        self.rollouts._running["app"].rollout._enter(stage, self.now_s)
+
+    def versions(self, sends: int = 400) -> dict[str, int]:
+        """Return how many sends each version may get, as sides allow."""
+        found: dict[str, int] = {}
+        for _ in range(sends):
+            side = self.rollouts.assign("app", WORK).side
+            for state in self.view.states_of("app"):
+                if side is None or side.allows(state.server):
+                    name = state.server.version
+                    found[name] = found.get(name, 0) + 1
+        return found
+
+
+@pytest.fixture
+def instance(
+    view: FleetView,
+    make_server: Callable[..., AnnouncedServer],
+    monkeypatch: pytest.MonkeyPatch,
+) -> Instance:
+    fleet, rows = FleetStandin(), RowsStandin()
+    rollouts = Rollouts(view, fleet, rows, 0.1, 50.0)
+    rollouts.apply_orders([])
+    made = Instance(rollouts, fleet, rows, view)
+    monkeypatch.setattr(module, "boot_time_s", lambda: made.now_s)
+    list_versions(made, make_server, "v1", "v2", "v3")
+    return made
+
+
+def list_versions(
+    instance: Instance, make_server: Callable[..., AnnouncedServer], *versions: str
+) -> None:
+    instance.view.apply_servers([make_server(f"e-{v}", version=v) for v in versions])
+
+
+class TestOrders:
+    @pytest.mark.parametrize("stage", [Stage.ROLLED_BACK, Stage.COMPLETED])
+    def test_end_of_another_order_is_not_adopted(
+        self, instance: Instance, stage: Stage
+    ) -> None:
+        """An instance that had not seen the next order yet ended that one, too."""
+        instance.order(ORDER)
+        instance.move_to(stage)
+        told = instance.rollouts.sums()
+        instance.order(NEXT_ORDER)
+        instance.rollouts.hear(told)
+        assert instance.stage is Stage.TRIAL
