End a withdrawn or replaced roll-out as rolled back

Callers saw: after an order was withdrawn, its state stayed `running`, so that the new version's servers never drained, and they got their part of all traffic. After it was replaced, they counted as old servers of the next order. An instance that had not seen the next order yet wrote the state of the one before over its row.

Change: a withdrawn roll-out is kept as rolled back and written. A replaced one is written as rolled back before the next one is written as running, and its version is barred from the sides of the next one, unless it was completed. Before a write, the instance reads whether its order still stands.

--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -364,6 +364,13 @@
         """
         ...
 
+    async def rollout_orders(self) -> list[RolloutOrder]:
+        """Return the orders that stand in the store now.
+
+        Raises `PlatformUnavailable`.
+        """
+        ...
+
     async def write_rollout_state(
         self, service: str, version: str, state: RolloutState, known: int
     ) -> bool:
--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -78,6 +78,7 @@
     written: Stage = Stage.UNKNOWN
     logged: Stage | None = None
     crashed: set[tuple[str, int]] = attrs.field(factory=set)
+    is_withdrawn: bool = False  # kept, as servers of its version may still run
 
     @property
     def state(self) -> RolloutState:
@@ -138,10 +139,25 @@
             return
         now_s = boot_time_s()
         by_service = {order.service: order for order in orders}
+        barred: dict[str, frozenset[str]] = {}
         for service, running in list(self._running.items()):
-            if by_service.get(service) == running.rollout.order:
+            order = by_service.get(service)
+            rollout = running.rollout
+            if order == (None if running.is_withdrawn else rollout.order):
+                continue
+            if not running.is_withdrawn:
+                log_decision(
+                    "rollout_withdrawn", service=service, to=rollout.order.version
+                )
+            if order is None and rollout.stage is not Stage.COMPLETED:
+                running.is_withdrawn = True
+                rollout.end(Stage.ROLLED_BACK, "the order was withdrawn", now_s)
                 continue
-            log_decision("rollout_withdrawn", service=service)
+            if order is not None:
+                barred[service] = _barred_by(rollout) - {order.version}
+            # Queued requests hold the sides of this roll-out.
+            if not rollout.is_final:
+                rollout.end(Stage.ROLLED_BACK, "the order was replaced", now_s)
             del self._running[service]
         for service, order in by_service.items():
             if service in self._running:
@@ -152,6 +168,7 @@
                 self._exposure_share,
                 self._exposure_slack / max(1, self._fleet.instances),
                 random.random(),
+                barred=barred.get(service, frozenset()),
             )
             if is_first:
                 rollout.stage = Stage.UNKNOWN
@@ -383,11 +400,24 @@
         if known is not None:
             version, written_to, written = known
             is_same = written_to == rollout.order.version
-            if is_same and written is not RolloutState.RUNNING:
+            if is_same and (written is not RolloutState.RUNNING or written is state):
                 self._adopt(running, written)
                 return
-            if is_same and written is state:
-                self._adopt(running, written)
+        standing = {
+            order.service: order for order in await self._rows.rollout_orders()
+        }.get(service)
+        if standing != (None if running.is_withdrawn else rollout.order):
+            # This instance is behind the orders; it must not replace the next state.
+            return
+        if known is not None and not is_same and written is RolloutState.RUNNING:
+            if running.is_withdrawn:
+                return
+            # The order before was replaced. Its servers drain only at this state.
+            if written_to and not await self._rows.write_rollout_state(
+                service, written_to, RolloutState.ROLLED_BACK, version
+            ):
+                raise PlatformUnavailable("another instance has written the state")
+            if written_to:
                 return
         if rollout.stage is Stage.UNKNOWN:
             # No instance knows of the roll-out and it has not ended: it begins anew.
@@ -420,3 +450,10 @@
             if state.server.service == rollout.order.service
             and state.server.version != rollout.order.version
         )
+
+
+def _barred_by(rollout: Rollout) -> frozenset[str]:
+    """Return the versions that may not serve once a roll-out is replaced."""
+    if rollout.stage is Stage.COMPLETED:
+        return frozenset()
+    return rollout.barred | {rollout.order.version}
--- a/libs/gateway/tests/test_rollouts.py
+++ b/libs/gateway/tests/test_rollouts.py
@@ -123,3 +123,42 @@
         instance.order(NEXT_ORDER)
         instance.rollouts.hear(told)
         assert instance.stage is Stage.TRIAL
+
+    async def test_withdrawn_order_ends_as_rolled_back(
+        self, instance: Instance
+    ) -> None:
+        """The state stayed `running`, and the new version got its share of all."""
+        instance.order(ORDER)
+        await instance.write()
+        instance.order()
+        await instance.write()
+        assert instance.rows.written == [("v2", "running"), ("v2", "rolled_back")]
+        assert "v2" not in instance.versions()
+
+    async def test_replaced_order_ends_as_rolled_back(self, instance: Instance) -> None:
+        """Servers of the replaced version counted as old ones of the next order."""
+        instance.order(ORDER)
+        await instance.write()
+        instance.order(NEXT_ORDER)
+        for _ in range(2):
+            await instance.write()
+        assert instance.rows.written[1:] == [("v2", "rolled_back"), ("v3", "running")]
+        assert "v2" not in instance.versions()
+
+    async def test_version_of_a_completed_order_is_the_old_one_of_the_next(
+        self, instance: Instance
+    ) -> None:
+        instance.order(ORDER)
+        instance.move_to(Stage.COMPLETED)
+        instance.order(NEXT_ORDER)
+        assert "v2" in instance.versions()
+
+    async def test_instance_behind_the_orders_writes_nothing(
+        self, instance: Instance
+    ) -> None:
+        """It replaced the state of the order that it had not seen yet."""
+        instance.order(ORDER)
+        instance.rows.states["app"] = 7, "v3", RolloutState.RUNNING
+        instance.rows.orders = [NEXT_ORDER]
+        await instance.write()
+        assert instance.rows.written == []
--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -223,16 +223,21 @@
         Whether it goes to the new version rather than to the others.
     trial_ids : frozenset of str
         Ids of the only new servers in use; empty for all.
+    barred : frozenset of str
+        Versions of earlier orders that were rolled back; their servers may still run.
     """
 
     version: str
     is_new: bool
     trial_ids: frozenset[str] = frozenset()
+    barred: frozenset[str] = frozenset()
 
     def allows(self, server: AnnouncedServer) -> bool:
         """Return whether a server is on this side now."""
         if (server.version == self.version) is not self.is_new:
             return False
+        if server.version in self.barred:
+            return False
         return not self.trial_ids or server.id in self.trial_ids
 
 
@@ -252,6 +257,8 @@
         This instance's part of the requests that a bad version may get in addition.
     draw : float
         From 0 to 1, of this instance: spreads the first sends of all instances.
+    barred : frozenset of str
+        Versions of earlier orders that were rolled back.
 
     Attributes
     ----------
@@ -268,13 +275,16 @@
     verdict: Verdict = attrs.field(factory=Verdict)
     reason: str = ""
     changed_at_s: float = -math.inf
+    barred: frozenset[str] = frozenset()
     new_side: VersionSide = attrs.field(init=False)
     old_side: VersionSide = attrs.field(init=False)
     _credit: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.new_side = VersionSide(self.order.version, is_new=True)
-        self.old_side = VersionSide(self.order.version, is_new=False)
+        self.old_side = VersionSide(
+            self.order.version, is_new=False, barred=self.barred
+        )
         self._credit = self.draw + SLACK_FACTOR * self.slack
 
     @property
@@ -378,6 +388,7 @@
         self.changed_at_s = now_s
         if stage is Stage.ROLLED_BACK:
             self.new_side.is_new = self.old_side.is_new = False
+            self.new_side.barred = self.barred
         if stage in (Stage.MOVED, Stage.COMPLETED):
             self.new_side.is_new = self.old_side.is_new = True
         if stage is not Stage.TRIAL:
