Keep restarted and cut-off instances within the share of a roll-out

Callers saw: a restarted instance got its part of the slack again (10 of its first 10 requests in a fleet of two went to the new version). An instance that was cut off from the others while traffic was moved went on to all requests, though they might have rolled back. Beyond the eighth rank, an instance without word of others never learned the end, and one without answers wrote `rolled_back` at the deadline before the others had written `completed`.

Change: slack belongs to instances that saw the order begin. Without word of half the fleet, traffic isn't moved further and its share is the trial's, the state is read every 0.5 s, and writes wait 0.8 s longer.

--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 from typing import Protocol
@@ -37,6 +38,9 @@
 WRITE_CHECK_INTERVAL_S = 0.1
 # Per instance, in the order in which they write if those before have not.
 WRITE_RANK_DELAY_S = 0.4
+# In addition, without word of most instances: these may have decided otherwise.
+WRITE_CUT_OFF_DELAY_S = 0.8
+READ_INTERVAL_S = 0.5  # of the state, by an instance that may not have been told
 WRITERS = 8  # instances that may have to write; more fail together rarely
 
 ROLLOUT_ANSWERS = counter(
@@ -58,6 +62,11 @@
 class RolloutFleet(Protocol):
     """The instances that share a roll-out."""
 
+    @property
+    def alive(self) -> int:
+        """Number of instances heard of lately, this one included."""
+        ...
+
     @property
     def instances(self) -> int:
         """Number of instances, this one included."""
@@ -78,6 +87,7 @@
     written: Stage = Stage.UNKNOWN
     logged: Stage | None = None
     crashed: set[tuple[str, int]] = attrs.field(factory=set)
+    read_at_s: float = -math.inf
     is_withdrawn: bool = False  # kept, as servers of its version may still run
 
     @property
@@ -168,10 +178,9 @@
                 self._exposure_share,
                 self._exposure_slack / max(1, self._fleet.instances),
                 random.random(),
+                Stage.UNKNOWN if is_first else Stage.TRIAL,
                 barred=barred.get(service, frozenset()),
             )
-            if is_first:
-                rollout.stage = Stage.UNKNOWN
             self._running[service] = _Running(rollout)
             log_decision(
                 "rollout_ordered",
@@ -327,6 +336,7 @@
             totals = self._totals_of(running)
             if rollout.stage is Stage.TRIAL:
                 self._choose_trial_servers(rollout)
+            rollout.is_in_touch = self._is_in_touch
             rollout.advance(totals, now_s)
             if rollout.stage is running.logged:
                 continue
@@ -369,6 +379,12 @@
         rollout = running.rollout
         now_s = boot_time_s()
         rank = self._fleet.rank(f"rollout/{service}")
+        is_uninformed = rollout.stage is Stage.UNKNOWN or not self._is_in_touch
+        is_ended = rollout.is_final and running.is_written
+        is_due = now_s - running.read_at_s >= READ_INTERVAL_S
+        if is_uninformed and is_due and not is_ended:
+            running.read_at_s = now_s
+            await self._read(service, running)
         if rank >= WRITERS:
             return
         state = running.state
@@ -377,13 +393,35 @@
         elif running.is_written:
             return
         since_s = max(rollout.begun_at_s, rollout.changed_at_s)
-        if now_s - since_s < rank * WRITE_RANK_DELAY_S:
+        delay_s = rank * WRITE_RANK_DELAY_S
+        if not self._is_in_touch:
+            delay_s += WRITE_CUT_OFF_DELAY_S
+        if now_s - since_s < delay_s:
             return
         try:
             await self._write(service, running, state)
         except TeaseldykeError as exc:
             log_decision("rollout_not_written", service=service, reason=exc.detail)
 
+    @property
+    def _is_in_touch(self) -> bool:
+        """Whether at least half of the instances were heard of lately."""
+        return 2 * self._fleet.alive >= self._fleet.instances
+
+    async def _read(self, service: str, running: _Running) -> None:
+        """Adopt the state that the store has, if it is of this roll-out."""
+        try:
+            known = (await self._rows.rollout_states()).get(service)
+        except TeaseldykeError as exc:
+            log_decision("rollout_not_read", service=service, reason=exc.detail)
+            return
+        if known is None or known[1] != running.rollout.order.version:
+            return
+        if running.rollout.stage is Stage.UNKNOWN or (
+            known[2] is not RolloutState.RUNNING
+        ):
+            self._adopt(running, known[2])
+
     async def _write(
         self, service: str, running: _Running, state: RolloutState
     ) -> None:
--- a/libs/gateway/tests/test_rollouts.py
+++ b/libs/gateway/tests/test_rollouts.py
@@ -162,3 +162,75 @@
         instance.rows.orders = [NEXT_ORDER]
         await instance.write()
         assert instance.rows.written == []
+
+
+class TestRestart:
+    def test_restarted_instance_gets_no_slack_again(
+        self,
+        view: FleetView,
+        make_server: Callable[..., AnnouncedServer],
+    ) -> None:
+        """Each restart in a small fleet sent up to ten requests to a bad version."""
+        rollouts = Rollouts(view, FleetStandin(2, 2), RowsStandin(), 0.1, 50.0)
+        made = Instance(rollouts, FleetStandin(), RowsStandin(), view)
+        list_versions(made, make_server, "v1", "v2")
+        rollouts.apply_orders([ORDER])
+        made.rollouts._running["app"].rollout.hear(Stage.TRIAL, 1.0, 1000.0)
+        assert made.versions(10).get("v2", 0) <= 1
+
+    async def test_instance_of_any_rank_reads_the_end_at_its_start(
+        self, instance: Instance
+    ) -> None:
+        """Without word of others, most instances of a large fleet stayed unknown."""
+        instance.fleet.own_rank = 60
+        instance.order(ORDER)
+        instance.move_to(Stage.UNKNOWN)
+        instance.rows.states["app"] = 7, "v2", RolloutState.COMPLETED
+        await instance.write()
+        assert instance.stage is Stage.COMPLETED
+        assert instance.rows.written == []
+
+
+class TestCutOff:
+    def test_instance_without_others_stays_at_the_share_of_the_trial(
+        self, instance: Instance
+    ) -> None:
+        """It went on to all requests, as it did not hear of a roll-back."""
+        instance.order(ORDER)
+        instance.versions(1000)  # uses up the slack
+        instance.move_to(Stage.MOVING)
+        instance.fleet.alive = 1
+        instance.now_s += 4.0
+        instance.rollouts.advance()
+        assert instance.stage is Stage.MOVING
+        assert instance.versions(400)["v2"] <= 0.1 * 400
+
+    async def test_instance_without_others_reads_the_end(
+        self, instance: Instance
+    ) -> None:
+        """It sent to servers that had ended, as only few instances read the state."""
+        instance.fleet.own_rank = 60
+        instance.order(ORDER)
+        instance.rollouts._running["app"].written = Stage.TRIAL
+        instance.fleet.alive = 1
+        instance.rows.states["app"] = 7, "v2", RolloutState.COMPLETED
+        instance.now_s += 5.0
+        await instance.write()
+        assert instance.stage is Stage.COMPLETED
+
+    @pytest.mark.parametrize(("alive", "written"), [(1, False), (5, True)])
+    async def test_instance_without_others_leaves_the_end_to_them(
+        self, instance: Instance, alive: int, written: bool
+    ) -> None:
+        """Its trial ended for want of answers, where others had moved all traffic."""
+        instance.order(ORDER)
+        await instance.write()
+        instance.fleet.alive = alive
+        instance.now_s += 15.1
+        instance.rollouts.advance()
+        assert instance.stage is Stage.ROLLED_BACK
+        await instance.write()
+        assert (("v2", "rolled_back") in instance.rows.written) is written
+        instance.now_s += 1.0
+        await instance.write()
+        assert ("v2", "rolled_back") in instance.rows.written
--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -262,6 +262,9 @@
 
     Attributes
     ----------
+    is_in_touch : bool
+        Whether this instance hears of the others. If not, traffic isn't moved, as they
+        may have found the version to be bad.
     new_side, old_side : VersionSide
         Live filters, which queued requests hold: a change applies to these, too.
     """
@@ -276,6 +279,7 @@
     reason: str = ""
     changed_at_s: float = -math.inf
     barred: frozenset[str] = frozenset()
+    is_in_touch: bool = True
     new_side: VersionSide = attrs.field(init=False)
     old_side: VersionSide = attrs.field(init=False)
     _credit: float = attrs.field(init=False)
@@ -285,7 +289,10 @@
         self.old_side = VersionSide(
             self.order.version, is_new=False, barred=self.barred
         )
-        self._credit = self.draw + SLACK_FACTOR * self.slack
+        self._credit = self.draw
+        if self.stage is not Stage.UNKNOWN:
+            # A restarted instance may have used up its slack before.
+            self._credit += SLACK_FACTOR * self.slack
 
     @property
     def is_final(self) -> bool:
@@ -296,6 +303,8 @@
         """Return the share of the sends that goes to the new version."""
         if self.stage is Stage.TRIAL:
             return TRIAL_SHARE_FACTOR * self.exposure_share
+        if self.stage is Stage.MOVING and not self.is_in_touch:
+            return TRIAL_SHARE_FACTOR * self.exposure_share
         if self.stage is Stage.MOVING:
             elapsed_s = now_s - self.changed_at_s
             shares = [
@@ -347,9 +356,14 @@
             if is_over:
                 self.end(Stage.ROLLED_BACK, "too few answers", now_s)
                 return
-            if self.verdict.new_answers >= answers_needed(elapsed_s / duration_s):
+            has_answers = self.verdict.new_answers >= answers_needed(
+                elapsed_s / duration_s
+            )
+            if has_answers and self.is_in_touch:
                 self._enter(Stage.MOVING, now_s)
             return
+        if not self.is_in_touch and not is_over:
+            return
         if self.stage is Stage.MOVING and (self.share(now_s) >= 1.0 or is_over):
             self._enter(Stage.MOVED, now_s)
 
