Serve from the old version while no new server can take a request

Callers saw: once all traffic was moved, requests waited or were refused when the new servers were full, paused or gone, though the old ones were still there. `completed` was then written without any new server, so the old ones ended and none was left.

Change: until `completed` is written, a send falls back to the old version if no new server can take it now; the second without a send to the old version counts from the last one. Without a new server, `completed` isn't written, and the roll-out is rolled back at the deadline. Full servers count as unable to take a request in the trial, too.

Evidence: TestNewServers in libs/gateway/tests/test_rollouts.py; four rows failed before.

--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -195,15 +195,8 @@
         if running is None or work.version:
             return work
         now_s = boot_time_s()
-        states = self._view.states_of(service)
         rollout = running.rollout
-        may_use_new = any(
-            state.accepts_requests(now_s)
-            and not state.is_ejected(now_s)
-            and (not state.is_cold(now_s) or state.cold_rate_limit.allows_send(now_s))
-            for state in states
-            if rollout.new_side.allows(state.server)
-        )
+        may_use_new = any(_may_use(state, now_s) for state in self._new_states(rollout))
         side = rollout.side_of_next(now_s, may_use_new=may_use_new)
         return attrs.evolve(work, side=side)
 
@@ -388,7 +381,14 @@
         if rank >= WRITERS:
             return
         state = running.state
-        if rollout.may_complete(self._old_running(rollout), now_s):
+        may_complete = rollout.may_complete(self._old_running(rollout), now_s)
+        has_new = any(
+            state.accepts_requests(now_s) for state in self._new_states(rollout)
+        )
+        if may_complete and not has_new and rollout.is_due(now_s):
+            rollout.end(Stage.ROLLED_BACK, "no server of the version", now_s)
+            state = running.state
+        elif may_complete and has_new:
             state = RolloutState.COMPLETED
         elif running.is_written:
             return
@@ -480,6 +480,11 @@
             rollout.stage = Stage.TRIAL
         running.written = rollout.stage
 
+    def _new_states(self, rollout: Rollout) -> list[ServerState]:
+        """Return the servers of the new version that are in use."""
+        states = self._view.states_of(rollout.order.service)
+        return [state for state in states if rollout.new_side.allows(state.server)]
+
     def _old_running(self, rollout: Rollout) -> int:
         """Return the fleet's requests at servers of other versions."""
         return sum(
@@ -490,6 +495,15 @@
         )
 
 
+def _may_use(state: ServerState, now_s: float) -> bool:
+    """Return whether a server may get a request now, without a wait."""
+    if not state.accepts_requests(now_s) or state.is_ejected(now_s):
+        return False
+    if now_s < state.full_until_s or state.running >= state.server.slots > 0:
+        return False
+    return not state.is_cold(now_s) or state.cold_rate_limit.allows_send(now_s)
+
+
 def _barred_by(rollout: Rollout) -> frozenset[str]:
     """Return the versions that may not serve once a roll-out is replaced."""
     if rollout.stage is Stage.COMPLETED:
--- a/libs/gateway/tests/test_rollouts.py
+++ b/libs/gateway/tests/test_rollouts.py
@@ -111,6 +111,11 @@
     instance.view.apply_servers([make_server(f"e-{v}", version=v) for v in versions])
 
 
+def remove_version(instance: Instance, version: str) -> None:
+    states = instance.view.states_of("app")
+    states[:] = [state for state in states if state.server.version != version]
+
+
 class TestOrders:
     @pytest.mark.parametrize("stage", [Stage.ROLLED_BACK, Stage.COMPLETED])
     def test_end_of_another_order_is_not_adopted(
@@ -234,3 +239,40 @@
         instance.now_s += 1.0
         await instance.write()
         assert ("v2", "rolled_back") in instance.rows.written
+
+
+class TestNewServers:
+    @pytest.mark.parametrize("is_full", [False, True], ids=["gone", "full"])
+    def test_old_servers_serve_if_no_new_one_can(
+        self,
+        instance: Instance,
+        is_full: bool,
+    ) -> None:
+        """Requests were refused or queued beside idle servers of the old version."""
+        instance.order(ORDER)
+        instance.move_to(Stage.MOVED)
+        if is_full:
+            for state in instance.view.states_of("app"):
+                if state.server.version == "v2":
+                    state.mark_full(instance.now_s + 5.0)
+        else:
+            remove_version(instance, "v2")
+        assert instance.versions(10).get("v1") == 10
+
+    @pytest.mark.parametrize(
+        ("waited_s", "stage"), [(5.0, Stage.MOVED), (15.5, Stage.ROLLED_BACK)]
+    )
+    async def test_version_without_servers_is_not_completed(
+        self,
+        instance: Instance,
+        waited_s: float,
+        stage: Stage,
+    ) -> None:
+        """The old servers ended where no new one was left."""
+        instance.order(ORDER)
+        await instance.write()
+        instance.move_to(Stage.MOVED)
+        remove_version(instance, "v2")
+        instance.now_s += waited_s
+        await instance.write()
+        assert instance.stage is stage
--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -267,6 +267,10 @@
         may have found the version to be bad.
     new_side, old_side : VersionSide
         Live filters, which queued requests hold: a change applies to these, too.
+    spare_side : VersionSide
+        The old version's servers until they end, also once all traffic is moved.
+    old_sent_at_s : float
+        When `spare_side` was last used.
     """
 
     order: RolloutOrder
@@ -282,6 +286,8 @@
     is_in_touch: bool = True
     new_side: VersionSide = attrs.field(init=False)
     old_side: VersionSide = attrs.field(init=False)
+    spare_side: VersionSide = attrs.field(init=False)
+    old_sent_at_s: float = -math.inf
     _credit: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -289,6 +295,7 @@
         self.old_side = VersionSide(
             self.order.version, is_new=False, barred=self.barred
         )
+        self.spare_side = attrs.evolve(self.old_side)
         self._credit = self.draw
         if self.stage is not Stage.UNKNOWN:
             # A restarted instance may have used up its slack before.
@@ -321,12 +328,15 @@
         Parameters
         ----------
         may_use_new : bool
-            Whether a new server accepts a request now; in the trial and while traffic
-            is moved, requests don't wait for one.
+            Whether a new server accepts a request now; until the old servers end,
+            requests don't wait for one.
         """
         share = self.share(now_s)
-        if share >= 1.0:
+        if share >= 1.0 and (may_use_new or self.stage is Stage.COMPLETED):
             return self.new_side
+        if share >= 1.0:
+            self.old_sent_at_s = now_s
+            return self.spare_side
         # What was not sent to the new version isn't made up for later.
         self._credit = max(self._credit, min(1.0, self._credit + share))
         if self._credit < 1.0 or not may_use_new or share <= 0.0:
@@ -351,7 +361,7 @@
             return
         elapsed_s = now_s - self.begun_at_s
         duration_s = self.order.duration_s
-        is_over = elapsed_s >= duration_s - min(END_MARGIN_S, 0.1 * duration_s)
+        is_over = self.is_due(now_s)
         if self.stage is Stage.TRIAL:
             if is_over:
                 self.end(Stage.ROLLED_BACK, "too few answers", now_s)
@@ -377,10 +387,15 @@
         """
         if self.stage is not Stage.MOVED:
             return False
-        left_s = self.begun_at_s + self.order.duration_s - now_s
-        if left_s <= min(END_MARGIN_S, 0.1 * self.order.duration_s):
+        if self.is_due(now_s):
             return True
-        return old_running == 0 and now_s - self.changed_at_s >= MOVED_MIN_S
+        last_s = max(self.changed_at_s, self.old_sent_at_s)
+        return old_running == 0 and now_s - last_s >= MOVED_MIN_S
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether the end must be written now to be in time."""
+        left_s = self.begun_at_s + self.order.duration_s - now_s
+        return left_s <= min(END_MARGIN_S, 0.1 * self.order.duration_s)
 
     def hear(self, stage: Stage, age_s: float, now_s: float) -> None:
         """Adopt what another instance knows: a later stage, and an earlier begin."""
@@ -405,6 +420,8 @@
             self.new_side.barred = self.barred
         if stage in (Stage.MOVED, Stage.COMPLETED):
             self.new_side.is_new = self.old_side.is_new = True
+        if stage is Stage.COMPLETED:
+            self.spare_side.is_new = True
         if stage is not Stage.TRIAL:
             self.new_side.trial_ids = frozenset()
 
