--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 from typing import Protocol
@@ -27,7 +28,7 @@
 from teaseldyke.types import AnnouncedServer, PlatformUnavailable, TeaseldykeError
 
 from .interfaces import RolloutRows, RolloutState
-from .rollout_sums import RolloutSums
+from .rollout_sums import RolloutSums, order_key
 from .view import FleetView
 
 # A first event is slow if it comes this many times later than expected of the other
@@ -37,6 +38,9 @@
 WRITE_CHECK_INTERVAL_S = 0.1
 # Per instance, in the order in which they write if those before have not.
 WRITE_RANK_DELAY_S = 0.4
+# In addition, without word of most instances: these may have decided otherwise.
+WRITE_CUT_OFF_DELAY_S = 0.8
+READ_INTERVAL_S = 0.5  # of the state, by an instance that may not have been told
 WRITERS = 8  # instances that may have to write; more fail together rarely
 
 ROLLOUT_ANSWERS = counter(
@@ -58,6 +62,11 @@
 class RolloutFleet(Protocol):
     """The instances that share a roll-out."""
 
+    @property
+    def alive(self) -> int:
+        """Number of instances heard of lately, this one included."""
+        ...
+
     @property
     def instances(self) -> int:
         """Number of instances, this one included."""
@@ -78,6 +87,8 @@
     written: Stage = Stage.UNKNOWN
     logged: Stage | None = None
     crashed: set[tuple[str, int]] = attrs.field(factory=set)
+    read_at_s: float = -math.inf
+    is_withdrawn: bool = False  # kept, as servers of its version may still run
 
     @property
     def state(self) -> RolloutState:
@@ -138,10 +149,25 @@
             return
         now_s = boot_time_s()
         by_service = {order.service: order for order in orders}
+        barred: dict[str, frozenset[str]] = {}
         for service, running in list(self._running.items()):
-            if by_service.get(service) == running.rollout.order:
+            order = by_service.get(service)
+            rollout = running.rollout
+            if order == (None if running.is_withdrawn else rollout.order):
+                continue
+            if not running.is_withdrawn:
+                log_decision(
+                    "rollout_withdrawn", service=service, to=rollout.order.version
+                )
+            if order is None and rollout.stage is not Stage.COMPLETED:
+                running.is_withdrawn = True
+                rollout.end(Stage.ROLLED_BACK, "the order was withdrawn", now_s)
                 continue
-            log_decision("rollout_withdrawn", service=service)
+            if order is not None:
+                barred[service] = _barred_by(rollout) - {order.version}
+            # Queued requests hold the sides of this roll-out.
+            if not rollout.is_final:
+                rollout.end(Stage.ROLLED_BACK, "the order was replaced", now_s)
             del self._running[service]
         for service, order in by_service.items():
             if service in self._running:
@@ -152,9 +178,9 @@
                 self._exposure_share,
                 self._exposure_slack / max(1, self._fleet.instances),
                 random.random(),
+                Stage.UNKNOWN if is_first else Stage.TRIAL,
+                barred=barred.get(service, frozenset()),
             )
-            if is_first:
-                rollout.stage = Stage.UNKNOWN
             self._running[service] = _Running(rollout)
             log_decision(
                 "rollout_ordered",
@@ -169,15 +195,8 @@
         if running is None or work.version:
             return work
         now_s = boot_time_s()
-        states = self._view.states_of(service)
         rollout = running.rollout
-        may_use_new = any(
-            state.accepts_requests(now_s)
-            and not state.is_ejected(now_s)
-            and (not state.is_cold(now_s) or state.cold_rate_limit.allows_send(now_s))
-            for state in states
-            if rollout.new_side.allows(state.server)
-        )
+        may_use_new = any(_may_use(state, now_s) for state in self._new_states(rollout))
         side = rollout.side_of_next(now_s, may_use_new=may_use_new)
         return attrs.evolve(work, side=side)
 
@@ -270,10 +289,10 @@
         return totals
 
     def sums(self) -> dict[str, RolloutSums]:
-        """Return what this instance tells others; empty without a roll-out."""
+        """Return what this instance tells others, by order; empty without one."""
         now_s = boot_time_s()
         return {
-            service: (
+            order_key(running.rollout.order): (
                 int(running.rollout.stage),
                 int(1e3 * (now_s - running.rollout.begun_at_s)),
                 running.is_written,
@@ -282,15 +301,18 @@
                     for route, answers in running.own.items()
                 },
             )
-            for service, running in self._running.items()
+            for running in self._running.values()
         }
 
     def hear(self, sums: Mapping[str, RolloutSums]) -> None:
         """Adopt the sums of the other instances."""
         now_s = boot_time_s()
-        for service, (stage, age_ms, is_written, answers) in sums.items():
-            running = self._running.get(service)
-            if running is None or not 0 <= stage <= Stage.COMPLETED:
+        for running in self._running.values():
+            told = sums.get(order_key(running.rollout.order))
+            if told is None:
+                continue
+            stage, age_ms, is_written, answers = told
+            if not 0 <= stage <= Stage.COMPLETED:
                 continue
             running.fleet = {
                 route: RouteAnswers(*counts) for route, counts in answers.items()
@@ -307,6 +329,7 @@
             totals = self._totals_of(running)
             if rollout.stage is Stage.TRIAL:
                 self._choose_trial_servers(rollout)
+            rollout.is_in_touch = self._is_in_touch
             rollout.advance(totals, now_s)
             if rollout.stage is running.logged:
                 continue
@@ -349,21 +372,56 @@
         rollout = running.rollout
         now_s = boot_time_s()
         rank = self._fleet.rank(f"rollout/{service}")
+        is_uninformed = rollout.stage is Stage.UNKNOWN or not self._is_in_touch
+        is_ended = rollout.is_final and running.is_written
+        is_due = now_s - running.read_at_s >= READ_INTERVAL_S
+        if is_uninformed and is_due and not is_ended:
+            running.read_at_s = now_s
+            await self._read(service, running)
         if rank >= WRITERS:
             return
         state = running.state
-        if rollout.may_complete(self._old_running(rollout), now_s):
+        may_complete = rollout.may_complete(self._old_running(rollout), now_s)
+        has_new = any(
+            state.accepts_requests(now_s) for state in self._new_states(rollout)
+        )
+        if may_complete and not has_new and rollout.is_due(now_s):
+            rollout.end(Stage.ROLLED_BACK, "no server of the version", now_s)
+            state = running.state
+        elif may_complete and has_new:
             state = RolloutState.COMPLETED
         elif running.is_written:
             return
         since_s = max(rollout.begun_at_s, rollout.changed_at_s)
-        if now_s - since_s < rank * WRITE_RANK_DELAY_S:
+        delay_s = rank * WRITE_RANK_DELAY_S
+        if not self._is_in_touch:
+            delay_s += WRITE_CUT_OFF_DELAY_S
+        if now_s - since_s < delay_s:
             return
         try:
             await self._write(service, running, state)
         except TeaseldykeError as exc:
             log_decision("rollout_not_written", service=service, reason=exc.detail)
 
+    @property
+    def _is_in_touch(self) -> bool:
+        """Whether at least half of the instances were heard of lately."""
+        return 2 * self._fleet.alive >= self._fleet.instances
+
+    async def _read(self, service: str, running: _Running) -> None:
+        """Adopt the state that the store has, if it is of this roll-out."""
+        try:
+            known = (await self._rows.rollout_states()).get(service)
+        except TeaseldykeError as exc:
+            log_decision("rollout_not_read", service=service, reason=exc.detail)
+            return
+        if known is None or known[1] != running.rollout.order.version:
+            return
+        if running.rollout.stage is Stage.UNKNOWN or (
+            known[2] is not RolloutState.RUNNING
+        ):
+            self._adopt(running, known[2])
+
     async def _write(
         self, service: str, running: _Running, state: RolloutState
     ) -> None:
@@ -380,11 +438,24 @@
         if known is not None:
             version, written_to, written = known
             is_same = written_to == rollout.order.version
-            if is_same and written is not RolloutState.RUNNING:
+            if is_same and (written is not RolloutState.RUNNING or written is state):
                 self._adopt(running, written)
                 return
-            if is_same and written is state:
-                self._adopt(running, written)
+        standing = {
+            order.service: order for order in await self._rows.rollout_orders()
+        }.get(service)
+        if standing != (None if running.is_withdrawn else rollout.order):
+            # This instance is behind the orders; it must not replace the next state.
+            return
+        if known is not None and not is_same and written is RolloutState.RUNNING:
+            if running.is_withdrawn:
+                return
+            # The order before was replaced. Its servers drain only at this state.
+            if written_to and not await self._rows.write_rollout_state(
+                service, written_to, RolloutState.ROLLED_BACK, version
+            ):
+                raise PlatformUnavailable("another instance has written the state")
+            if written_to:
                 return
         if rollout.stage is Stage.UNKNOWN:
             # No instance knows of the roll-out and it has not ended: it begins anew.
@@ -409,6 +480,11 @@
             rollout.stage = Stage.TRIAL
         running.written = rollout.stage
 
+    def _new_states(self, rollout: Rollout) -> list[ServerState]:
+        """Return the servers of the new version that are in use."""
+        states = self._view.states_of(rollout.order.service)
+        return [state for state in states if rollout.new_side.allows(state.server)]
+
     def _old_running(self, rollout: Rollout) -> int:
         """Return the fleet's requests at servers of other versions."""
         return sum(
@@ -417,3 +493,19 @@
             if state.server.service == rollout.order.service
             and state.server.version != rollout.order.version
         )
+
+
+def _may_use(state: ServerState, now_s: float) -> bool:
+    """Return whether a server may get a request now, without a wait."""
+    if not state.accepts_requests(now_s) or state.is_ejected(now_s):
+        return False
+    if now_s < state.full_until_s or state.running >= state.server.slots > 0:
+        return False
+    return not state.is_cold(now_s) or state.cold_rate_limit.allows_send(now_s)
+
+
+def _barred_by(rollout: Rollout) -> frozenset[str]:
+    """Return the versions that may not serve once a roll-out is replaced."""
+    if rollout.stage is Stage.COMPLETED:
+        return frozenset()
+    return rollout.barred | {rollout.order.version}
--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -223,16 +223,21 @@
         Whether it goes to the new version rather than to the others.
     trial_ids : frozenset of str
         Ids of the only new servers in use; empty for all.
+    barred : frozenset of str
+        Versions of earlier orders that were rolled back; their servers may still run.
     """
 
     version: str
     is_new: bool
     trial_ids: frozenset[str] = frozenset()
+    barred: frozenset[str] = frozenset()
 
     def allows(self, server: AnnouncedServer) -> bool:
         """Return whether a server is on this side now."""
         if (server.version == self.version) is not self.is_new:
             return False
+        if server.version in self.barred:
+            return False
         return not self.trial_ids or server.id in self.trial_ids
 
 
@@ -252,11 +257,20 @@
         This instance's part of the requests that a bad version may get in addition.
     draw : float
         From 0 to 1, of this instance: spreads the first sends of all instances.
+    barred : frozenset of str
+        Versions of earlier orders that were rolled back.
 
     Attributes
     ----------
+    is_in_touch : bool
+        Whether this instance hears of the others. If not, traffic isn't moved, as they
+        may have found the version to be bad.
     new_side, old_side : VersionSide
         Live filters, which queued requests hold: a change applies to these, too.
+    spare_side : VersionSide
+        The old version's servers until they end, also once all traffic is moved.
+    old_sent_at_s : float
+        When `spare_side` was last used.
     """
 
     order: RolloutOrder
@@ -268,14 +282,24 @@
     verdict: Verdict = attrs.field(factory=Verdict)
     reason: str = ""
     changed_at_s: float = -math.inf
+    barred: frozenset[str] = frozenset()
+    is_in_touch: bool = True
     new_side: VersionSide = attrs.field(init=False)
     old_side: VersionSide = attrs.field(init=False)
+    spare_side: VersionSide = attrs.field(init=False)
+    old_sent_at_s: float = -math.inf
     _credit: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.new_side = VersionSide(self.order.version, is_new=True)
-        self.old_side = VersionSide(self.order.version, is_new=False)
-        self._credit = self.draw + SLACK_FACTOR * self.slack
+        self.old_side = VersionSide(
+            self.order.version, is_new=False, barred=self.barred
+        )
+        self.spare_side = attrs.evolve(self.old_side)
+        self._credit = self.draw
+        if self.stage is not Stage.UNKNOWN:
+            # A restarted instance may have used up its slack before.
+            self._credit += SLACK_FACTOR * self.slack
 
     @property
     def is_final(self) -> bool:
@@ -286,6 +310,8 @@
         """Return the share of the sends that goes to the new version."""
         if self.stage is Stage.TRIAL:
             return TRIAL_SHARE_FACTOR * self.exposure_share
+        if self.stage is Stage.MOVING and not self.is_in_touch:
+            return TRIAL_SHARE_FACTOR * self.exposure_share
         if self.stage is Stage.MOVING:
             elapsed_s = now_s - self.changed_at_s
             shares = [
@@ -302,12 +328,15 @@
         Parameters
         ----------
         may_use_new : bool
-            Whether a new server accepts a request now; in the trial and while traffic
-            is moved, requests don't wait for one.
+            Whether a new server accepts a request now; until the old servers end,
+            requests don't wait for one.
         """
         share = self.share(now_s)
-        if share >= 1.0:
+        if share >= 1.0 and (may_use_new or self.stage is Stage.COMPLETED):
             return self.new_side
+        if share >= 1.0:
+            self.old_sent_at_s = now_s
+            return self.spare_side
         # What was not sent to the new version isn't made up for later.
         self._credit = max(self._credit, min(1.0, self._credit + share))
         if self._credit < 1.0 or not may_use_new or share <= 0.0:
@@ -332,14 +361,19 @@
             return
         elapsed_s = now_s - self.begun_at_s
         duration_s = self.order.duration_s
-        is_over = elapsed_s >= duration_s - min(END_MARGIN_S, 0.1 * duration_s)
+        is_over = self.is_due(now_s)
         if self.stage is Stage.TRIAL:
             if is_over:
                 self.end(Stage.ROLLED_BACK, "too few answers", now_s)
                 return
-            if self.verdict.new_answers >= answers_needed(elapsed_s / duration_s):
+            has_answers = self.verdict.new_answers >= answers_needed(
+                elapsed_s / duration_s
+            )
+            if has_answers and self.is_in_touch:
                 self._enter(Stage.MOVING, now_s)
             return
+        if not self.is_in_touch and not is_over:
+            return
         if self.stage is Stage.MOVING and (self.share(now_s) >= 1.0 or is_over):
             self._enter(Stage.MOVED, now_s)
 
@@ -353,10 +387,15 @@
         """
         if self.stage is not Stage.MOVED:
             return False
-        left_s = self.begun_at_s + self.order.duration_s - now_s
-        if left_s <= min(END_MARGIN_S, 0.1 * self.order.duration_s):
+        if self.is_due(now_s):
             return True
-        return old_running == 0 and now_s - self.changed_at_s >= MOVED_MIN_S
+        last_s = max(self.changed_at_s, self.old_sent_at_s)
+        return old_running == 0 and now_s - last_s >= MOVED_MIN_S
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether the end must be written now to be in time."""
+        left_s = self.begun_at_s + self.order.duration_s - now_s
+        return left_s <= min(END_MARGIN_S, 0.1 * self.order.duration_s)
 
     def hear(self, stage: Stage, age_s: float, now_s: float) -> None:
         """Adopt what another instance knows: a later stage, and an earlier begin."""
@@ -378,8 +417,11 @@
         self.changed_at_s = now_s
         if stage is Stage.ROLLED_BACK:
             self.new_side.is_new = self.old_side.is_new = False
+            self.new_side.barred = self.barred
         if stage in (Stage.MOVED, Stage.COMPLETED):
             self.new_side.is_new = self.old_side.is_new = True
+        if stage is Stage.COMPLETED:
+            self.spare_side.is_new = True
         if stage is not Stage.TRIAL:
             self.new_side.trial_ids = frozenset()
 
