--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -21,7 +21,7 @@
     Stage,
     Work,
     rendezvous_weight,
-    trial_servers,
+    trial_server,
 )
 from teaseldyke.telemetry import counter, gauge, log_decision
 from teaseldyke.timers import boot_time_s
@@ -349,17 +349,18 @@
             self._view.refresh()
 
     def _choose_trial_servers(self, rollout: Rollout) -> None:
-        """Choose the new servers of the trial, the same at all instances."""
+        """Choose the new server of the trial, the same at all instances."""
         order = rollout.order
         new = [
             state.server.id
             for state in self._view.states_of(order.service)
             if state.server.version == order.version
         ]
-        share = rollout.share(boot_time_s())
+        if not new:
+            return
         new.sort(key=lambda name: rendezvous_weight(order.version, name))
-        most = trial_servers(share, len(new))
-        rollout.new_side.trial_ids = frozenset(new[:most])
+        elapsed_s = boot_time_s() - rollout.begun_at_s
+        rollout.new_side.trial_ids = frozenset([trial_server(new, elapsed_s)])
 
     async def run(self) -> None:
         """Write the states of roll-outs until cancelled."""
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -35,7 +35,7 @@
     Stage,
     Verdict,
     VersionSide,
-    trial_servers,
+    trial_server,
 )
 from .servers import (
     FAILURE_RATE_MAX,
@@ -92,7 +92,7 @@
     "Stage",
     "Verdict",
     "VersionSide",
-    "trial_servers",
+    "trial_server",
     "RequestQueue",
     "RetryBudget",
     "RoundSends",
--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import IntEnum
 
 import attrs
@@ -30,7 +30,7 @@
 TRIAL_ANSWERS = (30, 5)
 MOVING_LATEST_FRACTION = 0.8
 SLACK_FACTOR = 0.5  # of the slack, sent in the trial beside the share
-TRIAL_SERVERS_SHARE = 2.0  # new servers in the trial, in multiples of the share
+TRIAL_TURN_S = 2.5  # of each new server; long enough for its load to build up
 END_MARGIN_S = 1.0  # before the deadline: to write the state, also if a call is lost
 MOVED_MIN_S = 1.0  # without a new send to the old version before it may end
 # A bad version has this much more bad answers than the other one.
@@ -448,17 +448,23 @@
     return max(float(least), most - (most - least) * late)
 
 
-def trial_servers(share: float, new_servers: int) -> int:
-    """Return how many new servers get the requests of the trial.
+def trial_server(names: Sequence[str], elapsed_s: float) -> str:
+    """Return the new server that gets the requests of the trial.
 
-    Few, so that each bears about what a server bears when all traffic is moved; a
-    version that is bad under load shows it then.
+    One at a time, so that it bears more than a server bears when all traffic is moved:
+    a version that is bad under load shows it then. They take turns, since one of them
+    may be slow or crash for a reason of its own.
+
+    Parameters
+    ----------
+    names : sequence of str
+        Ids of the new servers, in an order that all instances share.
+    elapsed_s : float
+        Time since the order.
 
     Examples
     --------
-    >>> trial_servers(0.05, 30), trial_servers(0.05, 3)
-    (3, 1)
+    >>> trial_server(["e1", "e2"], 0.0), trial_server(["e1", "e2"], 3.0)
+    ('e1', 'e2')
     """
-    return max(
-        1, min(new_servers, math.ceil(TRIAL_SERVERS_SHARE * share * new_servers))
-    )
+    return names[int(elapsed_s / TRIAL_TURN_S) % len(names)]
