--- a/libs/http/src/teaseldyke/http/stream.py
+++ b/libs/http/src/teaseldyke/http/stream.py
@@ -24,11 +24,6 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, 0 s
 
 
-# A read into a new object of the size allowed fragments the heap. All connections are
-# read by one thread.
-_RECEIVED = memoryview(bytearray(RECEIVE_BYTES))
-
-
 class Stream(Protocol):
     """Interface of a connection, implemented by `TcpStream` and trio's streams."""
 
@@ -92,10 +87,7 @@
                 raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(self.socket)
             try:
-                size_bytes = self.socket.recv_into(
-                    _RECEIVED, min(max_bytes or RECEIVE_BYTES, RECEIVE_BYTES)
-                )
-                return bytes(_RECEIVED[:size_bytes])
+                return self.socket.recv(max_bytes or RECEIVE_BYTES)
             except BlockingIOError:
                 continue
             except OSError as exc:
@@ -110,7 +102,7 @@
             If the connection is broken.
         """
         try:
-            return self.socket.recv_into(_RECEIVED)
+            return len(self.socket.recv(RECEIVE_BYTES))
         except BlockingIOError:
             return 0
         except OSError as exc:
--- a/libs/http/tests/test_caller_memory.py
+++ b/libs/http/tests/test_caller_memory.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+from contextlib import AsyncExitStack, suppress
+from functools import partial
+
 import attrs
 import pytest
-
-from teaseldyke.http import CallerMemory, Holding, HoldingState
+import trio
+
+from teaseldyke.http import (
+    CallerMemory,
+    Holding,
+    HoldingState,
+    Request,
+    ServerLimits,
+    serve,
+)
 from teaseldyke.http.caller_memory import CONNECTION_BYTES
 
 DISCARDING, IDLE, RECEIVING, FORWARDED = HoldingState
@@ -145,3 +156,59 @@
     own.release()
     assert fleet.changes[-1] is False
     assert len(fleet.changes) == before + 1
+
+
+HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
+HALF_BODY = HEAD + b"Content-Length: 4\r\n\r\nok"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+ROOM_FOR = 2  # connections
+
+
+@pytest.mark.parametrize(
+    ("sent", "end", "refused"),
+    [
+        (HEAD, b"\r\n", "first"),
+        (HALF_BODY, b"ok", "first"),
+        (CHUNKED, b"0\r\n\r\n", "first"),
+        (WHOLE, b"", "new"),
+    ],
+    ids=["head", "length", "chunked", "whole"],
+)
+async def test_refused_request_is_not_forwarded(
+    sent: bytes, end: bytes, refused: str, nursery: trio.Nursery
+) -> None:
+    """A request would run although its caller was told that it never will."""
+    memory = CallerMemory((ROOM_FOR + 0.5) * CONNECTION_BYTES)
+    bodies: list[bytes] = []
+
+    async def hold(request: Request) -> None:
+        bodies.append(await request.read_body(100))
+        await trio.sleep_forever()
+
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listener.socket.getsockname()[1]
+    run = partial(serve, listener, hold, ServerLimits(), memory=memory)
+    nursery.start_soon(run)
+
+    async def send(data: bytes) -> trio.SocketStream:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await streams.enter_async_context(stream)
+        await stream.send_all(data)
+        await trio.sleep(0.05)
+        return stream
+
+    async with AsyncExitStack() as streams:
+        await send(WHOLE)
+        first = await send(sent)
+        new = await send(WHOLE)
+        with trio.fail_after(5):
+            answer = await (first if refused == "first" else new).receive_some()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"\r\nretry-after: " in answer.lower()
+        if end:
+            with suppress(trio.BrokenResourceError):
+                await first.send_all(end)
+        await trio.sleep(0.05)
+        assert bodies == [b"ok"] * ROOM_FOR
+    assert memory.held_bytes <= memory.limit_bytes
