Take a body for incomplete when its connection broke during the send

Callers got the part of an answer that a server had sent before it reset the connection as a complete answer, if the answer had no length and the request was still being sent: plain and streamed, idempotent or not.

The socket reports a reset once. `ServerConnection.send` ignored the error, so the next read saw the part and then a clean end. The send now notes which side broke the connection, and the read that finds the end raises `ExchangeBroken`. It notes the side only: the error would keep the whole body alive by its traceback.

An answer without a length that was ended by a FIN before the reset stays complete. Linux reports this case as EPIPE, and a reset without a FIN as ECONNRESET. Answers with a length or chunked coding, and refusals as not run, are understood as before.

Places where an error is swallowed and a later read or state is trusted, and findings:

- ServerConnection.send, then _receive: the fault above.
- Exchange.discard: an error makes the exchange incomplete; the connection is reset.
- Exchange.chunks, HttpClient, store client (adapter/store.py), drivers and operator client: bodies without a length are refused, others are checked by the parser; a failed write is reported as lost, not as refused.
- Attempt._forward_stream and _ensure_not_cut (gateway): trust the end that Exchange reports; mended by this change.
- Forwarder and Sink (router): bodies without a length are refused; CallerGone that the sink swallows leaves the request unfinished, so the connection is reset.
- IncomingBody and CallerConnection._receive (callers to us): a reset within a body is CallerGone, within a head the end of the connection.
- Request._write, abort, refuse and close_gracefully (us to callers): a broken send ends the connection and nothing is read as an answer after it.
- wait_disconnect: only asks whether the caller has gone.
- Peers (links.py, totals.py): whole messages and datagrams; a failed send drops them.
- telemetry decisions.py: a failed write drops lines; nothing is read.

--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -71,6 +71,8 @@
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self.closed_by: Side | None = None
+        # Side that broke the connection during a send, unless a FIN came before that.
+        self._send_broken_by: Side | None = None
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=RESPONSE_HEADER_MAX_BYTES
         )
@@ -119,13 +121,15 @@
     async def send(self, data: bytes) -> None:
         """Send an encoded request.
 
-        Errors are ignored here: a server may respond and close before it has read
-        the whole request, so a broken connection is reported by the next read.
+        An error is not raised here: a server may respond and close before it has read
+        the whole request. The socket reports a reset only once, so it is noted
+        for the read that finds the end of the connection.
         """
         try:
             await self.stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            if not _is_after_eof(exc):
+                self._send_broken_by = side_of(exc, Side.SERVER)
 
     async def receive_head(self) -> h11.Response:
         """Return status line and header of the final response."""
@@ -178,6 +182,9 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.closed_by = self.closed_by or side_of(exc, Side.SERVER)
             raise ExchangeBroken("server reset the connection") from exc
+        if not data and self._send_broken_by is not None:
+            self.closed_by = self.closed_by or self._send_broken_by
+            raise ExchangeBroken("connection broke while the request was sent")
         if not data:
             self.closed_by = Side.SERVER
         self._parser.receive_data(data)
@@ -358,6 +365,15 @@
             )
 
 
+def _is_after_eof(error: Exception) -> bool:
+    """Return whether a send failed only after the server had closed its direction.
+
+    Linux reports a reset that follows a FIN as EPIPE, and one without as ECONNRESET;
+    see ``tcp_reset`` in its ``net/ipv4/tcp_input.c``.
+    """
+    return isinstance(error.__cause__, BrokenPipeError)
+
+
 def with_request_id(headers: Iterable[tuple[bytes, bytes]], value: bytes) -> Headers:
     """Return the headers with ``X-Request-Id`` set to the given value.
 
