Don't reuse a connection on which a request was sent only in part

A send may fail without the end of the connection, for example with ENOBUFS. If the server still gave a complete answer, the connection went back to the pool, since the parser saw a complete exchange. The server would have taken the next request for the rest of the body before.

`ServerConnection.is_reusable` is now false after a send that broke the connection or stopped in the middle.

--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -80,7 +80,7 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the last exchange ended cleanly and no extra bytes followed."""
-        if self._parser.trailing_data[0]:
+        if self._send_broken_by is not None or self._parser.trailing_data[0]:
             return False
         states = self._parser.states
         return states[h11.CLIENT] is h11.DONE and states[h11.SERVER] is h11.DONE
--- a/libs/http/tests/test_backend.py
+++ b/libs/http/tests/test_backend.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import errno
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
     HttpClient,
     Request,
 )
+from teaseldyke.http.stream import TcpStream
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import TeaseldykeError
 
@@ -231,6 +233,27 @@
             assert exchange.status == 413
 
 
+class TestBrokenSends:
+    @pytest.mark.promise("whole-answer")
+    async def test_connection_with_a_part_of_a_request_is_not_reused(
+        self, start_scripted: StartScripted, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The server would take the next request for the rest of the body."""
+        send_all = TcpStream.send_all
+
+        async def send_part(stream: TcpStream, data: bytes) -> None:
+            await send_all(stream, data[:-1])
+            raise trio.BrokenResourceError from OSError(errno.ENOBUFS, "no buffers")
+
+        server = await start_scripted(OK, OK, close=False)
+        pool = BackendPool()
+        with monkeypatch.context() as patch:
+            patch.setattr(TcpStream, "send_all", send_part)
+            assert await _read(pool, server.port) == b"ok"
+        assert await _read(pool, server.port) == b"ok"
+        assert server.connections == 2
+
+
 async def _port_with_full_backlog() -> int:
     """Return a port whose accept queue is full and never drained."""
     listener = trio.socket.socket()
