Pass resets on as resets in the relay stand-in

The relay closed both sides of a connection without a reset when one side was reset, so the other side saw a clean end. A test through the relay couldn't tell a caller that trusts such an end from one that doesn't. `Route._copy` now resets both sides. Orders such as `cut` close connections as before.

--- a/libs/standins/src/teaseldyke/standins/relay.py
+++ b/libs/standins/src/teaseldyke/standins/relay.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from teaseldyke.http import Request
+from teaseldyke.http.stream import close_with_reset
 
 from .orders import UnknownPath, read_order, split_path, unknown_path
 from .settings import RelaySettings, RouteSettings
@@ -125,7 +126,7 @@
     async def _copy(
         self, source: trio.SocketStream, sink: trio.SocketStream, half_closed: Mode
     ) -> None:
-        """Copy one direction; an error or reset on either side closes both."""
+        """Copy one direction; an error or reset on either side resets both."""
         try:
             async for data in source:
                 await self._wait_while_held()
@@ -136,8 +137,8 @@
             await self._wait_while_held()
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            source.socket.close()
-            sink.socket.close()
+            close_with_reset(source)
+            close_with_reset(sink)
 
     async def _wait_while_held(self) -> None:
         await trio.sleep(self.order.delay_s)
--- a/libs/standins/tests/test_relay.py
+++ b/libs/standins/tests/test_relay.py
@@ -1,12 +1,14 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import attrs
 import pytest
 import trio
 
+from teaseldyke.http.stream import close_with_reset
 from teaseldyke.settings import Address
 from teaseldyke.standins import Relay, RelaySettings, RouteSettings
 from teaseldyke.standins.relay import Mode, Route, RouteOrder, _Connection
@@ -20,8 +22,19 @@
     port: int
     received: bytearray = attrs.field(factory=bytearray)
     ended: trio.Event = attrs.field(factory=trio.Event)
+    accepted: list[trio.SocketStream] = attrs.field(factory=list)
+
+    def reset(self) -> None:
+        """Reset the target's connections."""
+        for stream in self.accepted:
+            close_with_reset(stream)
 
     async def echo(self, stream: trio.SocketStream) -> None:
+        self.accepted.append(stream)
+        with suppress(trio.ClosedResourceError):
+            await self._echo(stream)
+
+    async def _echo(self, stream: trio.SocketStream) -> None:
         async for data in stream:
             self.received += data
             await stream.send_all(data)
@@ -96,6 +109,16 @@
     assert trio.current_time() - started_at_s >= 0.2
 
 
+async def test_reset_of_the_target_reaches_the_caller_as_a_reset(
+    relayed: _Relayed,
+) -> None:
+    """A clean end would make an answer without a length look complete."""
+    stream = await _connect(relayed)
+    relayed.reset()
+    with pytest.raises(trio.BrokenResourceError):
+        await stream.receive_some()
+
+
 async def test_unknown_route(relayed: _Relayed) -> None:
     assert (await relayed.orders.call("PUT", "/routes/x", b"{}")).status == 404
 
