Refuse final statuses above 599

Callers got answers with the statuses 600 to 999 of a backend server as they were, and the connection was reused. h11 accepts them; it refuses all others that are out of range or not numeric, and a second status line in a head. `receive_head` now raises `AnswerBroken`, so that the caller gets 502 and the connection is closed.

Not changed: a line that begins with a space or a tab continues the header field before it (obsolete folding), also when it resembles a status line; interim answers (1xx) are skipped, and without a final answer after them the exchange fails.

--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -16,6 +16,7 @@
 from .watchdog import Watch
 
 RESPONSE_HEADER_MAX_BYTES = 64 * 1024
+STATUS_MAX = 599  # the parser accepts up to 999; it rejects statuses below 100
 INFORMATIONAL_MAX = 16  # 1xx responses skipped before the final one
 
 
@@ -141,6 +142,8 @@
                 await self._receive()
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > STATUS_MAX:
+                    raise AnswerBroken(f"status {event.status_code} is out of range")
                 return event
             informational += 1
             if informational > INFORMATIONAL_MAX or event is h11.PAUSED:
--- a/libs/http/tests/test_backend.py
+++ b/libs/http/tests/test_backend.py
@@ -233,6 +233,59 @@
             assert exchange.status == 413
 
 
+class TestStatusLines:
+    @pytest.mark.promise("whole-answer")
+    @pytest.mark.parametrize(
+        "status",
+        [
+            *("000", "099", "600", "700", "999", "20", "2000", "-01", "+20"),
+            *("2x0", "abc", "", "0x0", "2 0", "20\u00b2"),
+        ],
+    )
+    async def test_status_out_of_range_or_not_numeric(
+        self, start_scripted: StartScripted, status: str
+    ) -> None:
+        head = f"HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n\r\nok"
+        await _assert_refused(start_scripted, head.encode("latin-1"))
+
+    @pytest.mark.parametrize("status", [200, 299, 300, 599])
+    async def test_status_within_range(
+        self, start_scripted: StartScripted, status: int
+    ) -> None:
+        server = await start_scripted(OK.replace(b"200", b"%d" % status), close=False)
+        assert await _read(BackendPool(), server.port) == b"ok"
+
+    @pytest.mark.promise("whole-answer")
+    @pytest.mark.parametrize(
+        "second",
+        [
+            b"HTTP/1.1 200 OK",
+            b"HTTP/1.1 200 OK: yes",
+            b"HTTP/1.1 503 a:b",
+            b"HTTP/1.1: 200 OK",
+            b"http/1.1 200 ok",
+        ],
+    )
+    @pytest.mark.parametrize("before", [b"", b"A: b\r\n"])
+    async def test_second_status_line(
+        self, start_scripted: StartScripted, before: bytes, second: bytes
+    ) -> None:
+        head = b"HTTP/1.1 200 OK\r\n" + before + second
+        head += b"\r\nContent-Length: 2\r\n\r\nok"
+        await _assert_refused(start_scripted, head)
+
+
+async def _assert_refused(start_scripted: StartScripted, answer: bytes) -> None:
+    """Assert that an answer is not passed on and its connection not reused."""
+    server = await start_scripted(answer, OK, close=False)
+    pool = BackendPool()
+    with trio.fail_after(5):
+        with pytest.raises(AnswerBroken):
+            await _read(pool, server.port, first_byte_timeout_s=0.5)
+        assert await _read(pool, server.port) == b"ok"
+    assert server.connections == 2
+
+
 class TestBrokenSends:
     @pytest.mark.promise("whole-answer")
     async def test_connection_with_a_part_of_a_request_is_not_reused(
