--- a/libs/http/src/teaseldyke/http/exchange.py
+++ b/libs/http/src/teaseldyke/http/exchange.py
@@ -80,8 +80,10 @@
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the last exchange ended cleanly and no extra bytes followed."""
-        if self._send_broken_by is not None or self._parser.trailing_data[0]:
+        """Whether the last exchange left the connection open and no bytes unread."""
+        if self.closed_by is not None or self._send_broken_by is not None:
+            return False
+        if self._parser.trailing_data[0]:
             return False
         states = self._parser.states
         return states[h11.CLIENT] is h11.DONE and states[h11.SERVER] is h11.DONE
