--- a/libs/http/tests/test_backend.py
+++ b/libs/http/tests/test_backend.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import errno
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
     HttpClient,
     Request,
 )
+from teaseldyke.http.stream import TcpStream
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import TeaseldykeError
 
@@ -231,6 +233,80 @@
             assert exchange.status == 413
 
 
+class TestStatusLines:
+    @pytest.mark.promise("whole-answer")
+    @pytest.mark.parametrize(
+        "status",
+        [
+            *("000", "099", "600", "700", "999", "20", "2000", "-01", "+20"),
+            *("2x0", "abc", "", "0x0", "2 0", "20\u00b2"),
+        ],
+    )
+    async def test_status_out_of_range_or_not_numeric(
+        self, start_scripted: StartScripted, status: str
+    ) -> None:
+        head = f"HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n\r\nok"
+        await _assert_refused(start_scripted, head.encode("latin-1"))
+
+    @pytest.mark.parametrize("status", [200, 299, 300, 599])
+    async def test_status_within_range(
+        self, start_scripted: StartScripted, status: int
+    ) -> None:
+        server = await start_scripted(OK.replace(b"200", b"%d" % status), close=False)
+        assert await _read(BackendPool(), server.port) == b"ok"
+
+    @pytest.mark.promise("whole-answer")
+    @pytest.mark.parametrize(
+        "second",
+        [
+            b"HTTP/1.1 200 OK",
+            b"HTTP/1.1 200 OK: yes",
+            b"HTTP/1.1 503 a:b",
+            b"HTTP/1.1: 200 OK",
+            b"http/1.1 200 ok",
+        ],
+    )
+    @pytest.mark.parametrize("before", [b"", b"A: b\r\n"])
+    async def test_second_status_line(
+        self, start_scripted: StartScripted, before: bytes, second: bytes
+    ) -> None:
+        head = b"HTTP/1.1 200 OK\r\n" + before + second
+        head += b"\r\nContent-Length: 2\r\n\r\nok"
+        await _assert_refused(start_scripted, head)
+
+
+async def _assert_refused(start_scripted: StartScripted, answer: bytes) -> None:
+    """Assert that an answer is not passed on and its connection not reused."""
+    server = await start_scripted(answer, OK, close=False)
+    pool = BackendPool()
+    with trio.fail_after(5):
+        with pytest.raises(AnswerBroken):
+            await _read(pool, server.port, first_byte_timeout_s=0.5)
+        assert await _read(pool, server.port) == b"ok"
+    assert server.connections == 2
+
+
+class TestBrokenSends:
+    @pytest.mark.promise("whole-answer")
+    async def test_connection_with_a_part_of_a_request_is_not_reused(
+        self, start_scripted: StartScripted, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The server would take the next request for the rest of the body."""
+        send_all = TcpStream.send_all
+
+        async def send_part(stream: TcpStream, data: bytes) -> None:
+            await send_all(stream, data[:-1])
+            raise trio.BrokenResourceError from OSError(errno.ENOBUFS, "no buffers")
+
+        server = await start_scripted(OK, OK, close=False)
+        pool = BackendPool()
+        with monkeypatch.context() as patch:
+            patch.setattr(TcpStream, "send_all", send_part)
+            assert await _read(pool, server.port) == b"ok"
+        assert await _read(pool, server.port) == b"ok"
+        assert server.connections == 2
+
+
 async def _port_with_full_backlog() -> int:
     """Return a port whose accept queue is full and never drained."""
     listener = trio.socket.socket()
