--- a/libs/gateway/src/teaseldyke/gateway/racing.py
+++ b/libs/gateway/src/teaseldyke/gateway/racing.py
@@ -133,7 +133,7 @@
     may_begin : callable
         Whether an answer that is begun now would be complete in time.
     assign : callable
-        Returns the work of the next send of a service, with its side in a roll-out.
+        Returns the work of a call's next send, with its side in a roll-out.
     """
 
     def __init__(
@@ -143,7 +143,7 @@
         probe: CrashProbe,
         send_to: Callable[[Call, CallRace, Reservation], Awaitable[SendResult]],
         may_begin: Callable[[Call], bool],
-        assign: Callable[[str, Work], Work] = lambda service, work: work,
+        assign: Callable[[Call, Work], Work] = lambda call, work: work,
     ) -> None:
         self._placer = placer
         self._fleet = fleet
@@ -289,7 +289,7 @@
             silent.give_up("the server crashed without closing its connection")
             return None
         work = work_for_resend(call.work, call.route, boot_time_s())
-        work = self._assign(call.service.name, work)
+        work = self._assign(call, work)
         reservation = await self._placer.place(
             call.service, work, frozenset(call.avoid), beside_another=True
         )
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -104,7 +104,7 @@
             self._probe,
             self._send_to,
             lambda call: self.may_begin(call),
-            rollouts.assign,
+            lambda call, work: rollouts.assign(call.service.name, work),
         )
 
     async def run(self) -> None:
