Compare own answers with those of others of the same time

Change: own answers enter the verdict once the others' of the same time are known.

Evidence: TestSums in libs/gateway/tests/test_rollouts.py failed before.

--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
@@ -72,6 +73,11 @@
         """Number of instances, this one included."""
         ...
 
+    @property
+    def lag_s(self) -> float:
+        """Age of the others' sums."""
+        ...
+
     def rank(self, key: str) -> int:
         """Return this instance's rank in the fleet for a key, from 0."""
         ...
@@ -88,6 +94,8 @@
     logged: Stage | None = None
     crashed: set[tuple[str, int]] = attrs.field(factory=set)
     read_at_s: float = -math.inf
+    # Own answers of the last rounds, oldest first, with their times.
+    earlier: deque[tuple[float, dict[str, RouteAnswers]]] = attrs.field(factory=deque)
     is_withdrawn: bool = False  # kept, as servers of its version may still run
 
     @property
@@ -280,10 +288,13 @@
         ]
 
     def _totals_of(self, running: _Running) -> dict[str, RouteAnswers]:
-        """Return the fleet's answers by route."""
-        totals = {
-            route: attrs.evolve(answers) for route, answers in running.own.items()
-        }
+        """Return the fleet's answers by route.
+
+        Own answers are as old as those of the others. While the share of the new
+        version grows, newer ones would weigh more for it than for the old one.
+        """
+        own = running.earlier[0][1] if running.earlier else running.own
+        totals = {route: attrs.evolve(answers) for route, answers in own.items()}
         for route, answers in running.fleet.items():
             totals.setdefault(route, RouteAnswers()).add(answers)
         return totals
@@ -326,6 +337,7 @@
         now_s = boot_time_s()
         for service, running in self._running.items():
             rollout = running.rollout
+            self._keep_own(running, now_s)
             totals = self._totals_of(running)
             if rollout.stage is Stage.TRIAL:
                 self._choose_trial_servers(rollout)
@@ -348,6 +360,14 @@
             )
             self._view.refresh()
 
+    def _keep_own(self, running: _Running, now_s: float) -> None:
+        """Keep this instance's answers until the others' of the same time are known."""
+        own = {route: attrs.evolve(answers) for route, answers in running.own.items()}
+        earlier = running.earlier
+        earlier.append((now_s, own))
+        while len(earlier) > 1 and earlier[1][0] <= now_s - self._fleet.lag_s:
+            earlier.popleft()
+
     def _choose_trial_servers(self, rollout: Rollout) -> None:
         """Choose the new servers of the trial, the same at all instances."""
         order = rollout.order
--- a/libs/gateway/tests/test_rollouts.py
+++ b/libs/gateway/tests/test_rollouts.py
@@ -24,6 +24,7 @@
 class FleetStandin:
     instances: int = 5
     alive: int = 5
+    lag_s: float = 0.0
     own_rank: int = 0
 
     def rank(self, key: str) -> int:
@@ -170,6 +171,24 @@
         assert instance.rows.written == []
 
 
+class TestSums:
+    def test_own_answers_are_compared_with_others_of_the_same_time(
+        self, instance: Instance
+    ) -> None:
+        """An instance rolled back by its newest answers as all servers had trouble."""
+        instance.fleet.lag_s = 1.0
+        instance.order(ORDER)
+        running = instance.rollouts._running["app"]
+        server = instance.view.states_of("app")[0].server
+        instance.rollouts.advance()
+        for waited_s, answers in ((0.5, 0), (1.1, 1)):
+            instance.rollouts.record(server, "r", is_bad=True)
+            instance.now_s += waited_s
+            instance.rollouts.advance()
+            totals = instance.rollouts._totals_of(running)
+            assert len(totals) == answers
+
+
 class TestRestart:
     def test_restarted_instance_gets_no_slack_again(
         self,
