Keep a restarted instance's delay once it has read that a roll-out runs

Callers saw: an instance that read `running` at its start entered the trial and then adopted a stage that was older than the roll-back at once.

Change: the delay counts from the start, whatever the stage.

Evidence: the row Stage.TRIAL of the test failed before.

--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -315,7 +315,7 @@
     spare_side: VersionSide = attrs.field(init=False)
     old_sent_at_s: float = -math.inf
     _credit: float = attrs.field(init=False)
-    _made_at_s: float = attrs.field(init=False)
+    _joins_at_s: float = -math.inf
 
     def __attrs_post_init__(self) -> None:
         self.new_side = VersionSide(self.order.version, is_new=True)
@@ -323,7 +323,8 @@
             self.order.version, is_new=False, barred=self.barred
         )
         self.spare_side = attrs.evolve(self.old_side)
-        self._made_at_s = self.begun_at_s
+        if self.stage is Stage.UNKNOWN:
+            self._joins_at_s = self.begun_at_s + JOIN_DELAY_S
         self._credit = self.draw
         if self.stage is not Stage.UNKNOWN:
             # A restarted instance may have used up its slack before.
@@ -435,11 +436,10 @@
         self.begun_at_s = min(self.begun_at_s, now_s - age_s)
         if stage <= self.stage:
             return
-        if stage not in (Stage.ROLLED_BACK, Stage.COMPLETED) and (
-            self.stage is Stage.UNKNOWN and now_s - self._made_at_s < JOIN_DELAY_S
-        ):
+        is_end = stage in (Stage.ROLLED_BACK, Stage.COMPLETED)
+        if not is_end and now_s < self._joins_at_s:
             return
-        if stage in (Stage.ROLLED_BACK, Stage.COMPLETED):
+        if is_end:
             self.end(stage, "told by another instance", now_s)
             return
         self._enter(stage, now_s)
--- a/libs/placement/tests/test_rollout.py
+++ b/libs/placement/tests/test_rollout.py
@@ -189,11 +189,18 @@
         rollout = Rollout(ORDER, 0.0, EXPOSURE_SHARE, draw=1.0, stage=Stage.UNKNOWN)
         assert rollout.side_of_next(0.0, may_use_new=True) is rollout.old_side
 
-    def test_restarted_instance_waits_before_it_adopts_a_stage(self) -> None:
-        """What it was told first was older than the roll-back."""
+    @pytest.mark.parametrize("read", [Stage.UNKNOWN, Stage.TRIAL])
+    def test_restarted_instance_waits_before_it_adopts_a_stage(
+        self, read: Stage
+    ) -> None:
+        """What it was told first was older than the roll-back.
+
+        Also if it had read in the store that the roll-out runs.
+        """
         rollout = Rollout(ORDER, 8.0, EXPOSURE_SHARE, stage=Stage.UNKNOWN)
+        rollout.stage = read
         rollout.hear(Stage.MOVED, 7.5, 8.1)
-        assert rollout.stage is Stage.UNKNOWN
+        assert rollout.stage is read
         rollout.hear(Stage.MOVED, 9.0, 9.1)
         assert rollout.stage is Stage.MOVED
 
