--- a/libs/gateway/src/teaseldyke/gateway/attempts.py
+++ b/libs/gateway/src/teaseldyke/gateway/attempts.py
@@ -38,6 +38,9 @@
 # Of an error body; beyond it, a new connection is cheaper.
 DISCARD_MAX_BYTES = 64 * 1024
 DISCARD_MAX_S = 0.05  # the body of a refusal arrives together with its head
+# From the first event of a stream until its pace is known; the events of a slow server
+# come some 0.1 s apart.
+PACE_AFTER_S = 0.4
 # From the first event of a stream until its prompt counts as sound.
 SOUND_AFTER_S = 0.25
 UNBOUNDED_S = 3600.0  # no time-out but the request's deadline
@@ -133,8 +136,9 @@
         Whether the server has run the request, at least for a moment, and lives.
     is_trial : bool
         Whether the request is sent to find out if it still crashes servers.
-    on_first_event : callable
-        Called when the first event of a stream has come.
+    on_paced : callable
+        Called once with the time for each event of a stream after the first, in
+        seconds, when enough of them have come or at its end.
     connection : ConnectionUse or None
         How its connection was used; ``None`` until one is open.
     """
@@ -157,7 +161,7 @@
     sent: bool = False
     is_proven: bool = attrs.field(default=False, init=False)
     is_trial: bool = attrs.field(default=False, init=False)
-    on_first_event: Callable[[], None] = attrs.field(default=lambda: None, init=False)
+    on_paced: Callable[[float], None] | None = attrs.field(default=None, init=False)
     is_superseded: bool = attrs.field(default=False, init=False)
     connection: ConnectionUse | None = attrs.field(default=None, init=False)
     _silence: Silence | None = attrs.field(default=None, init=False)
@@ -455,6 +459,8 @@
         activity = self.reservation.state.activity
         is_first_chunk = True
         has_forwarded = False
+        first_id: int | None = None
+        first_at_s = 0.0
         sound_at_s = math.inf
         async for data in exchange.chunks():
             now_s = boot_time_s()
@@ -466,7 +472,6 @@
                 is_first_chunk = False
                 sound_at_s = now_s + SOUND_AFTER_S
                 self.reservation.record_first_event()
-                self.on_first_event()
             block = events.add(data)
             self._has_part_of_event = not block
             if not block:
@@ -475,7 +480,14 @@
             await self.relay.start_stream(exchange, headers)
             await self.relay.forward(block, self._server)
             has_forwarded = True
+            if self.on_paced is not None:
+                if first_id is None:
+                    first_id, first_at_s = self.relay.last_event_id, now_s
+                elif now_s - first_at_s >= PACE_AFTER_S:
+                    self._report_pace(first_id, now_s - first_at_s)
             self._wait_for(self.patience.next_wait)
+        if has_forwarded:
+            self._report_pace(first_id, boot_time_s() - first_at_s)
         events.ensure_ended()
         if not has_forwarded:
             if self.relay.started:
@@ -490,6 +502,16 @@
         await self.relay.end_stream()
         self._record_sound(boot_time_s())
 
+    def _report_pace(self, first_id: int | None, elapsed_s: float) -> None:
+        """Report the time for each event since the first one, once."""
+        if self.on_paced is None:
+            return
+        report, self.on_paced = self.on_paced, None
+        last_id = self.relay.last_event_id
+        if first_id is None or last_id is None:
+            return
+        report(elapsed_s / max(1, last_id - first_id))
+
     async def _ensure_not_cut(self, exchange: Exchange) -> None:
         """Raise `AnswerBroken` if a crash ended a body that ends with its connection.
 
--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
@@ -31,10 +32,11 @@
 from .rollout_sums import RolloutSums, order_key
 from .view import FleetView
 
-# A first event is slow if it comes this many times later than expected of the other
-# version; expected times of a loaded engine are off by up to about 3.
+# An answer is slow if it takes this many times longer than the old version's do; the
+# load of an engine makes up to about 3.
 SLOW_FACTOR = 4.0
-SLOW_MIN_S = 0.3  # waits below it are due to the load of a moment
+SLOW_MIN_S = 0.02  # shorter times are due to the load of a moment
+TIME_SMOOTHING = 0.05  # weight of the newest answer in the mean of a route
 WRITE_CHECK_INTERVAL_S = 0.1
 # Per instance, in the order in which they write if those before have not.
 WRITE_RANK_DELAY_S = 0.4
@@ -72,6 +74,11 @@
         """Number of instances, this one included."""
         ...
 
+    @property
+    def lag_s(self) -> float:
+        """Age of the others' sums."""
+        ...
+
     def rank(self, key: str) -> int:
         """Return this instance's rank in the fleet for a key, from 0."""
         ...
@@ -88,6 +95,9 @@
     logged: Stage | None = None
     crashed: set[tuple[str, int]] = attrs.field(factory=set)
     read_at_s: float = -math.inf
+    # Own answers of the last rounds, oldest first, with their times.
+    earlier: deque[tuple[float, dict[str, RouteAnswers]]] = attrs.field(factory=deque)
+    old_times_s: dict[str, float] = attrs.field(factory=dict)
     is_withdrawn: bool = False  # kept, as servers of its version may still run
 
     @property
@@ -232,29 +242,28 @@
         running = self._running.get(service)
         return running is not None and not running.rollout.is_final
 
-    def is_slow(self, state: ServerState, first_s: float, expected_s: float) -> bool:
-        """Return whether a first event came far later than the old version's would.
+    def is_slow(self, server: AnnouncedServer, route: str, time_s: float) -> bool:
+        """Return whether an answer took far longer than those of the old version.
 
-        The expected time goes by the rate of the server itself, which a slow one has
-        taught already, so it is scaled to the mean rate of the old version's servers.
-        Cold servers are slow whatever their version.
+        Its time doesn't include the wait for a prefill, which depends on what a server
+        has cached: a new one has nothing.
+
+        Parameters
+        ----------
+        time_s : float
+            Time for each event of a stream after the first, or of a plain answer.
         """
-        running = self._running.get(state.server.service)
-        now_s = boot_time_s()
-        if running is None or first_s < SLOW_MIN_S or state.is_cold(now_s):
+        running = self._running.get(server.service)
+        if running is None:
             return False
-        old = [
-            other
-            for other in self._view.states_of(state.server.service)
-            if other.server.version != running.rollout.order.version
-        ]
-        rates = [other.rate_tokens_per_s for other in old]
-        mean_rate = sum(rates) / len(rates) if rates else 0.0
-        if mean_rate > 0.0 and state.rate_tokens_per_s > 0.0:
-            expected_s *= min(1.0, state.rate_tokens_per_s / mean_rate)
-        if not state.rate_tokens_per_s and old:
-            expected_s = sum(other.latency_s for other in old) / len(old)
-        return first_s > SLOW_FACTOR * expected_s
+        mean_s = running.old_times_s.get(route)
+        is_old = server.version != running.rollout.order.version
+        if is_old:
+            known_s = time_s if mean_s is None else mean_s
+            running.old_times_s[route] = known_s + TIME_SMOOTHING * (time_s - known_s)
+        if mean_s is None or time_s < SLOW_MIN_S:
+            return False
+        return time_s > SLOW_FACTOR * mean_s
 
     def describe(self) -> list[dict[str, object]]:
         """Return each roll-out with its evidence, for operators."""
@@ -280,10 +289,13 @@
         ]
 
     def _totals_of(self, running: _Running) -> dict[str, RouteAnswers]:
-        """Return the fleet's answers by route."""
-        totals = {
-            route: attrs.evolve(answers) for route, answers in running.own.items()
-        }
+        """Return the fleet's answers by route.
+
+        Own answers are as old as those of the others. While the share of the new
+        version grows, newer ones would weigh more for it than for the old one.
+        """
+        own = running.earlier[0][1] if running.earlier else running.own
+        totals = {route: attrs.evolve(answers) for route, answers in own.items()}
         for route, answers in running.fleet.items():
             totals.setdefault(route, RouteAnswers()).add(answers)
         return totals
@@ -326,6 +338,7 @@
         now_s = boot_time_s()
         for service, running in self._running.items():
             rollout = running.rollout
+            self._keep_own(running, now_s)
             totals = self._totals_of(running)
             if rollout.stage is Stage.TRIAL:
                 self._choose_trial_servers(rollout)
@@ -348,6 +361,14 @@
             )
             self._view.refresh()
 
+    def _keep_own(self, running: _Running, now_s: float) -> None:
+        """Keep this instance's answers until the others' of the same time are known."""
+        own = {route: attrs.evolve(answers) for route, answers in running.own.items()}
+        earlier = running.earlier
+        earlier.append((now_s, own))
+        while len(earlier) > 1 and earlier[1][0] <= now_s - self._fleet.lag_s:
+            earlier.popleft()
+
     def _choose_trial_servers(self, rollout: Rollout) -> None:
         """Choose the new server of the trial, the same at all instances."""
         order = rollout.order
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -5,6 +5,7 @@
 import hashlib
 import random
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -21,7 +22,7 @@
 )
 from teaseldyke.telemetry import counter, log_decision
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import RouteKind, TeaseldykeError
+from teaseldyke.types import AnnouncedServer, RouteKind, TeaseldykeError
 
 from .attempts import Attempt, Outcome, SendResult
 from .call import Call, address_of, work_for_resend
@@ -37,6 +38,7 @@
 from .view import FleetView
 
 SUCCESSES = range(200, 300)  # statuses
+UNANSWERED_BAD_S = 3.0  # without a first event, until a time-out counts as bad
 DRAW_BYTES = 4
 
 RESENT = counter("teaseldyke_resent_total", "Sends after the first, by cause.")
@@ -211,7 +213,7 @@
             call.silent_since_s,
         )
         if self._rollouts.is_active(call.service.name):
-            attempt.on_first_event = lambda: self._count_first_event(call, reservation)
+            attempt.on_paced = partial(self._count_stream, call, server)
         call.addresses.add((server.host, server.port))
         call.avoid.add(server.id)
         call.possible_runs += 1  # until ruled out
@@ -243,47 +245,38 @@
             raise ServerBroke(f"the server crashed under it: {result.detail}")
         return result
 
-    def _count_first_event(self, call: Call, reservation: Reservation) -> None:
-        """Count the first event of a stream in a roll-out; it may be slow."""
-        state = reservation.state
-        is_slow = self._rollouts.is_slow(
-            state, reservation.measured_first_s, reservation.expected_first_s
-        )
-        self._rollouts.record(state.server, call.route.name, is_bad=is_slow)
+    def _count_stream(
+        self, call: Call, server: AnnouncedServer, event_s: float
+    ) -> None:
+        """Count a stream in a roll-out by its time for each event."""
+        is_slow = self._rollouts.is_slow(server, call.route.name, event_s)
+        self._rollouts.record(server, call.route.name, is_bad=is_slow)
 
     def _count_answer(self, call: Call, attempt: Attempt, result: SendResult) -> None:
         """Count the end of an attempt in a roll-out."""
         if not self._rollouts.is_active(call.service.name):
             return
-        reservation = attempt.reservation
-        state = reservation.state
+        server = attempt.reservation.state.server
+        route = call.route.name
         is_bad = result.outcome in (Outcome.FAILED, Outcome.BROKEN) or (
             result.outcome is Outcome.DONE and result.status >= 500
         )
         is_stream = call.route.kind is RouteKind.STREAMING
         if result.outcome is Outcome.DONE and not is_stream and not is_bad:
-            elapsed_s = boot_time_s() - reservation.sent_at_s
-            is_bad = self._rollouts.is_slow(
-                state, elapsed_s, reservation.expected_first_s
-            )
+            elapsed_s = boot_time_s() - attempt.reservation.sent_at_s
+            is_bad = self._rollouts.is_slow(server, route, elapsed_s)
         elif not is_bad:
             return
-        crashed = result.outcome is Outcome.BROKEN and self._probe.is_crashed(
-            state.server
-        )
-        self._rollouts.record(
-            state.server, call.route.name, is_bad=is_bad, crashed=crashed
-        )
+        crashed = result.outcome is Outcome.BROKEN and self._probe.is_crashed(server)
+        self._rollouts.record(server, route, is_bad=is_bad, crashed=crashed)
 
     def _count_unanswered(self, call: Call, attempt: Attempt) -> None:
-        """Count an attempt that its caller's or the route's time-out has ended."""
-        reservation = attempt.reservation
-        if not attempt.sent or attempt.has_begun:
+        """Count an attempt in a roll-out that was ended while its server was silent."""
+        if not attempt.sent or not self._rollouts.is_active(call.service.name):
             return
+        reservation = attempt.reservation
         waited_s = boot_time_s() - reservation.sent_at_s
-        if self._rollouts.is_slow(
-            reservation.state, waited_s, reservation.expected_first_s
-        ):
+        if not attempt.has_begun and waited_s >= UNANSWERED_BAD_S:
             self._rollouts.record(
                 reservation.state.server, call.route.name, is_bad=True
             )
--- a/libs/gateway/tests/test_rollouts.py
+++ b/libs/gateway/tests/test_rollouts.py
@@ -12,6 +12,7 @@
 from teaseldyke.gateway.rollouts import Rollouts
 from teaseldyke.gateway.view import FleetView
 from teaseldyke.placement import RolloutOrder, Stage, Work
+from teaseldyke.timers import boot_time_s
 from teaseldyke.types import AnnouncedServer
 
 ORDER = RolloutOrder("app", "v2", 16.0)
@@ -23,6 +24,7 @@
 class FleetStandin:
     instances: int = 5
     alive: int = 5
+    lag_s: float = 0.0
     own_rank: int = 0
 
     def rank(self, key: str) -> int:
@@ -169,6 +171,24 @@
         assert instance.rows.written == []
 
 
+class TestSums:
+    def test_own_answers_are_compared_with_others_of_the_same_time(
+        self, instance: Instance
+    ) -> None:
+        """An instance rolled back by its newest answers as all servers had trouble."""
+        instance.fleet.lag_s = 1.0
+        instance.order(ORDER)
+        running = instance.rollouts._running["app"]
+        server = instance.view.states_of("app")[0].server
+        instance.rollouts.advance()
+        for waited_s, answers in ((0.5, 0), (1.1, 1)):
+            instance.rollouts.record(server, "r", is_bad=True)
+            instance.now_s += waited_s
+            instance.rollouts.advance()
+            totals = instance.rollouts._totals_of(running)
+            assert len(totals) == answers
+
+
 class TestRestart:
     def test_restarted_instance_gets_no_slack_again(
         self,
@@ -180,7 +200,10 @@
         made = Instance(rollouts, FleetStandin(), RowsStandin(), view)
         list_versions(made, make_server, "v1", "v2")
         rollouts.apply_orders([ORDER])
-        made.rollouts._running["app"].rollout.hear(Stage.TRIAL, 1.0, 1000.0)
+        made.rollouts._running["app"].rollout.hear(
+            Stage.TRIAL, 1.0, boot_time_s() + 2.0
+        )
+        assert made.stage is Stage.TRIAL
         assert made.versions(10).get("v2", 0) <= 1
 
     async def test_instance_of_any_rank_reads_the_end_at_its_start(
