Don't move traffic on while an instance stands still

Callers saw: an instance that was frozen while traffic was moved sent all requests to the new version once it ran again, as steps went by the time alone, before it had heard whether the others had rolled back.

Change: steps go by the time of the last evidence; time in which the process stood still doesn't count.

Evidence: TestStages.test_frozen_instance_goes_on_where_it_stood failed before (share 1.0).

--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -38,6 +38,7 @@
 # Without a new send to the old version before it may end; answers of the last step come
 # with the lag of the sums.
 MOVED_MIN_S = 2.0
+PAUSE_MIN_S = 0.5  # between two calls of `Rollout.advance`, usually 0.1 s apart
 # After a restart, before a stage is adopted that isn't final: what was told may be
 # older than a roll-back.
 JOIN_DELAY_S = 1.0
@@ -316,6 +317,7 @@
     old_sent_at_s: float = -math.inf
     _credit: float = attrs.field(init=False)
     _joins_at_s: float = -math.inf
+    _advanced_at_s: float = -math.inf
 
     def __attrs_post_init__(self) -> None:
         self.new_side = VersionSide(self.order.version, is_new=True)
@@ -344,7 +346,7 @@
         ):
             return TRIAL_SHARE_FACTOR * self.exposure_share
         if self.stage is Stage.MOVING:
-            elapsed_s = now_s - self.changed_at_s
+            elapsed_s = min(now_s, self._advanced_at_s) - self.changed_at_s
             step = int(max(0.0, elapsed_s) / step_s(self.order.duration_s))
             return MOVING_STEPS[min(step, len(MOVING_STEPS) - 1)]
         return 1.0 if self.stage in (Stage.MOVED, Stage.COMPLETED) else 0.0
@@ -381,6 +383,11 @@
         """
         if self.is_final or self.stage is Stage.UNKNOWN:
             return
+        paused_s = now_s - self._advanced_at_s
+        self._advanced_at_s = now_s
+        if PAUSE_MIN_S < paused_s < math.inf and self.stage is Stage.MOVING:
+            # The others may have rolled back while this process stood still.
+            self.changed_at_s += paused_s
         self.verdict.update(sums, now_s)
         if self.verdict.bad_route is not None:
             route = self.verdict.bad_route or "all routes"
@@ -451,7 +458,7 @@
 
     def _enter(self, stage: Stage, now_s: float) -> None:
         self.stage = stage
-        self.changed_at_s = now_s
+        self.changed_at_s = self._advanced_at_s = now_s
         if stage is Stage.ROLLED_BACK:
             self.new_side.is_new = self.old_side.is_new = False
             self.new_side.barred = self.barred
--- a/libs/placement/tests/test_rollout.py
+++ b/libs/placement/tests/test_rollout.py
@@ -225,3 +225,14 @@
         rollout.advance({"long": RouteAnswers(30, 4, 540, 10)}, 12.0)
         assert rollout.stage is stage
         assert rollout.share(12.0) <= EXPOSURE_SHARE
+
+    def test_frozen_instance_goes_on_where_it_stood(self) -> None:
+        """It sent all requests to the new version before it heard of the others."""
+        rollout = Rollout(
+            ORDER, 0.0, EXPOSURE_SHARE, stage=Stage.MOVING, changed_at_s=8.0
+        )
+        rollout.advance({}, 8.1)
+        assert rollout.share(12.0) == 0.2
+        rollout.advance({}, 12.0)
+        assert rollout.stage is Stage.MOVING
+        assert rollout.share(12.0) == 0.2
