--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -20,6 +20,10 @@
 
 TRIAL_SHARE_FACTOR = 0.5  # of the share that a bad version may get; the rest is moved
 TRIAL_FRACTION = 0.5  # of the time allowed; some versions are bad only later
+# From this fraction on, one new server gets this factor of the share that a bad version
+# may get: some versions are bad only under load, and a server of many has little of it.
+LOAD_FRACTION = 0.25
+LOAD_SHARE_FACTOR = 1.2
 # Shares after the trial, one step each. The first one loads the new servers while a bad
 # version can still be stopped within its share.
 MOVING_STEPS = (0.2, 0.5, 1.0)
@@ -41,6 +45,7 @@
 # Without a new send to the old version before it may end; answers of the last step come
 # with the lag of the sums.
 MOVED_MIN_S = 2.0
+PAUSE_MIN_S = 0.5  # between two calls of `Rollout.advance`, usually 0.1 s apart
 # After a restart, before a stage is adopted that isn't final: what was told may be
 # older than a roll-back.
 JOIN_DELAY_S = 1.0
@@ -319,6 +324,7 @@
     old_sent_at_s: float = -math.inf
     _credit: float = attrs.field(init=False)
     _joins_at_s: float = -math.inf
+    _advanced_at_s: float = -math.inf
 
     def __attrs_post_init__(self) -> None:
         self.new_side = VersionSide(self.order.version, is_new=True)
@@ -341,13 +347,19 @@
     def share(self, now_s: float) -> float:
         """Return the share of the sends that goes to the new version."""
         if self.stage is Stage.TRIAL:
-            return TRIAL_SHARE_FACTOR * self.exposure_share
+            elapsed_s = now_s - self.begun_at_s
+            is_loading = (
+                LOAD_FRACTION <= elapsed_s / self.order.duration_s < TRIAL_FRACTION
+                and not self.verdict.is_suspect
+            )
+            factor = LOAD_SHARE_FACTOR if is_loading else TRIAL_SHARE_FACTOR
+            return factor * self.exposure_share
         if self.stage is Stage.MOVING and (
             not self.is_in_touch or self.verdict.is_suspect
         ):
             return TRIAL_SHARE_FACTOR * self.exposure_share
         if self.stage is Stage.MOVING:
-            elapsed_s = now_s - self.changed_at_s
+            elapsed_s = min(now_s, self._advanced_at_s) - self.changed_at_s
             step = int(max(0.0, elapsed_s) / step_s(self.order.duration_s))
             return MOVING_STEPS[min(step, len(MOVING_STEPS) - 1)]
         return 1.0 if self.stage in (Stage.MOVED, Stage.COMPLETED) else 0.0
@@ -384,6 +396,11 @@
         """
         if self.is_final or self.stage is Stage.UNKNOWN:
             return
+        paused_s = now_s - self._advanced_at_s
+        self._advanced_at_s = now_s
+        if PAUSE_MIN_S < paused_s < math.inf and self.stage is Stage.MOVING:
+            # The others may have rolled back while this process stood still.
+            self.changed_at_s += paused_s
         self.verdict.update(sums, now_s)
         if self.verdict.bad_route is not None:
             route = self.verdict.bad_route or "all routes"
@@ -454,7 +471,7 @@
 
     def _enter(self, stage: Stage, now_s: float) -> None:
         self.stage = stage
-        self.changed_at_s = now_s
+        self.changed_at_s = self._advanced_at_s = now_s
         if stage is Stage.ROLLED_BACK:
             self.new_side.is_new = self.old_side.is_new = False
             self.new_side.barred = self.barred
@@ -516,7 +533,7 @@
     return SLACK_FACTOR * slack if slack >= SLACK_MIN else 0.0
 
 
-def trial_server(names: Sequence[str], elapsed_s: float) -> str:
+def trial_server(names: Sequence[str], elapsed_s: float, duration_s: float) -> str:
     """Return the new server that gets the requests of the trial.
 
     One at a time, so that it bears more than a server bears when all traffic is moved:
@@ -527,12 +544,13 @@
     ----------
     names : sequence of str
         Ids of the new servers, in an order that all instances share.
-    elapsed_s : float
-        Time since the order.
+    elapsed_s, duration_s : float
+        Time since the order, and from it to its deadline.
 
     Examples
     --------
-    >>> trial_server(["e1", "e2"], 0.0), trial_server(["e1", "e2"], 3.0)
-    ('e1', 'e2')
+    >>> [trial_server(["e1", "e2"], elapsed_s, 16.0) for elapsed_s in (0.0, 3.0, 7.0)]
+    ['e1', 'e2', 'e2']
     """
-    return names[int(elapsed_s / TRIAL_TURN_S) % len(names)]
+    turns_s = min(elapsed_s, LOAD_FRACTION * duration_s)
+    return names[int(turns_s / TRIAL_TURN_S) % len(names)]
