Open a connection for each request of the load in tests of roll-outs

An answer may carry Connection: close, after which the parser accepts no other request; test_version_without_servers_is_rolled_back_at_the_deadline failed so in 3 of 6 runs.

--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -58,12 +58,12 @@
 
     async def run_caller(number: int) -> None:
         gateway = fleet.gateways[number % len(fleet.gateways)]
-        caller = fleet.caller(gateway)
         while not until():
+            caller = fleet.caller(gateway)  # an answer may end its connection
             answer = await caller.request("/safe/a", request_id=f"r-{len(statuses)}")
+            await caller.close()
             statuses.append(answer.status)
             await trio.sleep(0.02)
-        await caller.close()
 
     with trio.fail_after(4 * DURATION_S):
         async with trio.open_nursery() as nursery:
