--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -381,9 +381,7 @@
             return
         new.sort(key=lambda name: rendezvous_weight(order.version, name))
         elapsed_s = boot_time_s() - rollout.begun_at_s
-        rollout.new_side.trial_ids = frozenset(
-            [trial_server(new, elapsed_s, order.duration_s)]
-        )
+        rollout.new_side.trial_ids = frozenset([trial_server(new, elapsed_s)])
 
     async def run(self) -> None:
         """Write the states of roll-outs until cancelled."""
--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -20,10 +20,6 @@
 
 TRIAL_SHARE_FACTOR = 0.5  # of the share that a bad version may get; the rest is moved
 TRIAL_FRACTION = 0.5  # of the time allowed; some versions are bad only later
-# From this fraction on, one new server gets this factor of the share that a bad version
-# may get: some versions are bad only under load, and a server of many has little of it.
-LOAD_FRACTION = 0.25
-LOAD_SHARE_FACTOR = 1.2
 # Shares after the trial, one step each. The first one loads the new servers while a bad
 # version can still be stopped within its share.
 MOVING_STEPS = (0.2, 0.5, 1.0)
@@ -347,13 +343,7 @@
     def share(self, now_s: float) -> float:
         """Return the share of the sends that goes to the new version."""
         if self.stage is Stage.TRIAL:
-            elapsed_s = now_s - self.begun_at_s
-            is_loading = (
-                LOAD_FRACTION <= elapsed_s / self.order.duration_s < TRIAL_FRACTION
-                and not self.verdict.is_suspect
-            )
-            factor = LOAD_SHARE_FACTOR if is_loading else TRIAL_SHARE_FACTOR
-            return factor * self.exposure_share
+            return TRIAL_SHARE_FACTOR * self.exposure_share
         if self.stage is Stage.MOVING and (
             not self.is_in_touch or self.verdict.is_suspect
         ):
@@ -533,7 +523,7 @@
     return SLACK_FACTOR * slack if slack >= SLACK_MIN else 0.0
 
 
-def trial_server(names: Sequence[str], elapsed_s: float, duration_s: float) -> str:
+def trial_server(names: Sequence[str], elapsed_s: float) -> str:
     """Return the new server that gets the requests of the trial.
 
     One at a time, so that it bears more than a server bears when all traffic is moved:
@@ -544,13 +534,12 @@
     ----------
     names : sequence of str
         Ids of the new servers, in an order that all instances share.
-    elapsed_s, duration_s : float
-        Time since the order, and from it to its deadline.
+    elapsed_s : float
+        Time since the order.
 
     Examples
     --------
-    >>> [trial_server(["e1", "e2"], elapsed_s, 16.0) for elapsed_s in (0.0, 3.0, 7.0)]
-    ['e1', 'e2', 'e2']
+    >>> trial_server(["e1", "e2"], 0.0), trial_server(["e1", "e2"], 3.0)
+    ('e1', 'e2')
     """
-    turns_s = min(elapsed_s, LOAD_FRACTION * duration_s)
-    return names[int(turns_s / TRIAL_TURN_S) % len(names)]
+    return names[int(elapsed_s / TRIAL_TURN_S) % len(names)]
