--- a/libs/gateway/src/teaseldyke/gateway/interfaces.py
+++ b/libs/gateway/src/teaseldyke/gateway/interfaces.py
@@ -10,10 +10,10 @@
 import trio
 
 from teaseldyke.http import OutgoingRequest
-from teaseldyke.placement import RolloutOrder
 from teaseldyke.settings import Address
 from teaseldyke.types import (
     AnnouncedServer,
+    RolloutOrder,
     RoutingTable,
     StoreVersion,
     TeaseldykeError,
--- a/libs/gateway/src/teaseldyke/gateway/rollout_sums.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollout_sums.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from teaseldyke.placement import RolloutOrder
+from teaseldyke.types import RolloutOrder
 
 # Stage, age of the order in ms, whether the stage is written, and answers by route:
 # good and bad ones of the new and of the old version.
--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -16,7 +16,6 @@
 
 from teaseldyke.placement import (
     Rollout,
-    RolloutOrder,
     RouteAnswers,
     ServerState,
     Stage,
@@ -26,7 +25,12 @@
 )
 from teaseldyke.telemetry import counter, gauge, log_decision
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import AnnouncedServer, PlatformUnavailable, TeaseldykeError
+from teaseldyke.types import (
+    AnnouncedServer,
+    PlatformUnavailable,
+    RolloutOrder,
+    TeaseldykeError,
+)
 
 from .interfaces import RolloutRows, RolloutState
 from .rollout_sums import RolloutSums, order_key
--- a/libs/gateway/src/teaseldyke/gateway/view.py
+++ b/libs/gateway/src/teaseldyke/gateway/view.py
@@ -12,12 +12,11 @@
 from teaseldyke.placement import (
     ColdRateLimit,
     LimitReport,
-    RolloutOrder,
     ServerState,
 )
 from teaseldyke.telemetry import log_decision
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import AnnouncedServer, RoutingTable
+from teaseldyke.types import AnnouncedServer, RolloutOrder, RoutingTable
 
 from .statement_log import log_limit_changed, log_said_leaving
 from .sums import NumberedLimit, start_number
--- a/libs/gateway/tests/test_rollouts.py
+++ b/libs/gateway/tests/test_rollouts.py
@@ -11,9 +11,9 @@
 from teaseldyke.gateway import rollouts as module
 from teaseldyke.gateway.rollouts import Rollouts
 from teaseldyke.gateway.view import FleetView
-from teaseldyke.placement import RolloutOrder, Stage, Work
+from teaseldyke.placement import Stage, Work
 from teaseldyke.timers import boot_time_s
-from teaseldyke.types import AnnouncedServer
+from teaseldyke.types import AnnouncedServer, RolloutOrder
 
 ORDER = RolloutOrder("app", "v2", 16.0)
 NEXT_ORDER = RolloutOrder("app", "v3", 16.0)
--- a/libs/placement/src/teaseldyke/placement/__init__.py
+++ b/libs/placement/src/teaseldyke/placement/__init__.py
@@ -30,7 +30,6 @@
 from .resumption import EventSizes, work_left
 from .rollout import (
     Rollout,
-    RolloutOrder,
     RouteAnswers,
     Stage,
     Verdict,
@@ -87,7 +86,6 @@
     "Refusal",
     "RequestIdentity",
     "Rollout",
-    "RolloutOrder",
     "RouteAnswers",
     "Stage",
     "Verdict",
--- a/libs/placement/src/teaseldyke/placement/rollout.py
+++ b/libs/placement/src/teaseldyke/placement/rollout.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from teaseldyke.types import AnnouncedServer
+from teaseldyke.types import AnnouncedServer, RolloutOrder
 
 TRIAL_SHARE_FACTOR = 0.5  # of the share that a bad version may get; the rest is moved
 TRIAL_FRACTION = 0.5  # of the time allowed; some versions are bad only later
@@ -75,23 +75,6 @@
     COMPLETED = 5  # only once it is written, as the old servers end then
 
 
-@attrs.frozen
-class RolloutOrder:
-    """An operator's order to move a service to servers of a software version.
-
-    Parameters
-    ----------
-    service, version : str
-        Service, and the version that its traffic is to be moved to.
-    duration_s : float
-        Time from the order to its deadline.
-    """
-
-    service: str
-    version: str
-    duration_s: float
-
-
 @attrs.define
 class RouteAnswers:
     """Answers of one route by version: good and bad ones of the new and the old."""
--- a/libs/placement/tests/test_rollout.py
+++ b/libs/placement/tests/test_rollout.py
@@ -10,12 +10,11 @@
 
 from teaseldyke.placement import (
     Rollout,
-    RolloutOrder,
     RouteAnswers,
     Stage,
     Verdict,
 )
-from teaseldyke.types import AnnouncedServer
+from teaseldyke.types import AnnouncedServer, RolloutOrder
 
 EXPOSURE_SHARE = 0.1  # stated by the operators, with a slack of 50 requests
 EXPOSURE_SLACK = 50
--- a/libs/types/src/teaseldyke/types/routing.py
+++ b/libs/types/src/teaseldyke/types/routing.py
@@ -133,6 +133,23 @@
     tokens_per_s: float = 0.0
 
 
+@attrs.frozen
+class RolloutOrder:
+    """An operator's order to move a service to servers of a software version.
+
+    Parameters
+    ----------
+    service, version : str
+        Service, and the version that its traffic is to be moved to.
+    duration_s : float
+        Time from the order to its deadline.
+    """
+
+    service: str
+    version: str
+    duration_s: float
+
+
 @attrs.frozen
 class AnnouncedServer:
     """The announcement of one backend server.
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -12,13 +12,13 @@
 from teaseldyke.adapter.store import Page, StoredRow
 from teaseldyke.gateway import FeedRole, KnownVersions
 from teaseldyke.http import Response
-from teaseldyke.placement import RolloutOrder
 from teaseldyke.settings import Address
 from teaseldyke.timers import boot_time_s
 from teaseldyke.types import (
     NO_VERSION,
     AnnouncedServer,
     PlatformUnavailable,
+    RolloutOrder,
     RoutingTable,
     StoreVersion,
 )
