Accuse no part of an early crash that was sound a short time ago

Each crash of an engine accused the parts of nearly all requests there, every instance told every other one so, and again when the next answer cleared them.

A part that this instance has seen answered within the last minute is no longer accused by a crash at which nothing was known to be about to begin. A part that crashes engines is never answered; one that begins to do so late is still found by a header without an event, or by instances that have not seen it answered.

Evidence: test_parts_that_were_sound_lately_make_no_news_of_an_early_crash failed before.

--- a/libs/placement/src/teaseldyke/placement/crash_evidence.py
+++ b/libs/placement/src/teaseldyke/placement/crash_evidence.py
@@ -104,12 +104,18 @@
         request : RequestIdentity, optional
             The request.
         has_begun : bool
-            Whether the request was about to begin, by what the engine had sent.
+            Whether the request was about to begin, by what the engine had sent. If
+            not, its parts are accused unless they were sound a short time ago.
         is_sequel : bool
             Whether it was sent again after a crash that accused it.
         """
         unbegun = frozenset() if has_begun else frozenset((crash,))
         for depth, part in enumerate(shared_keys(parts)):
+            sound_age_s = now_s - self._cleared.get(part, -math.inf)
+            if not has_begun and sound_age_s <= CLEARED_TTL_S:
+                # Each crash would accuse the parts of nearly all requests, and tell
+                # every other instance so, until the next answer clears them.
+                continue
             self._add(part, depth, {crash: at_s}, now_s, unbegun)
         if request is not None:
             suspect = self._add(request.key, REQUEST_DEPTH, {crash: at_s}, now_s)
--- a/libs/placement/tests/test_crash_evidence.py
+++ b/libs/placement/tests/test_crash_evidence.py
@@ -193,6 +193,13 @@
             step(evidence)
         assert evidence.quarantined == expected
 
+    def test_parts_that_were_sound_lately_make_no_news_of_an_early_crash(self) -> None:
+        """All instances told all others of the parts of all requests at each crash."""
+        evidence = CrashEvidence()
+        sound(4.0, SHARED)(evidence)
+        early_crash("e1", 5.0, SHARED, OTHER)(evidence)
+        assert [report.key for report in evidence.news(5.0, relayed=False)] == [OTHER]
+
     def test_prompt_with_it_is_refused_whatever_else_it_holds(self) -> None:
         evidence = CrashEvidence()
         crash("e1", 5.0, SHARED, CRASHING)(evidence)
