--- a/libs/gateway/src/teaseldyke/gateway/rollouts.py
+++ b/libs/gateway/src/teaseldyke/gateway/rollouts.py
@@ -246,8 +246,10 @@
         running = self._running.get(service)
         return running is not None and not running.rollout.is_final
 
-    def is_slow(self, server: AnnouncedServer, route: str, time_s: float) -> bool:
-        """Return whether an answer took far longer than those of the old version.
+    def record_time(self, server: AnnouncedServer, route: str, time_s: float) -> bool:
+        """Record the time of an answer; return whether it is far longer than usual.
+
+        Usual are the times of the old version on the route, which make the mean.
 
         Its time doesn't include the wait for a prefill, which depends on what a server
         has cached: a new one has nothing.
@@ -345,7 +347,7 @@
             self._keep_own(running, now_s)
             totals = self._totals_of(running)
             if rollout.stage is Stage.TRIAL:
-                self._choose_trial_servers(rollout)
+                self._choose_trial_server(rollout)
             rollout.is_in_touch = self._is_in_touch
             rollout.advance(totals, now_s)
             if rollout.stage is running.logged:
@@ -373,7 +375,7 @@
         while len(earlier) > 1 and earlier[1][0] <= now_s - self._fleet.lag_s:
             earlier.popleft()
 
-    def _choose_trial_servers(self, rollout: Rollout) -> None:
+    def _choose_trial_server(self, rollout: Rollout) -> None:
         """Choose the new server of the trial, the same at all instances."""
         order = rollout.order
         new = [
--- a/libs/gateway/src/teaseldyke/gateway/sending.py
+++ b/libs/gateway/src/teaseldyke/gateway/sending.py
@@ -249,7 +249,7 @@
         self, call: Call, server: AnnouncedServer, event_s: float
     ) -> None:
         """Count a stream in a roll-out by its time for each event."""
-        is_slow = self._rollouts.is_slow(server, call.route.name, event_s)
+        is_slow = self._rollouts.record_time(server, call.route.name, event_s)
         self._rollouts.record(server, call.route.name, is_bad=is_slow)
 
     def _count_answer(self, call: Call, attempt: Attempt, result: SendResult) -> None:
@@ -264,7 +264,7 @@
         is_stream = call.route.kind is RouteKind.STREAMING
         if result.outcome is Outcome.DONE and not is_stream and not is_bad:
             elapsed_s = boot_time_s() - attempt.reservation.sent_at_s
-            is_bad = self._rollouts.is_slow(server, route, elapsed_s)
+            is_bad = self._rollouts.record_time(server, route, elapsed_s)
         elif not is_bad:
             return
         crashed = result.outcome is Outcome.BROKEN and self._probe.is_crashed(server)
