--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -74,15 +74,19 @@
     }
 
 
-def configuration(version: int, routes: list[Any], **fields: object) -> dict[str, Any]:
-    """Return the operator's configuration with one service of plain servers."""
-    service = {
-        "name": "app",
+def service(name: str) -> dict[str, Any]:
+    """Return a service of plain servers."""
+    return {
+        "name": name,
         "healthPath": "/health",
         "maxConnections": 1000,
         "coldStartS": 0.0,
         "coldPerS": 0.0,
     }
+
+
+def configuration(version: int, routes: list[Any], **fields: object) -> dict[str, Any]:
+    """Return the operator's configuration with the service ``app``."""
     limits = {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 4194304,
@@ -93,7 +97,7 @@
     return {
         "version": version,
         "routes": routes,
-        "services": [service],
+        "services": [service("app")],
         "limits": limits,
         "tenants": [],
         **fields,
