--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -27,6 +27,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit statuses of a script
 ROLES = ("callers", "readiness", "exchange", "metrics")
 READY_TIMEOUT_S = 20.0
+RUN_MAX_S = 110.0  # of a case; then its processes are ended and it counts as not run
 # Bounds of the sites, as the template of the settings renders them.
 BOUNDS = {
     "retry_ratio": 0.2,
@@ -280,8 +281,13 @@
 def run_case(folder: Path, case: Callable[[Record], Awaitable[bool]]) -> None:
     """Run a case and exit; ``case`` returns whether the rule held."""
     record = Record(folder / "record.txt")
+
+    async def run_in_time() -> bool:
+        with trio.fail_after(RUN_MAX_S):
+            return await case(record)
+
     try:
-        held = trio.run(case, record)
+        held = trio.run(run_in_time)
     except BaseException:
         record.note("not run: " + traceback.format_exc())
         sys.exit(NOT_RUN)
