Close connections without a whole request to serve new callers

Cause: a server at its limit of connections refused whoever came last. Only the limit of memory closed slow connections for the sake of new ones, and with small requests the number of connections is reached long before it. Connections accepted in one pass of the scheduler were all counted before the first was served, so that a burst over the limit was refused whole.

Change: the account of what is held for callers counts connections, too, and both limits close connections in one order: discarded bodies; connections without data for 1 s; idle ones; requests that arrive, slowest first; the rest, oldest first. A connection whose request may have been forwarded is never closed.

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -19,6 +19,7 @@
     HoldingState,
     HttpClient,
     Request,
+    Scarcity,
     ServerLimits,
     serve,
 )
@@ -79,11 +80,18 @@
     "teaseldyke_caller_memory_limit_bytes",
     "Limit of the bytes held for callers; 0 without a limit.",
 ).bind()
-CALLER_MEMORY_CLOSED = counter(
-    "teaseldyke_caller_memory_closed_total",
-    "Connections closed or rejected as the memory for callers was full, by what they"
-    " were doing.",
-)
+CALLERS_CLOSED = {
+    Scarcity.MEMORY: counter(
+        "teaseldyke_caller_memory_closed_total",
+        "Connections closed or rejected as the memory for callers was full, by what"
+        " they were doing.",
+    ),
+    Scarcity.CONNECTIONS: counter(
+        "teaseldyke_caller_connection_limit_closed_total",
+        "Connections closed or rejected as the limit of connections was reached, by"
+        " what they were doing.",
+    ),
+}
 
 PART_RESTART_S = 0.5  # from a part's failure to its next start
 ERROR_MAX = 200  # characters in a log line
@@ -180,7 +188,10 @@
         )
         limits = self.caller_limits = derive_caller_limits(settings)
         self.caller_memory = CallerMemory(
-            limits.memory_bytes, self._log_caller_memory, _count_closed
+            limits.memory_bytes,
+            self._log_scarcity,
+            _count_closed,
+            connections_max=limits.connections,
         )
         CALLER_MEMORY_LIMIT.set(
             0.0 if limits.memory_bytes == math.inf else limits.memory_bytes
@@ -235,7 +246,11 @@
                 (IDLE_CHECK_INTERVAL_S, self._close_unusable),
             ):
                 timers.every(interval_s, partial(run_logged, callback))
-            log_decision("started", callers=str(settings.callers))
+            log_decision(
+                "started",
+                callers=str(settings.callers),
+                connections_max=self.caller_limits.connections,
+            )
             limits = ServerLimits(connections=self.caller_limits.connections)
             await serve(
                 callers,
@@ -280,12 +295,16 @@
             waiting=self.placer.waiting,
         )
 
-    def _log_caller_memory(self, is_full: bool) -> None:
+    def _log_scarcity(self, scarcity: Scarcity, is_full: bool) -> None:
+        limits = self.caller_limits
         log_decision(
-            "caller_memory_full" if is_full else "caller_memory_relieved",
+            f"caller_{scarcity.value}_{'full' if is_full else 'relieved'}",
             held_bytes=self.caller_memory.held_bytes,
-            limit_bytes=int(self.caller_memory.limit_bytes),
+            limit_bytes=(
+                None if limits.memory_bytes == math.inf else int(limits.memory_bytes)
+            ),
             connections=self.caller_memory.connections,
+            connections_max=limits.connections,
         )
 
     async def _report_shares(self) -> None:
@@ -444,9 +463,9 @@
     return True
 
 
-def _count_closed(state: HoldingState | None) -> None:
+def _count_closed(scarcity: Scarcity, state: HoldingState | None) -> None:
     reason = "connection" if state is None else state.label
-    CALLER_MEMORY_CLOSED.bind(reason=reason).add()
+    CALLERS_CLOSED[scarcity].bind(reason=reason).add()
 
 
 def _loggable(known: KnownVersions) -> list[str]:
--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -4,7 +4,7 @@
 
 from .admission import Admission
 from .backend import BackendPool
-from .caller_memory import CallerMemory, Holding, HoldingState
+from .caller_memory import CallerMemory, Holding, HoldingState, Scarcity
 from .client import HttpClient, Response
 from .errors import (
     AnswerBroken,
@@ -53,6 +53,7 @@
     "Request",
     "RequestTimedOut",
     "Response",
+    "Scarcity",
     "ServerConnection",
     "ServerLimits",
     "Stream",
--- a/libs/http/src/teaseldyke/http/body.py
+++ b/libs/http/src/teaseldyke/http/body.py
@@ -16,7 +16,6 @@
     CallerGone,
     MalformedRequest,
     RequestTimedOut,
-    memory_full_error,
 )
 from .limits import ServerLimits
 from .stream import RECEIVE_BYTES, UNFRAMED_RECEIVE_BYTES, Stream
@@ -176,7 +175,7 @@
         if self.complete.is_set():
             held_bytes += len(self._connection.trailing_data[0])
         if not self._holding.receive(held_bytes) and self._is_rejectable:
-            raise memory_full_error()
+            raise self._holding.error()
         if self._received_bytes > self._limits.body_bytes:
             raise BodyTooLarge(f"request body exceeds {self._limits.body_bytes} bytes")
 
@@ -187,7 +186,7 @@
                 data = await self._stream.receive_some(self._read_bytes())
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
                 if self._holding.is_closed:
-                    raise memory_full_error() from exc
+                    raise self._holding.error() from exc
                 raise CallerGone(
                     "caller closed its connection within the request body"
                 ) from exc
@@ -207,7 +206,7 @@
     def _start_forwarding(self) -> None:
         """Protect the connection from a close; raises if it has been closed."""
         if self._holding.is_closed:
-            raise memory_full_error()
+            raise self._holding.error()
         self._holding.enter(HoldingState.FORWARDED)
 
     def _read_bytes(self) -> int:
--- a/libs/http/src/teaseldyke/http/caller_memory.py
+++ b/libs/http/src/teaseldyke/http/caller_memory.py
@@ -1,34 +1,40 @@
-"""Account of the memory that a server holds for its callers.
+"""Account of the connections and the memory that a server holds for its callers.
 
-Load pattern: many callers that send requests slowly or without end, or don't read their
-responses, at an instance whose process is terminated when it exceeds its memory.
+Load pattern: many callers that send requests slowly or without end, hold connections
+without a request, or don't read their responses, at an instance whose process is
+terminated when it exceeds its memory, and that has few descriptors.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Callable, Iterator
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 import attrs
 
 from teaseldyke.timers import boot_time_s
+from teaseldyke.types import TeaseldykeError
+
+from .errors import connections_full_error, memory_full_error
 
 # Objects of a connection and of one request on it, without what they buffer.
 CONNECTION_BYTES = 48 * 1024
-# What is freed below the limit, so that the connections aren't sorted for each read.
+# What is freed below a limit, so that the connections aren't sorted for each read.
 FREED_SHARE = 1 / 32
-RELIEVED_SHARE = 0.75  # of the limit; below it the account counts as well below
-MIN_ELAPSED_S = 1e-6  # a request that has just begun counts as fast
+RELIEVED_SHARE = 0.75  # of a limit; below it the account counts as well below
+# Without data, a request is stalled after it; a loss of packets rarely takes so long.
+STALLED_S = 1.0
 
 
 class HoldingState(IntEnum):
     """What a connection is doing; see `CallerMemory` for the order of closing."""
 
     DISCARDING = 0
-    IDLE = 1
-    RECEIVING = 2
-    FORWARDED = 3
+    UNUSED = 1  # no request has begun to arrive yet
+    IDLE = 2  # after a response
+    RECEIVING = 3
+    FORWARDED = 4
 
     @property
     def label(self) -> str:
@@ -36,6 +42,19 @@
         return self.name.lower()
 
 
+class Scarcity(Enum):
+    """Which limit of an account was reached."""
+
+    MEMORY = "memory"
+    CONNECTIONS = "connections"
+
+    def error(self) -> TeaseldykeError:
+        """Return the error of a request or connection that there is no room for."""
+        if self is Scarcity.CONNECTIONS:
+            return connections_full_error()
+        return memory_full_error()
+
+
 @attrs.define(eq=False)
 class Holding:
     """What is held for one connection.
@@ -45,8 +64,10 @@
     memory : CallerMemory
         The account.
     close : callable
-        Closes the connection, which is in the given state, without waiting; returns
-        false if it must stay open, since a request has arrived on it.
+        Closes the connection, which is in the given state, without waiting, as a limit
+        was reached; returns false if it must stay open, since a request has arrived.
+    entered_at_s : float
+        When the connection entered its state.
 
     Attributes
     ----------
@@ -56,30 +77,42 @@
         What the connection is doing.
     received_bytes : int
         Bytes of the current request that have arrived.
-    began_at_s : float
-        When the first byte of the current request arrived.
-    is_closed : bool
-        Whether the account has closed the connection to free memory.
+    progressed_at_s : float
+        When the connection entered its state or last received something in it.
+    closed_for : Scarcity or None
+        The limit for which the account has closed the connection.
     """
 
     memory: CallerMemory
-    close: Callable[[HoldingState], bool]
+    close: Callable[[HoldingState, Scarcity], bool]
+    entered_at_s: float = 0.0
     held_bytes: int = 0
-    state: HoldingState = HoldingState.IDLE
+    state: HoldingState = HoldingState.UNUSED
     received_bytes: int = 0
-    began_at_s: float = 0.0
-    is_closed: bool = False
+    progressed_at_s: float = attrs.field(
+        default=attrs.Factory(lambda self: self.entered_at_s, takes_self=True)
+    )
+    closed_for: Scarcity | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the account has closed the connection."""
+        return self.closed_for is not None
+
+    def error(self) -> TeaseldykeError:
+        """Return the error of a request that lost its connection or has no room."""
+        return (self.closed_for or Scarcity.MEMORY).error()
 
     def enter(self, state: HoldingState) -> None:
         """Change the state; a request starts when the connection is receiving."""
         if state is HoldingState.RECEIVING:
             self.received_bytes = 0
-            self.began_at_s = self.memory.clock()
         self.memory.move(self, state)
 
     def receive(self, size_bytes: int) -> bool:
-        """Count bytes that have arrived; raises and returns as `add`."""
+        """Count bytes that have arrived; returns as `add`."""
         self.received_bytes += size_bytes
+        self.memory.note_progress(self)
         return self.add(size_bytes)
 
     def add(self, size_bytes: int) -> bool:
@@ -122,38 +155,45 @@
 
 @attrs.define(eq=False)
 class CallerMemory:
-    """Counts all bytes held for callers and selects connections to close.
+    """Counts connections and all bytes held for them, and selects some to close.
+
+    Above a limit, connections are closed until the account is some way below it:
+
+    1. those that only discard a rejected body;
+    2. those that have sent nothing, or nothing more of a request, for `STALLED_S`,
+       longest first;
+    3. those that have been idle after a response for that long, longest first;
+    4. those that have been receiving a request for that long, slowest first;
+    5. all others, oldest first, so that a caller that comes back at once doesn't
+       displace one that has just come.
 
-    Above the limit, connections are closed until the account is some way below it:
-    first those that only discard a rejected body; then idle ones, longest idle first;
-    then those that are receiving a request, slowest first. A connection whose request
-    may have been forwarded is never selected.
+    A connection whose request may have been forwarded is never selected.
 
     Parameters
     ----------
     limit_bytes : float
-        Limit of the account; infinite if the memory of the machine is unknown.
+        Limit of the bytes; infinite if the memory of the machine is unknown.
     on_change : callable
-        Called with true when the limit is reached, and with false when the account is
-        well below it again.
+        Called with the limit and true when it is reached, and with false when the
+        account is well below it again.
     on_closed : callable
-        Called with the state of each connection that is closed or rejected for lack of
-        memory, or with none for a new connection.
+        Called with the limit and the state of each connection that is closed or
+        rejected, or with none in place of the state for a new connection.
     clock : callable
         Returns a time in seconds.
+    connections_max : float
+        Limit of the connections.
 
     Attributes
     ----------
     held_bytes : int
         Bytes held for all connections.
-    is_full : bool
-        Whether the limit was reached and the account isn't well below it yet.
 
     Examples
     --------
     >>> memory = CallerMemory(2 * CONNECTION_BYTES)
-    >>> first = memory.open(lambda state: True)
-    >>> second = memory.open(lambda state: True)
+    >>> first = memory.open(lambda state, scarcity: True)
+    >>> second = memory.open(lambda state, scarcity: True)
     >>> second.enter(HoldingState.RECEIVING)
     >>> second.receive(500)
     True
@@ -162,12 +202,15 @@
     """
 
     limit_bytes: float = math.inf
-    on_change: Callable[[bool], None] = lambda is_full: None
-    on_closed: Callable[[HoldingState | None], None] = lambda state: None
+    on_change: Callable[[Scarcity, bool], None] = lambda scarcity, is_full: None
+    on_closed: Callable[[Scarcity, HoldingState | None], None] = (
+        lambda scarcity, state: None
+    )
     clock: Callable[[], float] = boot_time_s
+    connections_max: float = math.inf
     held_bytes: int = 0
-    is_full: bool = False
-    # Insertion order is the order in which the connections entered the state.
+    _full: set[Scarcity] = attrs.field(factory=set, init=False)
+    # Insertion order is the order of the last progress in the state.
     # A list, since the hash of a member is computed in Python.
     _holdings: list[dict[Holding, None]] = attrs.field(
         factory=lambda: [{} for _ in HoldingState], init=False
@@ -178,43 +221,54 @@
         """Number of connections by state."""
         return {state.label: len(self._holdings[state]) for state in HoldingState}
 
-    def open(self, close: Callable[[HoldingState], bool]) -> Holding | None:
-        """Return the holding of a new connection, or none if there is no room for it.
+    @property
+    def connection_count(self) -> int:
+        """Number of connections."""
+        return sum(map(len, self._holdings))
+
+    def open(self, close: Callable[[HoldingState, Scarcity], bool]) -> Holding:
+        """Return the holding of a new connection.
 
         Parameters
         ----------
         close : callable
             As for `Holding`.
+
+        Raises
+        ------
+        TooManyConnections
+            If the limit of connections is reached and none can be closed.
+        CallerMemoryFull
+            If there is no memory for the connection.
         """
-        holding = Holding(self, close)
+        if self.connection_count >= self.connections_max:
+            self._note_full(Scarcity.CONNECTIONS)
+            if not self._close_some():
+                raise self._rejection(Scarcity.CONNECTIONS)
         if not self.add(CONNECTION_BYTES, None):
             self.subtract(CONNECTION_BYTES)
-            self.on_closed(None)
-            return None
-        holding.held_bytes = CONNECTION_BYTES
+            raise self._rejection(Scarcity.MEMORY)
+        holding = Holding(self, close, self.clock(), CONNECTION_BYTES)
         self._holdings[holding.state][holding] = None
         return holding
 
     def hold_unlimited(self) -> Holding:
         """Return a holding that is never selected, for a request on its own."""
-        return Holding(self, lambda state: False)
+        return Holding(self, lambda state, scarcity: False)
 
     def add(self, size_bytes: int, owner: Holding | None) -> bool:
         """Count bytes; return false if the request of ``owner`` must be rejected."""
         self.held_bytes += size_bytes
         if self.held_bytes <= self.limit_bytes:
             return True
-        if not self.is_full:
-            self.is_full = True
-            self.on_change(True)
+        self._note_full(Scarcity.MEMORY)
         return self._free(owner)
 
     def subtract(self, size_bytes: int) -> None:
         """Count bytes as freed."""
         self.held_bytes -= size_bytes
-        if self.is_full and self.held_bytes < RELIEVED_SHARE * self.limit_bytes:
-            self.is_full = False
-            self.on_change(False)
+        if self._full and self.held_bytes < RELIEVED_SHARE * self.limit_bytes:
+            self._note_relieved(Scarcity.MEMORY)
 
     def move(self, holding: Holding, state: HoldingState) -> None:
         """Change the state of a connection."""
@@ -222,8 +276,18 @@
             return
         self._holdings[holding.state].pop(holding, None)
         holding.state = state
+        holding.entered_at_s = holding.progressed_at_s = self.clock()
         self._holdings[state][holding] = None
 
+    def note_progress(self, holding: Holding) -> None:
+        """Note that a connection has received something in its state."""
+        holding.progressed_at_s = self.clock()
+        holdings = self._holdings[holding.state]
+        if holding not in holdings:
+            return
+        del holdings[holding]
+        holdings[holding] = None
+
     def remove(self, holding: Holding) -> None:
         """Remove a connection and what is held for it."""
         if holding not in self._holdings[holding.state]:
@@ -231,6 +295,33 @@
         del self._holdings[holding.state][holding]
         self.subtract(holding.held_bytes)
         holding.held_bytes = 0
+        if self._full and self.connection_count < RELIEVED_SHARE * self.connections_max:
+            self._note_relieved(Scarcity.CONNECTIONS)
+
+    def _note_full(self, scarcity: Scarcity) -> None:
+        if scarcity in self._full:
+            return
+        self._full.add(scarcity)
+        self.on_change(scarcity, True)
+
+    def _note_relieved(self, scarcity: Scarcity) -> None:
+        if scarcity not in self._full:
+            return
+        self._full.remove(scarcity)
+        self.on_change(scarcity, False)
+
+    def _rejection(self, scarcity: Scarcity) -> TeaseldykeError:
+        self.on_closed(scarcity, None)
+        return scarcity.error()
+
+    def _close_some(self) -> bool:
+        """Close connections; return whether there is room for another."""
+        target = self.connections_max * (1.0 - FREED_SHARE)
+        for holding in self._closable():
+            if self.connection_count < target:
+                break
+            self._close(holding, Scarcity.CONNECTIONS)
+        return self.connection_count < self.connections_max
 
     def _free(self, owner: Holding | None) -> bool:
         """Close connections; return false if ``owner`` has to make room itself."""
@@ -243,23 +334,45 @@
                 if self.held_bytes <= self.limit_bytes:
                     return True
                 if holding.state is HoldingState.RECEIVING:
-                    self.on_closed(holding.state)
+                    self.on_closed(Scarcity.MEMORY, holding.state)
                 return False
-            state = holding.state
-            if not holding.close(state):
-                continue
-            self.on_closed(state)
-            holding.is_closed = True
-            self.remove(holding)
+            self._close(holding, Scarcity.MEMORY)
         return self.held_bytes <= self.limit_bytes
 
+    def _close(self, holding: Holding, scarcity: Scarcity) -> None:
+        state = holding.state
+        if not holding.close(state, scarcity):
+            return
+        self.on_closed(scarcity, state)
+        holding.closed_for = scarcity
+        self.remove(holding)
+
     def _closable(self) -> Iterator[Holding]:
-        yield from list(self._holdings[HoldingState.DISCARDING])
-        yield from list(self._holdings[HoldingState.IDLE])
+        """Yield the connections that may be closed, in the order of closing."""
         now_s = self.clock()
+        stalled_at_s = now_s - STALLED_S
+        yield from list(self._holdings[HoldingState.DISCARDING])
+        yield from self._without_progress(HoldingState.UNUSED, stalled_at_s)
+        yield from self._without_progress(HoldingState.RECEIVING, stalled_at_s)
+        yield from self._without_progress(HoldingState.IDLE, stalled_at_s)
+        slow: list[Holding] = []
+        recent: list[Holding] = []
+        for state in (HoldingState.UNUSED, HoldingState.IDLE, HoldingState.RECEIVING):
+            for holding in self._holdings[state]:
+                if holding.progressed_at_s <= stalled_at_s:
+                    continue  # it could not be closed
+                is_slow = holding.entered_at_s <= stalled_at_s
+                (slow if is_slow else recent).append(holding)
         yield from sorted(
-            self._holdings[HoldingState.RECEIVING],
-            key=lambda holding: (
-                holding.received_bytes / max(now_s - holding.began_at_s, MIN_ELAPSED_S)
-            ),
+            slow,
+            key=lambda holding: holding.received_bytes / (now_s - holding.entered_at_s),
         )
+        yield from sorted(recent, key=lambda holding: holding.entered_at_s)
+
+    def _without_progress(
+        self, state: HoldingState, stalled_at_s: float
+    ) -> Iterator[Holding]:
+        for holding in list(self._holdings[state]):
+            if holding.progressed_at_s > stalled_at_s:
+                return
+            yield holding
--- a/libs/http/src/teaseldyke/http/closures.py
+++ b/libs/http/src/teaseldyke/http/closures.py
@@ -34,6 +34,7 @@
     FIRST_REQUEST_GRACE = ("first_request_grace", Side.INSTANCE)
     STOPPING = ("stopping", Side.INSTANCE)
     MEMORY = ("memory", Side.INSTANCE)
+    CONNECTION_LIMIT = ("connection_limit", Side.INSTANCE)
     CALLER = ("caller", Side.CALLER)
     CALLER_IN_HEADER = ("caller_in_header", Side.CALLER)
 
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -17,7 +17,7 @@
 from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission, Decision
-from .caller_memory import CallerMemory, Holding, HoldingState
+from .caller_memory import CallerMemory, Holding, HoldingState, Scarcity
 from .closures import Cause, IdleClose, RequestState, record_closure, record_idle_close
 from .errors import (
     Busy,
@@ -27,7 +27,6 @@
     MalformedRequest,
     RequestTimedOut,
     TransferCodingUnsupported,
-    memory_full_error,
 )
 from .headers import Headers, first_header
 from .limits import ServerLimits
@@ -59,6 +58,10 @@
     rb"\r\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n", re.IGNORECASE
 )
 BODY_HEADER = re.compile(rb"\r\n(content-length|transfer-encoding):", re.IGNORECASE)
+IDLE_CLOSES = {
+    Scarcity.MEMORY: IdleClose.MEMORY,
+    Scarcity.CONNECTIONS: IdleClose.CONNECTION_LIMIT,
+}
 # From the end of accepting; covers several round trips between failure domains.
 FIRST_REQUEST_GRACE_S = 0.2
 
@@ -103,15 +106,17 @@
     idle: set[CallerConnection] = attrs.field(factory=set)
     idle_closed: bool = False
     _busy_responses: list[bytes] = attrs.field(factory=list, init=False)
-    _memory_full_responses: list[bytes] = attrs.field(factory=list, init=False)
+    _scarcity_responses: dict[Scarcity, list[bytes]] = attrs.field(
+        factory=lambda: {scarcity: [] for scarcity in Scarcity}, init=False
+    )
 
     def busy_response(self) -> bytes:
         """Return the encoded response to a request that an overload refuses."""
         return self._response(self._busy_responses, busy_error)
 
-    def memory_full_response(self) -> bytes:
-        """Return the encoded response to a request that there is no memory for."""
-        return self._response(self._memory_full_responses, memory_full_error)
+    def scarcity_response(self, scarcity: Scarcity) -> bytes:
+        """Return the encoded response to a request that makes room for others."""
+        return self._response(self._scarcity_responses[scarcity], scarcity.error)
 
     def _response(
         self, responses: list[bytes], make_error: Callable[[], TeaseldykeError]
@@ -190,39 +195,36 @@
         """Close the connection unless the next request starts in time."""
         self._watch.deadline_s = trio.current_time() + seconds
 
-    async def run(self) -> bool:
+    async def run(self) -> None:
         """Serve requests until one side closes the connection.
 
-        Returns
-        -------
-        bool
-            False if there is no memory for the connection; it is still open.
+        Raises
+        ------
+        TooManyConnections, CallerMemoryFull
+            If there is no room for the connection; it is still open.
         """
-        self._holding = self._context.memory.open(self._close_for_memory)
-        if self._holding is None:
-            return False
+        self._holding = holding = self._context.memory.open(self._make_room)
         self._watch.start()
         try:
-            discard_timeout_s = await self._serve_requests(self._holding)
+            discard_timeout_s = await self._serve_requests(holding)
             if discard_timeout_s is not None:
                 await self._close_after_response(discard_timeout_s)
         finally:
             self._watch.stop()
-            self._holding.release()
-        return True
+            holding.release()
 
-    def _close_for_memory(self, state: HoldingState) -> bool:
-        """Close the connection to free memory, unless a request has just arrived."""
-        if state is HoldingState.IDLE:
+    def _make_room(self, state: HoldingState, scarcity: Scarcity) -> bool:
+        """Close the connection for others, unless a request has just arrived."""
+        if state in (HoldingState.UNUSED, HoldingState.IDLE):
             if not is_idle(self.stream):
                 return False
-            self.close_idle(IdleClose.MEMORY)
+            self.close_idle(IDLE_CLOSES[scarcity])
             return True
         if state is HoldingState.RECEIVING and isinstance(self.stream, TcpStream):
             if not self._has_handler:
-                self._context.record_refusal(memory_full_error())
+                self._context.record_refusal(scarcity.error())
             with suppress(trio.BrokenResourceError):
-                self.stream.try_send(self._context.memory_full_response())
+                self.stream.try_send(self._context.scarcity_response(scarcity))
         close_now(self.stream)
         return True
 
@@ -454,10 +456,10 @@
         if not data:
             return False
         self._parser.receive_data(data)
-        if holding.state is HoldingState.IDLE:
+        if holding.state in (HoldingState.UNUSED, HoldingState.IDLE):
             holding.enter(HoldingState.RECEIVING)
         if not holding.receive(len(data)):
-            raise memory_full_error()
+            raise holding.error()
         return True
 
     def _parse_head(self) -> h11.Request | None:
--- a/libs/http/src/teaseldyke/http/errors.py
+++ b/libs/http/src/teaseldyke/http/errors.py
@@ -8,6 +8,7 @@
 
 # Range of the jitter; memory is freed as slow requests are closed or end.
 MEMORY_RETRY_AFTER_S = (0.5, 1.5)
+CONNECTIONS_RETRY_AFTER_S = 1.0
 
 
 class MalformedRequest(TeaseldykeError):
@@ -82,6 +83,14 @@
     executed = "no"
 
 
+def connections_full_error() -> TooManyConnections:
+    """Return the error of a connection that there is no room for."""
+    return TooManyConnections(
+        "server is at its limit of connections",
+        retry_after_s=CONNECTIONS_RETRY_AFTER_S,
+    )
+
+
 class CallerGone(TeaseldykeError):
     """The caller closed its connection or stopped reading the response."""
 
--- a/libs/http/src/teaseldyke/http/limits.py
+++ b/libs/http/src/teaseldyke/http/limits.py
@@ -28,7 +28,8 @@
     send_timeout_s : float
         Longest time for a caller to read one write of its response.
     connections : int
-        Most connections open at once; further ones get a 503 response.
+        Most connections open at once. Further ones are served in place of connections
+        without a whole request, or get a 503 response if there are none.
     stop_linger_s : float
         How long a stopping server still accepts requests that were already in transit.
     """
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -21,7 +21,7 @@
     RefusalRecorder,
     ServerContext,
 )
-from .errors import TooManyConnections, memory_full_error
+from .errors import CallerMemoryFull, TooManyConnections
 from .limits import ServerLimits
 from .problem import problem_response
 from .stream import Stream, accept_pending, close_now
@@ -31,7 +31,6 @@
 # The same above the limit of connections: each is a descriptor until it is closed.
 EXCESS_ACCEPT_BATCH_MAX = 32
 REFUSALS_MAX = 64  # concurrent error responses to connections above the limit
-REFUSED_RETRY_AFTER_S = 1.0
 
 
 async def serve(
@@ -76,8 +75,8 @@
     wrap : callable, optional
         Returns the stream to use in place of an accepted connection.
     memory : CallerMemory, optional
-        Counts what is held for the connections, and closes some of them above its
-        limit; without a limit by default.
+        Counts the connections and what is held for them, and closes some of them above
+        its limits; by default ``limits.connections`` is the only one.
     """
     stopping = trio.Event() if stopping is None else stopping
     context = ServerContext(
@@ -87,7 +86,7 @@
         render_error,
         admission or Admission(),
         record_refusal,
-        memory or CallerMemory(),
+        memory or CallerMemory(connections_max=limits.connections),
     )
     server = _Server(context, wrap)
     async with trio.open_nursery() as connections:
@@ -146,16 +145,11 @@
         self, stream: Stream, unread_since_s: float, caller: str
     ) -> None:
         try:
-            if self._open_connections > self._limits.connections:
-                error: TeaseldykeError = TooManyConnections(
-                    f"server is at its limit of {self._limits.connections} connections",
-                    retry_after_s=REFUSED_RETRY_AFTER_S,
-                )
-                await self._refuse_connection(stream, caller, error)
-                return
             connection = CallerConnection(self._context, stream, unread_since_s, caller)
-            if not await connection.run():
-                await self._refuse_connection(stream, caller, memory_full_error())
+            try:
+                await connection.run()
+            except (CallerMemoryFull, TooManyConnections) as error:
+                await self._refuse_connection(stream, caller, error)
         except Exception as exc:
             logging.error("event=connection_failed error=%r", exc)
         finally:
