Close idle connections of callers after the operator's idle time

What callers saw: nothing by themselves; connections of clients that send nothing were held for 75 s, so that few such clients held all connections.

Cause: the operator's idleTimeoutMs ("bound what a client may send, and how long the client may take or stay idle") was read into CallerBounds and used nowhere; the server had its own 75 s. Clients reuse connections that have been idle for up to four fifths of it.

Change: the server asks for the limit each time a connection becomes idle; 75 s remains for instances without a configuration. At least 1 s, as a shorter one would cross requests.

Ruled out: applying headerTimeoutMs (3 s for the server's 10 s) as well. A head that arrived in time but is read late, after a pause of the process, would be refused; scarce connections are mended by the order of closing.

Evidence: test_operator_limits_the_idle_time failed in both rows before (no close within 20 s of an idle time of 1.5 s).

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -63,6 +63,8 @@
 # After a refusal because too many requests arrived. Callers come back to the same
 # instance while it is ready; balancers notice after two checks a second apart.
 READY_AFTER_REFUSAL_S = 3.0
+# Of a limit on the idle time of callers; below it a request could cross each close.
+IDLE_LIMIT_MIN_S = 1.0
 IDLE_CHECK_INTERVAL_S = 0.5  # between checks of idle connections to backend servers
 PASS_REPORT_INTERVAL_S = 1.0  # between reports of the longest scheduler pass
 LONG_PASS_S = 0.1  # such a delay is noticed by callers and neighbours
@@ -205,6 +207,13 @@
             return False
         return boot_time_s() - self.admission.refused_at_s >= READY_AFTER_REFUSAL_S
 
+    def _idle_limit_s(self) -> float:
+        """Return how long the operator allows callers' connections to be idle."""
+        table = self.view.table
+        if table is None:
+            return math.inf
+        return max(IDLE_LIMIT_MIN_S, table.bounds.idle_timeout_s)
+
     async def run(self) -> None:
         """Serve until a signal stops the process."""
         callers = await _listen(self.settings.callers)
@@ -262,6 +271,7 @@
                 admission=self.admission,
                 record_refusal=self.calls.record_unread,
                 memory=self.caller_memory,
+                idle_limit_s=self._idle_limit_s,
             )
             nursery.cancel_scope.cancel()
 
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -87,6 +87,9 @@
         Called with the error of each refusal before a request reaches the handler.
     memory : CallerMemory
         Counts what is held for the connections.
+    idle_limit_s : callable
+        Returns the longest wait for the next request that is allowed at the time, if
+        shorter than that of ``limits``.
 
     Attributes
     ----------
@@ -103,6 +106,7 @@
     admission: Admission = attrs.field(factory=Admission)
     record_refusal: RefusalRecorder = lambda error: None
     memory: CallerMemory = attrs.field(factory=CallerMemory)
+    idle_limit_s: Callable[[], float] = lambda: math.inf
     idle: set[CallerConnection] = attrs.field(factory=set)
     idle_closed: bool = False
     _busy_responses: list[bytes] = attrs.field(factory=list, init=False)
@@ -427,7 +431,9 @@
 
     async def _wait_first_byte(self, holding: Holding) -> bool:
         try:
-            idle_timeout_s = self._limits.idle_timeout_s
+            idle_timeout_s = min(
+                self._limits.idle_timeout_s, self._context.idle_limit_s()
+            )
             if self._context.idle_closed:
                 if self.is_used and is_idle(self.stream):
                     self.close_idle(IdleClose.STOPPING)
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -45,6 +46,7 @@
     record_refusal: RefusalRecorder = lambda error: None,
     wrap: Callable[[Stream], Stream] | None = None,
     memory: CallerMemory | None = None,
+    idle_limit_s: Callable[[], float] = lambda: math.inf,
 ) -> None:
     """Serve requests until ``stopping`` is set and running requests have finished.
 
@@ -77,6 +79,9 @@
     memory : CallerMemory, optional
         Counts the connections and what is held for them, and closes some of them above
         its limits; by default ``limits.connections`` is the only one.
+    idle_limit_s : callable, optional
+        Returns the longest wait for the next request that is allowed at the time, if
+        shorter than ``limits.idle_timeout_s``.
     """
     stopping = trio.Event() if stopping is None else stopping
     context = ServerContext(
@@ -87,6 +92,7 @@
         admission or Admission(),
         record_refusal,
         memory or CallerMemory(connections_max=limits.connections),
+        idle_limit_s,
     )
     server = _Server(context, wrap)
     async with trio.open_nursery() as connections:
