Report not ready while new connections are refused

What callers saw: an instance whose connections were all taken by running requests refused each new caller, while its readiness check was answered 200, so that the platform went on sending callers there that other instances could have served.

Cause: readiness looked at the requests that admission control refuses, not at connections.

Change: a refused connection, for lack of connections or memory, counts like a request that is refused unread: not ready for 3 s after the last one. A connection that was given room by closing another isn't refused, so a crowd of unfinished requests doesn't take the instance out.

Evidence: test_instance_that_refuses_connections_is_not_ready failed before (200 after the refusal, as before it).

--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -60,8 +60,9 @@
 # streams, totals and entries are delayed until the end of the pass.
 ADMISSION_WINDOW_S = 0.03
 ADMISSION_WAIT_MAX_S = 0.1  # stays within the target latency of a short request
-# After a refusal because too many requests arrived. Callers come back to the same
-# instance while it is ready; balancers notice after two checks a second apart.
+# After a refusal because too many requests arrived or all connections are in use.
+# Callers come back to the same instance while it is ready; balancers notice after two
+# checks a second apart.
 READY_AFTER_REFUSAL_S = 3.0
 # Of a limit on the idle time of callers; below it a request could cross each close.
 IDLE_LIMIT_MIN_S = 1.0
@@ -138,6 +139,7 @@
     rollouts: Rollouts = attrs.field(init=False)
     caller_limits: CallerLimits = attrs.field(init=False)
     caller_memory: CallerMemory = attrs.field(init=False)
+    connection_refused_at_s: float = attrs.field(default=-math.inf, init=False)
     pool: BackendPool = attrs.field(init=False)
     sender: Sender = attrs.field(init=False)
     calls: CallHandler = attrs.field(init=False)
@@ -192,7 +194,7 @@
         self.caller_memory = CallerMemory(
             limits.memory_bytes,
             self._log_scarcity,
-            _count_closed,
+            self._count_closed,
             connections_max=limits.connections,
         )
         CALLER_MEMORY_LIMIT.set(
@@ -205,7 +207,8 @@
         """Whether the instance is ready for new connections."""
         if self.view.table is None or self.stopping.is_set():
             return False
-        return boot_time_s() - self.admission.refused_at_s >= READY_AFTER_REFUSAL_S
+        refused_at_s = max(self.admission.refused_at_s, self.connection_refused_at_s)
+        return boot_time_s() - refused_at_s >= READY_AFTER_REFUSAL_S
 
     def _idle_limit_s(self) -> float:
         """Return how long the operator allows callers' connections to be idle."""
@@ -305,6 +308,12 @@
             waiting=self.placer.waiting,
         )
 
+    def _count_closed(self, scarcity: Scarcity, state: HoldingState | None) -> None:
+        if state is None:
+            self.connection_refused_at_s = boot_time_s()
+        reason = "connection" if state is None else state.label
+        CALLERS_CLOSED[scarcity].bind(reason=reason).add()
+
     def _log_scarcity(self, scarcity: Scarcity, is_full: bool) -> None:
         limits = self.caller_limits
         log_decision(
@@ -473,11 +482,6 @@
     return True
 
 
-def _count_closed(scarcity: Scarcity, state: HoldingState | None) -> None:
-    reason = "connection" if state is None else state.label
-    CALLERS_CLOSED[scarcity].bind(reason=reason).add()
-
-
 def _loggable(known: KnownVersions) -> list[str]:
     """Return versions of operator's and servers' entries and configuration."""
     return [str(known.operator), str(known.servers), str(known.configuration)]
--- a/tests/platform/test_scarce_connections.py
+++ b/tests/platform/test_scarce_connections.py
@@ -5,7 +5,44 @@
 import pytest
 import trio
 
-from tests.platform.conftest import configuration, running_fleet, wait_until
+from tests.platform.conftest import (
+    Caller,
+    Fleet,
+    configuration,
+    running_fleet,
+    script_all,
+    wait_until,
+)
+from tests.platform.standins import hang
+
+CONNECTIONS = 2
+
+
+async def readiness(fleet: Fleet) -> int:
+    """Return the status of the answer to the platform's readiness check."""
+    caller = Caller(fleet.gateways[0].settings.readiness)
+    answer = await caller.request("/-/ready", method="GET")
+    await caller.close()
+    return answer.status
+
+
+async def test_instance_that_refuses_connections_is_not_ready() -> None:
+    """The platform went on to send callers to an instance that refused them all."""
+    async with running_fleet(connections_max=CONNECTIONS) as fleet:
+        script_all(fleet, *[hang] * CONNECTIONS)
+        before = await readiness(fleet)
+        running = [fleet.caller() for _ in range(CONNECTIONS)]
+        for caller in running:
+            await caller.send("/once/a")
+        await wait_until(lambda: fleet.arrivals == CONNECTIONS)
+        while_full = await readiness(fleet)
+        refused = await fleet.caller().request("/once/a")
+        after = await readiness(fleet)
+        for caller in running:
+            await caller.close()
+    assert refused.status == 503
+    assert "retry-after" in refused.headers
+    assert (before, while_full, after) == (200, 200, 503)
 
 
 @pytest.mark.parametrize("requests", [0, 1])
