Answer each of many connections that are refused at once

After a close a caller doesn't know whether its request has run; after a 503 it does.

Cause: beyond 64 refusals at a time, a connection got its 503 only if its request had already arrived when it was accepted; all others were closed in silence.

Change: they get the response as well, and are closed right after it. A request that arrives after the close makes the kernel reset the connection; what was received before remains readable.

--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -329,13 +329,16 @@
         close_now(self.stream)
         return True
 
-    def refuse_pending(self, error: TeaseldykeError) -> None:
-        """Send an error response to what has arrived, without waiting."""
+    def refuse_at_once(self, error: TeaseldykeError) -> None:
+        """Send an error response, dropping what has arrived, without waiting.
+
+        A request that arrives after it makes the kernel reset the connection, which
+        leaves the response readable: it is still better than none.
+        """
         if not isinstance(self.stream, TcpStream):
             return
         with suppress(trio.BrokenResourceError):
-            if not self.stream.discard_pending():
-                return
+            self.stream.discard_pending()
             self._context.record_refusal(error)
             status, headers, body = self._context.render_error(error)
             self.stream.try_send(_encode_error(self._parser, status, headers, body))
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -168,7 +168,7 @@
         connection = CallerConnection(self._context, stream)
         if self._refusals >= REFUSALS_MAX:
             record_closure(Cause.CONNECTION_LIMIT, RequestState.UNREAD, caller)
-            connection.refuse_pending(error)
+            connection.refuse_at_once(error)
             return
         # It counts as open, and must not keep others out for long.
         self._refusals += 1
--- a/libs/http/tests/test_connection_limit.py
+++ b/libs/http/tests/test_connection_limit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 
 import attrs
 import pytest
@@ -11,6 +11,7 @@
 import trio.testing
 
 from teaseldyke.http import Request, ServerLimits, serve
+from teaseldyke.http.server import REFUSALS_MAX
 
 HOST = "127.0.0.1"
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -108,3 +109,27 @@
         for _ in range(2 * CONNECTIONS):
             opening.start_soon(crowd.open, GET_TO_HOLD)
     assert crowd.paths == ["/hold"] * CONNECTIONS
+
+
+@pytest.mark.parametrize("late_request", [b"", GET], ids=["none", "late"])
+async def test_each_of_many_refused_callers_is_told(
+    late_request: bytes, nursery: trio.Nursery
+) -> None:
+    """A close without an answer leaves open whether the request has run."""
+    async with crowded_server(nursery) as crowd:
+        for _ in range(CONNECTIONS):
+            await crowd.open(GET_TO_HOLD)
+        new = [
+            await trio.open_tcp_stream(HOST, crowd.port)
+            for _ in range(2 * REFUSALS_MAX)
+        ]
+        for stream in new:
+            await crowd.streams.enter_async_context(stream)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        for stream in new:
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(late_request)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        answers = [await receive(stream) for stream in new]
+        told = [answer.startswith(b"HTTP/1.1 503") for answer in answers]
+        assert told == [True] * len(new)
