Count the descriptors that the operating system allows, if none are stated

What callers saw: an instance without `descriptors` in its settings accepted up to 2,000 connections, whatever its ulimit was. A crowd took all descriptors; accepting failed, new callers waited in the queue of the port, and no connection to a backend server could be opened.

Cause: the limit of connections was derived from the settings only.

Change: without a stated number, the limit is derived from the soft limit of the process.

Evidence: test_crowd_that_takes_all_descriptors failed before ("Too many open files" logged again and again; the first form of the test, without that check, passed, as bodies time out after 20 s).

--- a/libs/gateway/src/teaseldyke/gateway/caller_limits.py
+++ b/libs/gateway/src/teaseldyke/gateway/caller_limits.py
@@ -53,9 +53,19 @@
     connections: int
 
 
-def derive_caller_limits(settings: GatewaySettings) -> CallerLimits:
+def derive_caller_limits(
+    settings: GatewaySettings, descriptors_allowed: int = 0
+) -> CallerLimits:
     """Return the limits for the machine that the settings describe.
 
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of the process.
+    descriptors_allowed : int
+        File descriptors that the operating system allows, used if the settings state
+        none; 0 if unknown.
+
     Examples
     --------
     >>> from teaseldyke.gateway.caller_limits import PROCESS_BYTES, MB
@@ -63,8 +73,9 @@
     54.75
     """
     connections = settings.connections_max
-    if settings.descriptors:
-        usable = settings.descriptors - RESERVED_DESCRIPTORS
+    descriptors = settings.descriptors or descriptors_allowed
+    if descriptors:
+        usable = descriptors - RESERVED_DESCRIPTORS
         bound = max(CONNECTIONS_MIN, int(usable * CALLERS_SHARE))
         connections = min(connections, bound)
     memory_bytes = math.inf
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import resource
 import signal
 from collections.abc import Awaitable, Callable
 from contextlib import closing
@@ -190,7 +191,8 @@
             self.evidence,
             self.rollouts,
         )
-        limits = self.caller_limits = derive_caller_limits(settings)
+        limits = derive_caller_limits(settings, _descriptors_allowed())
+        self.caller_limits = limits
         self.caller_memory = CallerMemory(
             limits.memory_bytes,
             self._log_scarcity,
@@ -482,6 +484,12 @@
     return True
 
 
+def _descriptors_allowed() -> int:
+    """Return how many file descriptors this process may open; 0 if any number."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 0 if soft_limit == resource.RLIM_INFINITY else soft_limit
+
+
 def _loggable(known: KnownVersions) -> list[str]:
     """Return versions of operator's and servers' entries and configuration."""
     return [str(known.operator), str(known.servers), str(known.configuration)]
--- a/libs/gateway/tests/test_caller_limits.py
+++ b/libs/gateway/tests/test_caller_limits.py
@@ -39,6 +39,18 @@
         assert (limits.bodies_bytes, limits.answers_bytes) == (16 * MIB, 32 * MIB)
 
 
+@pytest.mark.parametrize(
+    ("stated", "allowed", "connections"),
+    [(0, 0, 2000), (0, 1024, 412), (1638, 1024, 719), (1638, 0, 719), (0, 10**6, 2000)],
+)
+def test_descriptors_that_are_not_stated(
+    stated: int, allowed: int, connections: int
+) -> None:
+    """An instance without a stated number took all that the system allowed it."""
+    settings = attrs.evolve(SETTINGS, descriptors=stated)
+    assert derive_caller_limits(settings, allowed).connections == connections
+
+
 def test_smallest_machine_bears_normal_load() -> None:
     """A caller within the operators' limits would be rejected in normal load."""
     settings = attrs.evolve(SETTINGS, memory_mb=128, descriptors=1638)
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import subprocess
 import sys
 from pathlib import Path
@@ -33,12 +34,15 @@
         The platform's store.
     settings : dict
         Settings beside the addresses.
+    descriptors_allowed : int, optional
+        File descriptors that the operating system lets the process open.
     """
 
     name: str
     folder: Path
     store: Address
     settings: dict[str, object] = attrs.field(factory=dict)
+    descriptors_allowed: int | None = None
     addresses: dict[str, Address] = attrs.field(
         factory=lambda: {role: free_address() for role in ROLES}
     )
@@ -58,7 +62,9 @@
         path.write_text(yaml.safe_dump(values))
         command = [sys.executable, "-m", "teaseldyke.adapter.main", str(path)]
         with self.log.open("ab") as output:
-            self.process = subprocess.Popen(command, stdout=output, stderr=output)
+            self.process = subprocess.Popen(
+                command, stdout=output, stderr=output, preexec_fn=self._limit
+            )
         await wait_until_listening(self.addresses["readiness"])
         with trio.fail_after(READY_TIMEOUT_S):
             while True:
@@ -69,6 +75,11 @@
                     return
                 await trio.sleep(0.05)
 
+    def _limit(self) -> None:
+        allowed = self.descriptors_allowed
+        if allowed is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, allowed))
+
     @property
     def log(self) -> Path:
         """File with the process's output."""
--- a/tests/platform/test_caller_crowds.py
+++ b/tests/platform/test_caller_crowds.py
@@ -136,7 +136,10 @@
 
 @asynccontextmanager
 async def limited_gateway(
-    folder: Path, script: Script | None, descriptors: int = DESCRIPTORS
+    folder: Path,
+    script: Script | None,
+    descriptors: int = DESCRIPTORS,
+    descriptors_allowed: int | None = None,
 ) -> AsyncIterator[GatewayProcess]:
     """Run a gateway with lowered limits, and a backend server for each service."""
     async with trio.open_nursery() as nursery:
@@ -160,6 +163,7 @@
             folder,
             Address("127.0.0.1", store.port),
             {"memory_mb": MEMORY_MB, "descriptors": descriptors},
+            descriptors_allowed,
         )
         try:
             await gateway.start()
@@ -311,3 +315,23 @@
         assert answer.status == 200
         assert gateway.peak_resident_bytes() <= MEMORY_MB * MB
         assert max(descriptors) <= SCARCE_DESCRIPTORS
+
+
+@pytest.mark.processes
+@pytest.mark.usefixtures("_enough_files")
+async def test_crowd_that_takes_all_descriptors(tmp_path: Path) -> None:
+    """Without a stated number of descriptors, a crowd took all that there were."""
+    crowd = PERSISTENT_CROWDS["chunked-one-byte-short"]
+    async with limited_gateway(tmp_path, None, 0, SCARCE_DESCRIPTORS) as gateway:
+        callers = gateway.addresses["callers"]
+        async with trio.open_nursery() as crowding:
+            for number in range(2 * SCARCE_DESCRIPTORS):
+                crowding.start_soon(hold_connection, callers, crowd, number, False)
+            await trio.sleep(OPENING_S * 2 * SCARCE_DESCRIPTORS / PERSISTENT_CALLERS)
+            with trio.fail_after(HANGING_S):
+                answer = await request_until_served(callers)
+            crowding.cancel_scope.cancel()
+        assert gateway.is_running
+        assert answer.status == 200
+        assert gateway.peak_resident_bytes() <= MEMORY_MB * MB
+        assert "accept_failed" not in gateway.log.read_text()
