Keep room at an instance for callers of services without a crowd

What callers saw: whole requests to one service that doesn't answer held all connections of an instance, or all memory for callers, and callers of every other service were refused until they reached their time-outs.

Cause: the connections of such requests may not be closed, and nothing bounded how many there are.

Change: while running requests take three quarters of the connections or of the memory, a service that has more than half of them gets no more; its requests are refused with 503, service_crowded. Below that there is no bound. Ruled out: a bound by address (callers share them); refusing requests that wait unsent (157 of 157 were sent).

--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from teaseldyke.http import CallerGone, CallerTooSlow, Request
+from teaseldyke.http import CallerGone, CallerMemory, CallerTooSlow, Request
 from teaseldyke.placement import (
     STREAM_START_S,
     EventSizes,
@@ -58,6 +58,7 @@
 from .interfaces import CallFacts, Headers, Wire
 from .relay import AnswerBuffers, Relay
 from .sending import CALLERS_GONE, Sender, caller_gone
+from .service_room import ServiceRoom
 from .stream_memory import UNKNOWN_RETRY_S, StreamMemory
 from .view import FleetView
 
@@ -126,6 +127,8 @@
         Knows at which software version streams go on.
     limits : CallerLimits
         Limits on what is held for callers.
+    caller_memory : CallerMemory
+        Counts what is held for callers.
 
     Attributes
     ----------
@@ -147,6 +150,7 @@
         wire: Wire,
         memory: StreamMemory,
         limits: CallerLimits,
+        caller_memory: CallerMemory,
     ) -> None:
         self.streams = 0
         self.ends_at_s = math.inf
@@ -156,6 +160,7 @@
         self._wire = wire
         self._memory = memory
         self.caller_organisations = CallerOrganisations()
+        self._room = ServiceRoom(caller_memory)
         self._bodies = RequestBodies(limit_bytes=limits.bodies_bytes)
         self._buffers = AnswerBuffers(
             limit_bytes=limits.answers_bytes,
@@ -289,7 +294,8 @@
         self._check_time_left(call, is_stream)
         self.streams += is_stream
         try:
-            await self._run_call(call)
+            with self._room.enter(service.name):
+                await self._run_call(call)
         finally:
             self.streams -= is_stream
 
--- a/libs/gateway/src/teaseldyke/gateway/errors.py
+++ b/libs/gateway/src/teaseldyke/gateway/errors.py
@@ -51,6 +51,12 @@
     code = "bodies_full"
 
 
+class ServiceCrowded(Overloaded):
+    """Requests to the same service leave no room at this instance for other callers."""
+
+    code = "service_crowded"
+
+
 class NoServer(TeaseldykeError):
     """No backend server accepted the request; none has run it."""
 
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -202,7 +202,14 @@
         CALLER_MEMORY_LIMIT.set(
             0.0 if limits.memory_bytes == math.inf else limits.memory_bytes
         )
-        self.calls = CallHandler(self.view, self.sender, self.wire, self.memory, limits)
+        self.calls = CallHandler(
+            self.view,
+            self.sender,
+            self.wire,
+            self.memory,
+            limits,
+            self.caller_memory,
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/libs/http/src/teaseldyke/http/caller_memory.py
+++ b/libs/http/src/teaseldyke/http/caller_memory.py
@@ -226,6 +226,16 @@
         """Number of connections."""
         return sum(map(len, self._holdings))
 
+    def is_taken_by_forwarded(self, share: float) -> bool:
+        """Return whether requests that may be forwarded take a share of a limit."""
+        forwarded = self._holdings[HoldingState.FORWARDED]
+        if len(forwarded) >= share * self.connections_max:
+            return True
+        limit_bytes = share * self.limit_bytes
+        if self.held_bytes < limit_bytes:
+            return False  # mostly, without a look at each of them
+        return sum(holding.held_bytes for holding in forwarded) >= limit_bytes
+
     def open(self, close: Callable[[HoldingState, Scarcity], bool]) -> Holding:
         """Return the holding of a new connection.
 
--- a/tests/platform/test_caller_crowds.py
+++ b/tests/platform/test_caller_crowds.py
@@ -254,6 +254,7 @@
         head("/crowd/a", length(TRICKLED_BYTES)), b"\0", TRICKLED_BYTES - 1, b"\0"
     ),
     "idle-after-a-request": Crowd(head("/crowd/a", length(0))),
+    "running-at-another-service": Crowd(head("/crowd/a", length(0)), script=hang),
     # Of these the memory is exceeded before the connections.
     "legal-size-one-byte-short": Crowd(
         head("/crowd/a", length(LEGAL_BYTES)), bytes(LEGAL_BYTES - 1), 1, b"\0"
@@ -301,7 +302,7 @@
             descriptors.append(gateway.descriptors())
             await trio.sleep(0.02)
 
-    async with limited_gateway(tmp_path, None, SCARCE_DESCRIPTORS) as gateway:
+    async with limited_gateway(tmp_path, crowd.script, SCARCE_DESCRIPTORS) as gateway:
         callers = gateway.addresses["callers"]
         async with trio.open_nursery() as crowding:
             crowding.start_soon(watch)
