Fill an instance with requests to two services to test its readiness

Since "Keep room at an instance for callers of services without a crowd" one service may not take all connections, so that test_instance_that_refuses_connections_is_not_ready reached no refusal of a connection: its second request was refused. It has a service more; the checks are the same.

--- a/tests/platform/test_scarce_connections.py
+++ b/tests/platform/test_scarce_connections.py
@@ -9,13 +9,28 @@
     Caller,
     Fleet,
     configuration,
+    route,
     running_fleet,
     script_all,
     wait_until,
 )
-from tests.platform.standins import hang
+from tests.platform.standins import EngineStandin, hang
 
-CONNECTIONS = 2
+SERVICES = ("once", "ledger")  # by their routes; one alone may not take all room
+
+
+async def add_ledger(fleet: Fleet) -> None:
+    """Add a service of its own with a route and a backend server."""
+    value = configuration(version=2)
+    value["services"].append({**value["services"][0], "name": "ledger"})
+    value["routes"].append(route("ledger", "non_idempotent", "ledger"))
+    fleet.store.put("op", "config", value)
+    engine = fleet.engines["ledger"] = EngineStandin("ledger")
+    await fleet.nursery.start(engine.run)
+    fleet.store.put("servers", "ledger", engine.entry("ledger"))
+    view = fleet.gateways[0].view
+    await wait_until(lambda: view.table and view.table.version == 2)
+    await wait_until(lambda: view.states_of("ledger"))
 
 
 async def readiness(fleet: Fleet) -> int:
@@ -28,13 +43,14 @@
 
 async def test_instance_that_refuses_connections_is_not_ready() -> None:
     """The platform went on to send callers to an instance that refused them all."""
-    async with running_fleet(connections_max=CONNECTIONS) as fleet:
-        script_all(fleet, *[hang] * CONNECTIONS)
+    async with running_fleet(connections_max=len(SERVICES)) as fleet:
+        await add_ledger(fleet)
+        script_all(fleet, hang)
         before = await readiness(fleet)
-        running = [fleet.caller() for _ in range(CONNECTIONS)]
-        for caller in running:
-            await caller.send("/once/a")
-        await wait_until(lambda: fleet.arrivals == CONNECTIONS)
+        running = [fleet.caller() for _ in SERVICES]
+        for caller, service in zip(running, SERVICES, strict=True):
+            await caller.send(f"/{service}/a")
+        await wait_until(lambda: fleet.arrivals == len(SERVICES))
         while_full = await readiness(fleet)
         refused = await fleet.caller().request("/once/a")
         after = await readiness(fleet)
