--- a/libs/gateway/src/teaseldyke/gateway/calls.py
+++ b/libs/gateway/src/teaseldyke/gateway/calls.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from teaseldyke.http import CallerGone, CallerMemory, CallerTooSlow, Request
+from teaseldyke.http import CallerAccount, CallerGone, CallerTooSlow, Request
 from teaseldyke.placement import (
     STREAM_START_S,
     EventSizes,
@@ -127,7 +127,7 @@
         Knows at which software version streams go on.
     limits : CallerLimits
         Limits on what is held for callers.
-    caller_memory : CallerMemory
+    caller_account : CallerAccount
         Counts what is held for callers.
 
     Attributes
@@ -150,7 +150,7 @@
         wire: Wire,
         memory: StreamMemory,
         limits: CallerLimits,
-        caller_memory: CallerMemory,
+        caller_account: CallerAccount,
     ) -> None:
         self.streams = 0
         self.ends_at_s = math.inf
@@ -160,7 +160,7 @@
         self._wire = wire
         self._memory = memory
         self.caller_organisations = CallerOrganisations()
-        self._room = ServiceRoom(caller_memory)
+        self._room = ServiceRoom(caller_account)
         self._bodies = RequestBodies(limit_bytes=limits.bodies_bytes)
         self._buffers = AnswerBuffers(
             limit_bytes=limits.answers_bytes,
--- a/libs/gateway/src/teaseldyke/gateway/process.py
+++ b/libs/gateway/src/teaseldyke/gateway/process.py
@@ -16,7 +16,7 @@
 from teaseldyke.http import (
     Admission,
     BackendPool,
-    CallerMemory,
+    CallerAccount,
     HoldingState,
     HttpClient,
     Request,
@@ -139,7 +139,7 @@
     memory: StreamMemory = attrs.field(init=False)
     rollouts: Rollouts = attrs.field(init=False)
     caller_limits: CallerLimits = attrs.field(init=False)
-    caller_memory: CallerMemory = attrs.field(init=False)
+    caller_account: CallerAccount = attrs.field(init=False)
     connection_refused_at_s: float = attrs.field(default=-math.inf, init=False)
     pool: BackendPool = attrs.field(init=False)
     sender: Sender = attrs.field(init=False)
@@ -193,7 +193,7 @@
         )
         limits = derive_caller_limits(settings, _descriptors_allowed())
         self.caller_limits = limits
-        self.caller_memory = CallerMemory(
+        self.caller_account = CallerAccount(
             limits.memory_bytes,
             self._log_scarcity,
             self._count_closed,
@@ -208,7 +208,7 @@
             self.wire,
             self.memory,
             limits,
-            self.caller_memory,
+            self.caller_account,
         )
 
     @property
@@ -282,7 +282,7 @@
                 render_error=self.calls.describe,
                 admission=self.admission,
                 record_refusal=self.calls.record_unread,
-                memory=self.caller_memory,
+                account=self.caller_account,
                 idle_limit_s=self._idle_limit_s,
             )
             nursery.cancel_scope.cancel()
@@ -298,7 +298,7 @@
         self.placer.recompute()
 
     async def _report_lateness(self) -> None:
-        CALLER_MEMORY.set(self.caller_memory.held_bytes)
+        CALLER_MEMORY.set(self.caller_account.held_bytes)
         longest_s = scheduler_passes().take_longest_s()
         LONGEST_PASS.set(longest_s)
         refused = self.admission.take_refused()
@@ -327,11 +327,11 @@
         limits = self.caller_limits
         log_decision(
             f"caller_{scarcity.value}_{'full' if is_full else 'relieved'}",
-            held_bytes=self.caller_memory.held_bytes,
+            held_bytes=self.caller_account.held_bytes,
             limit_bytes=(
                 None if limits.memory_bytes == math.inf else int(limits.memory_bytes)
             ),
-            connections=self.caller_memory.connections,
+            connections=self.caller_account.connections,
             connections_max=limits.connections,
         )
 
--- a/libs/gateway/src/teaseldyke/gateway/service_room.py
+++ b/libs/gateway/src/teaseldyke/gateway/service_room.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from teaseldyke.http import CallerMemory
+from teaseldyke.http import CallerAccount
 
 from .errors import ServiceCrowded
 
@@ -32,12 +32,12 @@
 
     Parameters
     ----------
-    memory : CallerMemory
+    account : CallerAccount
         Counts the connections and what is held for them.
 
     Examples
     --------
-    >>> room = ServiceRoom(CallerMemory())
+    >>> room = ServiceRoom(CallerAccount())
     >>> with room.enter("ledger"):
     ...     room.running
     1
@@ -45,7 +45,7 @@
     0
     """
 
-    memory: CallerMemory
+    account: CallerAccount
     _running: Counter[str] = attrs.field(factory=Counter, init=False)
 
     @property
@@ -77,6 +77,6 @@
                 del self._running[service]
 
     def _is_crowded(self, service: str) -> bool:
-        if not self.memory.is_taken_by_forwarded(SCARCE_SHARE):
+        if not self.account.is_taken_by_forwarded(SCARCE_SHARE):
             return False
         return self._running[service] > SERVICE_SHARE * self.running
--- a/libs/gateway/tests/test_caller_limits.py
+++ b/libs/gateway/tests/test_caller_limits.py
@@ -9,7 +9,7 @@
 
 from teaseldyke.gateway.caller_limits import derive_caller_limits
 from teaseldyke.gateway.settings import FleetBounds, GatewaySettings
-from teaseldyke.http.caller_memory import CONNECTION_BYTES
+from teaseldyke.http.caller_account import CONNECTION_BYTES
 from teaseldyke.settings import Address
 
 MIB = 1024 * 1024
--- a/libs/gateway/tests/test_service_room.py
+++ b/libs/gateway/tests/test_service_room.py
@@ -9,21 +9,21 @@
 
 from teaseldyke.gateway.errors import ServiceCrowded
 from teaseldyke.gateway.service_room import ServiceRoom
-from teaseldyke.http import CallerMemory, HoldingState
-from teaseldyke.http.caller_memory import CONNECTION_BYTES
+from teaseldyke.http import CallerAccount, HoldingState
+from teaseldyke.http.caller_account import CONNECTION_BYTES
 
 ROOM = 8  # connections
 
 
-def by_connections() -> CallerMemory:
-    return CallerMemory(connections_max=ROOM)
+def by_connections() -> CallerAccount:
+    return CallerAccount(connections_max=ROOM)
 
 
-def by_memory() -> CallerMemory:
-    return CallerMemory(limit_bytes=ROOM * CONNECTION_BYTES)
+def by_memory() -> CallerAccount:
+    return CallerAccount(limit_bytes=ROOM * CONNECTION_BYTES)
 
 
-@pytest.mark.parametrize("make_memory", [by_connections, by_memory])
+@pytest.mark.parametrize("make_account", [by_connections, by_memory])
 @pytest.mark.parametrize(
     ("running", "idle", "service", "is_refused"),
     [
@@ -41,22 +41,22 @@
     ],
 )
 def test_service_that_takes_most_is_refused(
-    make_memory: Callable[[], CallerMemory],
+    make_account: Callable[[], CallerAccount],
     running: str,
     idle: int,
     service: str,
     is_refused: bool,
 ) -> None:
     """Requests to one service that hang kept everybody else out."""
-    memory = make_memory()
-    room = ServiceRoom(memory)
+    account = make_account()
+    room = ServiceRoom(account)
     with ExitStack() as stack:
         for name in running:
             stack.enter_context(room.enter(name))
         for _ in running:
-            memory.open(lambda state, scarcity: True).enter(HoldingState.FORWARDED)
+            account.open(lambda state, scarcity: True).enter(HoldingState.FORWARDED)
         for _ in range(idle):
-            memory.open(lambda state, scarcity: True).enter(HoldingState.IDLE)
+            account.open(lambda state, scarcity: True).enter(HoldingState.IDLE)
         if is_refused:
             with pytest.raises(ServiceCrowded) as caught, room.enter(service):
                 pass
--- a/libs/http/src/teaseldyke/http/__init__.py
+++ b/libs/http/src/teaseldyke/http/__init__.py
@@ -4,7 +4,7 @@
 
 from .admission import Admission
 from .backend import BackendPool
-from .caller_memory import CallerMemory, Holding, HoldingState, Scarcity
+from .caller_account import CallerAccount, Holding, HoldingState, Scarcity
 from .client import HttpClient, Response
 from .errors import (
     AnswerBroken,
@@ -38,7 +38,7 @@
     "BackendPool",
     "BodyTooLarge",
     "CallerGone",
-    "CallerMemory",
+    "CallerAccount",
     "CallerTooSlow",
     "ConnectFailed",
     "CrossedAnswer",
--- a/libs/http/src/teaseldyke/http/body.py
+++ b/libs/http/src/teaseldyke/http/body.py
@@ -10,7 +10,7 @@
 
 from teaseldyke.timers import scheduler_passes
 
-from .caller_memory import Holding, HoldingState
+from .caller_account import Holding, HoldingState
 from .errors import (
     BodyTooLarge,
     CallerGone,
--- a/libs/http/src/teaseldyke/http/caller_account.py
+++ b/libs/http/src/teaseldyke/http/caller_account.py
@@ -28,7 +28,7 @@
 
 
 class HoldingState(IntEnum):
-    """What a connection is doing; see `CallerMemory` for the order of closing."""
+    """What a connection is doing; see `CallerAccount` for the order of closing."""
 
     DISCARDING = 0
     UNUSED = 1  # no request has begun to arrive yet
@@ -61,7 +61,7 @@
 
     Parameters
     ----------
-    memory : CallerMemory
+    account : CallerAccount
         The account.
     close : callable
         Closes the connection, which is in the given state, without waiting, as a limit
@@ -83,7 +83,7 @@
         The limit for which the account has closed the connection.
     """
 
-    memory: CallerMemory
+    account: CallerAccount
     close: Callable[[HoldingState, Scarcity], bool]
     entered_at_s: float = 0.0
     held_bytes: int = 0
@@ -107,12 +107,12 @@
         """Change the state; a request starts when the connection is receiving."""
         if state is HoldingState.RECEIVING:
             self.received_bytes = 0
-        self.memory.move(self, state)
+        self.account.move(self, state)
 
     def receive(self, size_bytes: int) -> bool:
         """Count bytes that have arrived; returns as `add`."""
         self.received_bytes += size_bytes
-        self.memory.note_progress(self)
+        self.account.note_progress(self)
         return self.add(size_bytes)
 
     def add(self, size_bytes: int) -> bool:
@@ -126,21 +126,21 @@
         if self.is_closed:
             return False
         self.held_bytes += size_bytes
-        return self.memory.add(size_bytes, self)
+        return self.account.add(size_bytes, self)
 
     def free(self, size_bytes: int) -> None:
         """Count bytes that were held as freed."""
         if self.is_closed:
             return
         self.held_bytes -= size_bytes
-        self.memory.subtract(size_bytes)
+        self.account.subtract(size_bytes)
 
     def keep(self, buffered_bytes: int) -> None:
         """Forget all but the connection itself and what is still buffered."""
         if self.is_closed:
             return
         kept_bytes = CONNECTION_BYTES + buffered_bytes
-        self.memory.subtract(self.held_bytes - kept_bytes)
+        self.account.subtract(self.held_bytes - kept_bytes)
         self.held_bytes = kept_bytes
 
     def reject(self) -> None:
@@ -150,11 +150,11 @@
 
     def release(self) -> None:
         """Forget the connection."""
-        self.memory.remove(self)
+        self.account.remove(self)
 
 
 @attrs.define(eq=False)
-class CallerMemory:
+class CallerAccount:
     """Counts connections and all bytes held for them, and selects some to close.
 
     Above a limit, connections are closed until the account is some way below it:
@@ -191,9 +191,9 @@
 
     Examples
     --------
-    >>> memory = CallerMemory(2 * CONNECTION_BYTES)
-    >>> first = memory.open(lambda state, scarcity: True)
-    >>> second = memory.open(lambda state, scarcity: True)
+    >>> account = CallerAccount(2 * CONNECTION_BYTES)
+    >>> first = account.open(lambda state, scarcity: True)
+    >>> second = account.open(lambda state, scarcity: True)
     >>> second.enter(HoldingState.RECEIVING)
     >>> second.receive(500)
     True
--- a/libs/http/src/teaseldyke/http/connection.py
+++ b/libs/http/src/teaseldyke/http/connection.py
@@ -17,7 +17,7 @@
 from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission, Decision
-from .caller_memory import CallerMemory, Holding, HoldingState, Scarcity
+from .caller_account import CallerAccount, Holding, HoldingState, Scarcity
 from .closures import Cause, IdleClose, RequestState, record_closure, record_idle_close
 from .errors import (
     Busy,
@@ -85,7 +85,7 @@
         Decides which requests are admitted.
     record_refusal : callable
         Called with the error of each refusal before a request reaches the handler.
-    memory : CallerMemory
+    account : CallerAccount
         Counts what is held for the connections.
     idle_limit_s : callable
         Returns the longest wait for the next request that is allowed at the time, if
@@ -105,7 +105,7 @@
     render_error: ErrorRenderer = problem_response
     admission: Admission = attrs.field(factory=Admission)
     record_refusal: RefusalRecorder = lambda error: None
-    memory: CallerMemory = attrs.field(factory=CallerMemory)
+    account: CallerAccount = attrs.field(factory=CallerAccount)
     idle_limit_s: Callable[[], float] = lambda: math.inf
     idle: set[CallerConnection] = attrs.field(factory=set)
     idle_closed: bool = False
@@ -207,7 +207,7 @@
         TooManyConnections, CallerMemoryFull
             If there is no room for the connection; it is still open.
         """
-        self._holding = holding = self._context.memory.open(self._make_room)
+        self._holding = holding = self._context.account.open(self._make_room)
         self._watch.start()
         try:
             discard_timeout_s = await self._serve_requests(holding)
--- a/libs/http/src/teaseldyke/http/request.py
+++ b/libs/http/src/teaseldyke/http/request.py
@@ -12,7 +12,7 @@
 import trio
 
 from .body import IncomingBody
-from .caller_memory import CallerMemory, Holding, HoldingState
+from .caller_account import CallerAccount, Holding, HoldingState
 from .errors import CallerGone, CallerTooSlow
 from .headers import Headers, MixedHeaders, encode_headers, first_header
 from .limits import ServerLimits
@@ -91,7 +91,7 @@
         holding: Holding | None = None,
     ) -> None:
         self.caller = caller
-        self._holding = holding or CallerMemory().hold_unlimited()
+        self._holding = holding or CallerAccount().hold_unlimited()
         self.id = secrets.token_hex(REQUEST_ID_BYTES)
         self.method = head.method.decode("ascii")
         self.headers: Headers = list(head.headers)
--- a/libs/http/src/teaseldyke/http/server.py
+++ b/libs/http/src/teaseldyke/http/server.py
@@ -12,7 +12,7 @@
 from teaseldyke.types import TeaseldykeError
 
 from .admission import Admission
-from .caller_memory import CallerMemory
+from .caller_account import CallerAccount
 from .closures import Cause, RequestState, record_closure
 from .connection import (
     CLOSE_TIMEOUT_S,
@@ -45,7 +45,7 @@
     admission: Admission | None = None,
     record_refusal: RefusalRecorder = lambda error: None,
     wrap: Callable[[Stream], Stream] | None = None,
-    memory: CallerMemory | None = None,
+    account: CallerAccount | None = None,
     idle_limit_s: Callable[[], float] = lambda: math.inf,
 ) -> None:
     """Serve requests until ``stopping`` is set and running requests have finished.
@@ -76,7 +76,7 @@
         handler. The response to an overload is rendered only a few times.
     wrap : callable, optional
         Returns the stream to use in place of an accepted connection.
-    memory : CallerMemory, optional
+    account : CallerAccount, optional
         Counts the connections and what is held for them, and closes some of them above
         its limits; by default ``limits.connections`` is the only one.
     idle_limit_s : callable, optional
@@ -91,7 +91,7 @@
         render_error,
         admission or Admission(),
         record_refusal,
-        memory or CallerMemory(connections_max=limits.connections),
+        account or CallerAccount(connections_max=limits.connections),
         idle_limit_s,
     )
     server = _Server(context, wrap)
--- a/libs/http/tests/test_caller_account.py
+++ b/libs/http/tests/test_caller_account.py
@@ -10,7 +10,7 @@
 import trio
 
 from teaseldyke.http import (
-    CallerMemory,
+    CallerAccount,
     Holding,
     HoldingState,
     Request,
@@ -18,7 +18,7 @@
     ServerLimits,
     serve,
 )
-from teaseldyke.http.caller_memory import CONNECTION_BYTES, STALLED_S
+from teaseldyke.http.caller_account import CONNECTION_BYTES, STALLED_S
 from teaseldyke.types import TeaseldykeError
 
 DISCARDING, UNUSED, IDLE, RECEIVING, FORWARDED = HoldingState
@@ -35,10 +35,10 @@
     scarcities: set[Scarcity] = attrs.field(factory=set)
     changes: list[bool] = attrs.field(factory=list)
     now_s: float = 0.0
-    memory: CallerMemory = attrs.field(init=False)
+    account: CallerAccount = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.memory = CallerMemory(
+        self.account = CallerAccount(
             on_change=lambda scarcity, is_full: self.changes.append(is_full),
             on_closed=self.count_closed,
             clock=lambda: self.now_s,
@@ -58,7 +58,7 @@
             return True
 
         try:
-            holding = self.memory.open(close)
+            holding = self.account.open(close)
         except TeaseldykeError:
             return None
         holding.enter(state)
@@ -67,12 +67,12 @@
         return holding
 
     def limit(self, room_bytes: int) -> None:
-        self.memory.limit_bytes = self.memory.held_bytes + room_bytes
+        self.account.limit_bytes = self.account.held_bytes + room_bytes
 
     def reach(self, scarcity: Scarcity) -> None:
         """Leave no room for another connection."""
         if scarcity is Scarcity.CONNECTIONS:
-            self.memory.connections_max = self.memory.connection_count
+            self.account.connections_max = self.account.connection_count
             return
         self.limit(room_bytes=CONNECTION_BYTES // 2)
 
@@ -158,7 +158,7 @@
 def test_newcomers_displace_the_oldest_of_those_that_have_just_come() -> None:
     """A crowd that comes back at once would displace whoever came right before it."""
     fleet = Fleet()
-    fleet.memory.connections_max = 3
+    fleet.account.connections_max = 3
     states = [UNUSED, RECEIVING, IDLE, UNUSED, RECEIVING, UNUSED]
     for name, state in zip("abcdef", states, strict=True):
         fleet.open(name, state)
@@ -200,11 +200,11 @@
     closed.add(100)
     closed.enter(RECEIVING)
     closed.release()
-    assert fleet.memory.held_bytes == CONNECTION_BYTES + ROOM_BYTES + 1
+    assert fleet.account.held_bytes == CONNECTION_BYTES + ROOM_BYTES + 1
     kept.keep(buffered_bytes=10)
-    assert fleet.memory.held_bytes == CONNECTION_BYTES + 10
+    assert fleet.account.held_bytes == CONNECTION_BYTES + 10
     kept.release()
-    assert fleet.memory.held_bytes == 0
+    assert fleet.account.held_bytes == 0
 
 
 def test_change_is_told_once() -> None:
@@ -245,7 +245,7 @@
     sent: bytes, end: bytes, refused: str, nursery: trio.Nursery
 ) -> None:
     """A request would run although its caller was told that it never will."""
-    memory = CallerMemory((ROOM_FOR + 0.5) * CONNECTION_BYTES)
+    account = CallerAccount((ROOM_FOR + 0.5) * CONNECTION_BYTES)
     bodies: list[bytes] = []
 
     async def hold(request: Request) -> None:
@@ -254,7 +254,7 @@
 
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listener.socket.getsockname()[1]
-    run = partial(serve, listener, hold, ServerLimits(), memory=memory)
+    run = partial(serve, listener, hold, ServerLimits(), account=account)
     nursery.start_soon(run)
 
     async def send(data: bytes) -> trio.SocketStream:
@@ -277,4 +277,4 @@
                 await first.send_all(end)
         await trio.sleep(0.05)
         assert bodies == [b"ok"] * ROOM_FOR
-    assert memory.held_bytes <= memory.limit_bytes
+    assert account.held_bytes <= account.limit_bytes
