--- a/tests/platform/test_caller_crowds.py
+++ b/tests/platform/test_caller_crowds.py
@@ -173,6 +173,13 @@
             nursery.cancel_scope.cancel()
 
 
+async def watch_descriptors(gateway: GatewayProcess, counts: list[int]) -> None:
+    """Count the descriptors of a process again and again."""
+    while gateway.is_running:
+        counts.append(gateway.descriptors())
+        await trio.sleep(0.02)
+
+
 async def send_unfinished(
     address: Address, crowd: Crowd, number: int
 ) -> trio.socket.SocketType:
@@ -218,16 +225,11 @@
     async def send(number: int) -> None:
         sockets.enter_context(await send_unfinished(callers, crowd, number))
 
-    async def watch() -> None:
-        while gateway.is_running:
-            descriptors.append(gateway.descriptors())
-            await trio.sleep(0.02)
-
     with sockets:
         async with limited_gateway(tmp_path, crowd.script) as gateway:
             callers = gateway.addresses["callers"]
             async with trio.open_nursery() as watching:
-                watching.start_soon(watch)
+                watching.start_soon(watch_descriptors, gateway, descriptors)
                 async with trio.open_nursery() as sending:
                     for number in range(CONNECTIONS):
                         sending.start_soon(send, number)
@@ -297,15 +299,10 @@
     """Ordinary callers were refused as long as small requests held all connections."""
     descriptors: list[int] = []
 
-    async def watch() -> None:
-        while gateway.is_running:
-            descriptors.append(gateway.descriptors())
-            await trio.sleep(0.02)
-
     async with limited_gateway(tmp_path, crowd.script, SCARCE_DESCRIPTORS) as gateway:
         callers = gateway.addresses["callers"]
         async with trio.open_nursery() as crowding:
-            crowding.start_soon(watch)
+            crowding.start_soon(watch_descriptors, gateway, descriptors)
             for number in range(PERSISTENT_CALLERS):
                 crowding.start_soon(hold_connection, callers, crowd, number, returns)
             await trio.sleep(OPENING_S + STAYING_S)
