--- a/tests/platform/test_caller_crowds.py
+++ b/tests/platform/test_caller_crowds.py
@@ -258,7 +258,7 @@
     ),
     "idle-after-a-request": Crowd(head("/crowd/a", length(0))),
     "running-at-another-service": Crowd(head("/crowd/a", length(0)), script=hang),
-    # Of these the memory is exceeded before the connections.
+    # Large bodies, of which fewer than the connections fit into memory.
     "legal-size-one-byte-short": Crowd(
         head("/crowd/a", length(LEGAL_BYTES)), bytes(LEGAL_BYTES - 1), 1, b"\0"
     ),
